Set down the workspace, the core types and the tree of settings

Cause: an empty repository; the agreed shape (small libraries, tasks that own their state, NamedTuple and TypedDict, registries, a test class a subject) has to stand before anything is built on it. Change: the workspace with ruff, mypy and import-linter; carawaysail_types (ids that carry their owner, submissions, the closed set of outcomes, typed errors, the clock interface, registries); carawaysail_settings (tree, keys, checks, inheritance with origins, sections, edits). Conclusion: decisions can be written against these types.

--- /dev/null
+++ b/libs/carawaysail_settings/src/carawaysail_settings/checks.py
@@ -0,0 +1,66 @@
+"""Checks of values, each registered under the name that a key refers to."""
+
+import collections.abc
+
+from carawaysail_settings import errors, keys
+from carawaysail_types import registry
+
+Check = collections.abc.Callable[[str, keys.Key, object], keys.Scalar]
+
+checks: registry.Registry[Check] = registry.Registry("settings checks")
+
+
+@checks.register("integer")
+def check_integer(path: str, key: keys.Key, value: object) -> keys.Scalar:
+    """Return a whole number within the key's bounds."""
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    if not whole or not key.low <= value <= key.high:  # type: ignore[operator]
+        accepted = f"a whole number from {key.low:g} to {key.high:g}"
+        raise errors.SettingRejectedError(path, value, accepted)
+    return value  # type: ignore[return-value]
+
+
+@checks.register("number")
+def check_number(path: str, key: keys.Key, value: object) -> keys.Scalar:
+    """Return a number within the key's bounds."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not key.low <= value <= key.high:  # type: ignore[operator]
+        accepted = f"a number from {key.low:g} to {key.high:g}"
+        raise errors.SettingRejectedError(path, value, accepted)
+    return float(value)  # type: ignore[arg-type]
+
+
+@checks.register("flag")
+def check_flag(path: str, key: keys.Key, value: object) -> keys.Scalar:
+    """Return a truth value."""
+    if not isinstance(value, bool):
+        raise errors.SettingRejectedError(path, value, "true or false")
+    return value
+
+
+@checks.register("choice")
+def check_choice(path: str, key: keys.Key, value: object) -> keys.Scalar:
+    """Return one of the key's choices."""
+    if not isinstance(value, str) or value not in key.choices:
+        raise errors.SettingRejectedError(path, value, ", ".join(key.choices))
+    return value
+
+
+def check(path: str, key: keys.Key, value: object) -> keys.Scalar:
+    """Return a checked value of a key.
+
+    Parameters
+    ----------
+    path : str
+        Where the value stands, for the error.
+    key : keys.Key
+        The key.
+    value : object
+        The value as parsed.
+
+    Raises
+    ------
+    errors.SettingRejectedError
+        If the value is not accepted.
+    """
+    return checks.get(key.check)(path, key, value)
--- /dev/null
+++ b/libs/carawaysail_types/src/carawaysail_types/identifiers.py
@@ -0,0 +1,120 @@
+"""Identifiers of VMs, processes, submissions and tasks.
+
+A submission identifier is ``<owner>~<own>``: the owner token names one incarnation of
+one entry daemon and the epoch in which the token was given out; the rest is the
+caller's own. Only that incarnation, or the heir it names on a graceful end, ever
+starts the submission.
+"""
+
+import re
+import typing
+
+from carawaysail_types import errors
+
+OWN_PATTERN = re.compile(r"[A-Za-z0-9_.:\-]{1,64}")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9\-]{0,62}")
+OWNER_PATTERN = re.compile(
+    r"([a-z0-9][a-z0-9\-]{0,62})\.([a-z0-9][a-z0-9\-]{0,62})\.([0-9a-f]{16})\.([0-9]{1,9})"
+)
+
+TargetId = str
+"""Name of a target, unique in the tree of settings."""
+
+Incarnation = str
+"""Sixteen hexadecimal digits drawn when a daemon starts; never reused."""
+
+
+class Owner(typing.NamedTuple):
+    """The incarnation that owns a submission identifier.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the owning daemon.
+    vm : str
+        Name of the entry daemon.
+    incarnation : str
+        Sixteen hexadecimal digits, drawn at the start of the process.
+    epoch : int
+        Number of whole epochs since the process started, when the token was given.
+    """
+
+    data_centre: str
+    vm: str
+    incarnation: Incarnation
+    epoch: int
+
+    def __str__(self) -> str:
+        """Return the token as callers carry it."""
+        return f"{self.data_centre}.{self.vm}.{self.incarnation}.{self.epoch}"
+
+
+class SubmissionId(typing.NamedTuple):
+    """Identifier of a submission.
+
+    Parameters
+    ----------
+    owner : Owner
+        Who may start it.
+    own : str
+        The caller's part, 1 to 64 of letters, digits and ``_ . : -``.
+    """
+
+    owner: Owner
+    own: str
+
+    def __str__(self) -> str:
+        """Return the identifier as callers carry it."""
+        return f"{self.owner}~{self.own}"
+
+
+class TaskId(typing.NamedTuple):
+    """Identifier of one task of a submission.
+
+    Parameters
+    ----------
+    submission : str
+        Text of the submission identifier.
+    position : int
+        Position of the task in its submission, from 0.
+    """
+
+    submission: str
+    position: int
+
+    def __str__(self) -> str:
+        """Return the identifier as targets see it."""
+        return f"{self.submission}#{self.position}"
+
+
+def parse_owner(text: str) -> Owner:
+    """Return the owner that a token names.
+
+    Raises
+    ------
+    errors.BadInputError
+        If the text is not an owner token.
+    """
+    match = OWNER_PATTERN.fullmatch(text)
+    if match is None:
+        raise errors.BadInputError(
+            "owner", text, "a token from GET /v1/owner, <data centre>.<vm>.<16 hex>.<n>"
+        )
+    data_centre, vm, incarnation, epoch = match.groups()
+    return Owner(data_centre, vm, incarnation, int(epoch))
+
+
+def parse_submission(text: str) -> SubmissionId:
+    """Return the submission identifier that a text spells.
+
+    Raises
+    ------
+    errors.BadInputError
+        If the text is not ``<owner>~<own>``.
+    """
+    owner, separator, own = text.partition("~")
+    if not separator or OWN_PATTERN.fullmatch(own) is None:
+        raise errors.BadInputError(
+            "id", text, "<owner>~<own>, own being 1 to 64 of A-Z a-z 0-9 _ . : -"
+        )
+    return SubmissionId(parse_owner(owner), own)
