Decide ownership, placing, queues, admission, health and membership without I/O

Cause: decisions must be testable step by step and at sizes no machine here has. Change: a pure library. Ids are bound to one incarnation for life; the dispatcher turns typed events into typed actions; routing, queue and admission policies stand in registries; shares follow gossiped demand; sections merge by greatest revision.

--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/__init__.py
@@ -0,0 +1,39 @@
+"""Pure decisions: typed states and events in, typed actions out.
+
+Nothing here does input or output, knows an encoding, a thread or the time of day;
+instants are passed in.
+"""
+
+from carawaysail_decisions import (
+    admission,
+    capacity,
+    dispatcher,
+    events,
+    health,
+    membership,
+    ownership,
+    queues,
+    quotas,
+    retries,
+    routing,
+    runtimes,
+    shares,
+    versions,
+)
+
+__all__ = [
+    "admission",
+    "capacity",
+    "dispatcher",
+    "events",
+    "health",
+    "membership",
+    "ownership",
+    "queues",
+    "quotas",
+    "retries",
+    "routing",
+    "runtimes",
+    "shares",
+    "versions",
+]
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/admission.py
@@ -0,0 +1,78 @@
+"""Admission policies: what is refused early, because it would be late anyway."""
+
+import datetime
+import typing
+
+from carawaysail_types import outcomes, registry
+
+
+class Offer(typing.NamedTuple):
+    """A submission at the door.
+
+    Parameters
+    ----------
+    now, deadline : datetime.datetime
+        The present instant and when the answer is due.
+    tasks : int
+        Tasks of the submission.
+    expected_ms : float
+        Expected run time of one task.
+    ahead_ms : float
+        Expected work of its lane that is queued or running already, in slot-ms.
+    slots : float
+        Slots that this daemon may use for it.
+    queued : int
+        Tasks that wait.
+    max_queued : int
+        Tasks that may wait.
+    """
+
+    now: datetime.datetime
+    deadline: datetime.datetime
+    tasks: int
+    expected_ms: float
+    ahead_ms: float
+    slots: float
+    queued: int
+    max_queued: int
+
+
+class Policy(typing.Protocol):
+    """Decides whether a submission is let in."""
+
+    def refuse(self, offer: Offer) -> outcomes.Reason | None:
+        """Return why a submission is refused, or ``None``."""
+
+
+policies: registry.Registry[type[Policy]] = registry.Registry("admission policies")
+
+
+@policies.register("accept_all")
+class AcceptAll:
+    """Refuses only what does not fit into the queue."""
+
+    def refuse(self, offer: Offer) -> outcomes.Reason | None:
+        """Return ``queue_full`` where the queue is full."""
+        if offer.queued + offer.tasks > offer.max_queued:
+            return outcomes.Reason.QUEUE_FULL
+        return None
+
+
+@policies.register("meets_deadline")
+class MeetsDeadline:
+    """Refuses what cannot be answered by its deadline, as far as can be told."""
+
+    def refuse(self, offer: Offer) -> outcomes.Reason | None:
+        """Return ``would_miss_deadline`` or ``queue_full``, or ``None``."""
+        if offer.queued + offer.tasks > offer.max_queued:
+            return outcomes.Reason.QUEUE_FULL
+        left_ms = (offer.deadline - offer.now).total_seconds() * 1000.0
+        if left_ms <= 0.0:
+            return outcomes.Reason.DEADLINE
+        if offer.slots <= 0.0 or offer.ahead_ms <= 0.0:
+            return None
+        wait_ms = offer.ahead_ms / offer.slots
+        waves = max(1.0, offer.tasks / offer.slots)
+        if wait_ms + waves * offer.expected_ms > left_ms:
+            return outcomes.Reason.WOULD_MISS_DEADLINE
+        return None
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
@@ -0,0 +1,174 @@
+"""Targets as placing sees them: what they can hold and what they hold now."""
+
+import datetime
+import typing
+
+from carawaysail_decisions import health
+from carawaysail_types import identifiers, work
+
+UNBOUNDED = 1e12
+
+
+class Capacity(typing.NamedTuple):
+    """What a target can hold at once.
+
+    Parameters
+    ----------
+    processors : float
+        Processors of a worker; slots of a runner.
+    memory_mb : float
+        Memory, in MB; unbounded for a runner.
+    accelerators : float
+        Accelerators.
+    """
+
+    processors: float
+    memory_mb: float = UNBOUNDED
+    accelerators: float = 0.0
+
+    def holds(self, needs: work.Needs) -> bool:
+        """Tell whether a task with these needs can ever fit."""
+        return (
+            needs.processors <= self.processors
+            and needs.memory_mb <= self.memory_mb
+            and needs.accelerators <= self.accelerators
+        )
+
+    def part(self, share: float) -> "Capacity":
+        """Return a share of it, between 0 and 1."""
+        return Capacity(
+            self.processors * share, self.memory_mb * share, self.accelerators * share
+        )
+
+
+class TargetSpec(typing.NamedTuple):
+    """A target as the settings describe it.
+
+    Parameters
+    ----------
+    target_id : str
+        Its name.
+    kind : str
+        ``runner`` or ``worker``.
+    url : str
+        Where it answers.
+    services : frozenset of str
+        Services that it serves.
+    capacity : Capacity
+        The whole of it.
+    leaving : bool
+        Whether it gets no new work.
+    lease : datetime.timedelta
+        Lease of its tasks; workers only.
+    connect : datetime.timedelta
+        Time to open a connection.
+    connections : int
+        Connections that it accepts.
+    """
+
+    target_id: identifiers.TargetId
+    kind: str
+    url: str
+    services: frozenset[str]
+    capacity: Capacity
+    leaving: bool = False
+    lease: datetime.timedelta = datetime.timedelta(seconds=10)
+    connect: datetime.timedelta = datetime.timedelta(seconds=1)
+    connections: int = 60
+
+
+class TargetState:
+    """One target: its share for this daemon, what it holds, speed and health.
+
+    Parameters
+    ----------
+    spec : TargetSpec
+        Its description.
+    """
+
+    __slots__ = (
+        "accelerators",
+        "health",
+        "in_flight",
+        "long_in_flight",
+        "memory_mb",
+        "processors",
+        "share",
+        "spec",
+        "speed",
+    )
+
+    def __init__(self, spec: TargetSpec) -> None:
+        self.spec = spec
+        self.share = spec.capacity
+        self.processors = 0.0
+        self.memory_mb = 0.0
+        self.accelerators = 0.0
+        self.in_flight = 0
+        self.long_in_flight = 0.0
+        self.speed = 1.0
+        self.health = health.Health()
+
+    def fits(
+        self, needs: work.Needs, is_long: bool, long_share: float, stretch: float
+    ) -> bool:
+        """Tell whether a task may be sent now.
+
+        Parameters
+        ----------
+        needs : work.Needs
+            What it takes.
+        is_long : bool
+            Whether it goes to the long lane.
+        long_share : float
+            Share of the processors that long work may hold.
+        stretch : float
+            How many times the processors may be filled; over 1 leaves a backlog at a
+            worker, so that one message carries several tasks.
+        """
+        if self.health.limit is not None and self.in_flight >= self.health.limit:
+            return False
+        share = self.share
+        if needs.memory_mb * stretch + self.memory_mb > share.memory_mb * stretch:
+            return False
+        if needs.accelerators + self.accelerators > share.accelerators:
+            return False
+        if is_long:
+            bound = max(needs.processors, share.processors * long_share)
+            if self.long_in_flight + needs.processors > bound:
+                return False
+        return self.processors + needs.processors <= share.processors * stretch
+
+    def hold(self, needs: work.Needs, is_long: bool) -> None:
+        """Count a task that is being sent."""
+        self.in_flight += 1
+        self.processors += needs.processors
+        self.memory_mb += needs.memory_mb
+        self.accelerators += needs.accelerators
+        if is_long:
+            self.long_in_flight += needs.processors
+
+    def release(self, needs: work.Needs, is_long: bool) -> None:
+        """Count a task that has ended."""
+        self.in_flight -= 1
+        self.processors -= needs.processors
+        self.memory_mb -= needs.memory_mb
+        self.accelerators -= needs.accelerators
+        if is_long:
+            self.long_in_flight -= needs.processors
+
+    def learn_speed(self, ratio: float) -> None:
+        """Learn from a run time divided by the expected one.
+
+        Parameters
+        ----------
+        ratio : float
+            Over 1 for a target slower than the average.
+        """
+        bounded = min(max(ratio, MIN_RATIO), MAX_RATIO)
+        self.speed += SPEED_GAIN * (bounded - self.speed)
+
+
+MIN_RATIO = 0.1
+MAX_RATIO = 10.0
+SPEED_GAIN = 0.1
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -0,0 +1,502 @@
+"""The dispatcher: from submissions to batches and from answers to outcomes.
+
+``Dispatcher.handle`` takes one event with its instant and returns actions. It owns
+the waiting work, the targets' ledgers and the submissions under way.
+"""
+
+import collections.abc
+import datetime
+import heapq
+import itertools
+import random
+import typing
+
+from carawaysail_decisions import (
+    admission,
+    backlog,
+    capacity,
+    events,
+    placing,
+    pools,
+    progress,
+    queues,
+    quotas,
+    retries,
+    routing,
+    runtimes,
+)
+from carawaysail_types import identifiers, outcomes, registry, work
+
+
+class Counters(typing.TypedDict):
+    """Totals since the start, for metrics."""
+
+    submitted: int
+    refused: int
+    tasks_sent: int
+    batches_sent: int
+    retries: int
+    unmatched_answers: int
+    ejections: int
+
+
+Handler = collections.abc.Callable[
+    ["Dispatcher", typing.Any, datetime.datetime], "list[events.Action]"
+]
+
+handlers: registry.Registry[Handler] = registry.Registry("dispatcher events")
+
+
+class Dispatcher:
+    """Places tasks and gathers answers for one entry daemon.
+
+    Parameters
+    ----------
+    random_state : int
+        Seed of every random choice.
+    rules : events.Rules, optional
+        Policies and shares.
+    """
+
+    def __init__(self, random_state: int, rules: events.Rules | None = None) -> None:
+        self.rules = rules or events.Rules()
+        self.run_times = runtimes.RunTimes()
+        self.quotas = quotas.Ledger()
+        self.draining = False
+        self.counters = Counters(
+            submitted=0, refused=0, tasks_sent=0, batches_sent=0, retries=0,
+            unmatched_answers=0, ejections=0,
+        )  # fmt: skip
+        self._rng = random.Random(random_state)
+        self.placing = placing.Placing(self._rng)
+        self.backlog = backlog.Backlog(queues.policies.get(self.rules.queue)())
+        self._set_policies()
+        self._submissions: dict[str, progress.Progress] = {}
+        self._order = itertools.count()
+        self._due: list[tuple[datetime.datetime, int, str]] = []
+        self._delayed: list[tuple[datetime.datetime, int, progress.Progress, int]] = []
+        self._ejected: list[datetime.datetime] = []
+        self._budgets: dict[str, retries.Budget] = {}
+        self._wake: datetime.datetime | None = None
+
+    def handle(
+        self, event: events.Event, now: datetime.datetime
+    ) -> list[events.Action]:
+        """Take one event and return what follows from it.
+
+        Parameters
+        ----------
+        event : events.Event
+            What happened.
+        now : datetime.datetime
+            The present instant.
+
+        Returns
+        -------
+        list of events.Action
+            What to do, in order.
+        """
+        actions = handlers.get(type(event).__name__)(self, event, now)
+        self._place(actions, now)
+        self._ask_to_wake(actions, now)
+        return actions
+
+    def unfinished(self) -> int:
+        """Return how many submissions have no final outcome."""
+        return len(self._submissions)
+
+    def running(self) -> int:
+        """Return how many tasks are with targets."""
+        return sum(state.in_flight for state in self.placing.targets.values())
+
+    def demand(self) -> int:
+        """Return how many tasks wait or run, for the shares."""
+        return self.backlog.queued + self.running()
+
+    def ejected(self, now: datetime.datetime) -> tuple[str, ...]:
+        """Return the targets that get nothing at an instant."""
+        states = self.placing.targets.items()
+        return tuple(name for name, x in states if x.health.is_ejected(now))
+
+    def _set_policies(self) -> None:
+        self._routing = routing.policies.get(self.rules.routing)(self._rng)
+        self._admission = admission.policies.get(self.rules.admission)()
+
+    # Intake
+
+    @handlers.register("Submitted")
+    def _submitted(
+        self, event: events.Submitted, now: datetime.datetime
+    ) -> list[events.Action]:
+        submission, limits = event
+        self.counters["submitted"] += 1
+        kind = "worker" if submission.is_job else "runner"
+        key = runtimes.Key(submission.service, submission.kind)
+        expected = self._expected_ms(key, submission.tasks)
+        pool = self.placing.pool(kind, submission.service)
+        reason = self._refusal(event, pool, expected, now)
+        if reason is not None:
+            self.counters["refused"] += 1
+            return [events.Answer(submission.submission_id, outcomes.NotRun(reason))]
+        is_long = expected > limits.short_ms
+        flow = self.backlog.flow(key, limits.team, kind, is_long, limits.weight)
+        name = str(submission.submission_id)
+        indexes = range(len(submission.tasks))
+        entry = queues.Waiting(name, submission.tasks, indexes, expected, now)
+        self._submissions[name] = progress.Progress(submission, limits, flow, entry)
+        due = (submission.deadline, next(self._order), name)
+        heapq.heappush(self._due, due)
+        self.backlog.add(flow, entry)
+        return []
+
+    def _refusal(
+        self,
+        event: events.Submitted,
+        pool: pools.Pool | None,
+        expected_ms: float,
+        now: datetime.datetime,
+    ) -> outcomes.Reason | None:
+        submission, limits = event
+        if self.draining:
+            return outcomes.Reason.LEAVING
+        if pool is None:
+            return outcomes.Reason.NO_TARGET
+        if submission.is_job and not _is_feasible(submission, pool):
+            return outcomes.Reason.INFEASIBLE
+        is_long = expected_ms > limits.short_ms
+        ahead_ms = self.backlog.work_ahead_ms(submission.service, is_long)
+        offer = admission.Offer(
+            now, submission.deadline, len(submission.tasks), expected_ms, ahead_ms,
+            pool.slots, self.backlog.queued, limits.max_queued,
+        )  # fmt: skip
+        return self._admission.refuse(offer)
+
+    def _expected_ms(self, key: runtimes.Key, tasks: tuple[work.Task, ...]) -> float:
+        declared = [task.declared for task in tasks if task.declared is not None]
+        return self.run_times.expected_ms(key, max(declared) if declared else None)
+
+    @handlers.register("Cancelled")
+    def _cancelled(
+        self, event: events.Cancelled, now: datetime.datetime
+    ) -> list[events.Action]:
+        stops: dict[str, list[identifiers.TaskId]] = {}
+        actions: list[events.Action] = []
+        for name in event.submissions:
+            item = self._submissions.get(name)
+            if item is not None:
+                actions += self._end_early(item, outcomes.Reason.CANCELLED, stops)
+        return actions + _stop_actions(stops)
+
+    @handlers.register("Drained")
+    def _drained(
+        self, event: events.Drained, now: datetime.datetime
+    ) -> list[events.Action]:
+        self.draining = True
+        return []
+
+    # Settings
+
+    @handlers.register("RulesChanged")
+    def _rules_changed(
+        self, event: events.RulesChanged, now: datetime.datetime
+    ) -> list[events.Action]:
+        before, self.rules = self.rules, event.rules
+        self._set_policies()
+        if before.queue != self.rules.queue:
+            self.backlog.set_policy(queues.policies.get(self.rules.queue)())
+        return []
+
+    @handlers.register("QuotasChanged")
+    def _quotas_changed(
+        self, event: events.QuotasChanged, now: datetime.datetime
+    ) -> list[events.Action]:
+        for team, part in event.parts.items():
+            self.quotas.set_part(team, part)
+        self.backlog.unpark_all()
+        return []
+
+    @handlers.register("TargetsChanged")
+    def _targets_changed(
+        self, event: events.TargetsChanged, now: datetime.datetime
+    ) -> list[events.Action]:
+        self.placing.change(event)
+        self.backlog.unpark_all()
+        return []
+
+    # Answers
+
+    @handlers.register("TaskEnded")
+    def _task_ended(
+        self, event: events.TaskEnded, now: datetime.datetime
+    ) -> list[events.Action]:
+        batch = self.placing.batches.get(event.batch)
+        item = self.placing.release(event.batch, event.task)
+        if batch is None or item is None:
+            self.counters["unmatched_answers"] += 1
+            return []
+        self._freed(item, batch.state)
+        if event.reason == outcomes.Reason.TARGET_REFUSED:
+            return self._not_started(item, event.task.position, now)
+        self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+        if event.ok:
+            self._learn(item, batch, event, now)
+            batch.state.health.succeeded()
+            item.answer(event.task.position, event.answer)
+            return self._settle(item, now)
+        stopped = event.reason == outcomes.Reason.TASK_STOPPED
+        if not stopped:
+            self._blame(batch.state, now)
+        return self._task_failed(item, event.task.position, event.reason, now)
+
+    @handlers.register("BatchEnded")
+    def _batch_ended(
+        self, event: events.BatchEnded, now: datetime.datetime
+    ) -> list[events.Action]:
+        batch = self.placing.batches.get(event.batch)
+        if batch is None:
+            return []
+        actions: list[events.Action] = []
+        if event.fate != events.Fate.ANSWERED:
+            self._blame(batch.state, now)
+        for task_id in list(batch.tasks):
+            item = self.placing.release(event.batch, task_id)
+            if item is None:
+                continue
+            self._freed(item, batch.state)
+            if event.fate == events.Fate.NOT_STARTED:
+                actions += self._not_started(item, task_id.position, now)
+            else:
+                self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+                reason = event.reason or outcomes.Reason.BAD_ANSWER
+                actions += self._task_failed(item, task_id.position, reason, now)
+        del self.placing.batches[event.batch]
+        return actions
+
+    def _freed(self, item: progress.Progress, state: capacity.TargetState) -> None:
+        self.quotas.ended(item.flow.team)
+        self.backlog.unpark((TEAM, item.flow.team))
+        for service in state.spec.services:
+            self.backlog.unpark((state.spec.kind, service))
+
+    def _learn(
+        self,
+        item: progress.Progress,
+        batch: placing.Batch,
+        event: events.TaskEnded,
+        now: datetime.datetime,
+    ) -> None:
+        ran_ms = event.ran_ms
+        if ran_ms is None:
+            ran_ms = (now - batch.at).total_seconds() * 1000.0
+        ratio = self.run_times.learn(item.flow.key, ran_ms, batch.state.speed)
+        batch.state.learn_speed(ratio)
+
+    def _blame(self, state: capacity.TargetState, now: datetime.datetime) -> None:
+        until = self.placing.failed(state, now)
+        if until is not None:
+            self.counters["ejections"] += 1
+            heapq.heappush(self._ejected, until)
+
+    def _not_started(
+        self, item: progress.Progress, index: int, now: datetime.datetime
+    ) -> list[events.Action]:
+        item.may_have_started -= 1
+        if item.outcome is not None:
+            self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+            return self._settle(item, now)
+        self._delay(item, index, now)
+        return []
+
+    def _delay(
+        self, item: progress.Progress, index: int, now: datetime.datetime
+    ) -> None:
+        wait = retries.backoff(item.tries[index], self._rng)
+        delayed = (now + wait, next(self._order), item, index)
+        heapq.heappush(self._delayed, delayed)
+
+    def _task_failed(
+        self,
+        item: progress.Progress,
+        index: int,
+        reason: outcomes.Reason,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        if item.outcome is not None:
+            if reason in _RAN and isinstance(item.outcome, outcomes.Unknown):
+                return self._replace(item, outcomes.Failed(reason))
+            return self._settle(item, now)
+        if self._may_retry(item, index):
+            self.counters["retries"] += 1
+            self.backlog.count_ahead(item.flow, item.entry.expected_ms)
+            self._delay(item, index, now)
+            return []
+        stops: dict[str, list[identifiers.TaskId]] = {}
+        certain = reason in _RAN or (item.submission.is_job and item.answered > 0)
+        outcome = outcomes.Failed(reason) if certain else outcomes.Unknown(reason)
+        actions = self._conclude(item, outcome, stops)
+        return actions + _stop_actions(stops)
+
+    def _may_retry(self, item: progress.Progress, index: int) -> bool:
+        submission = item.submission
+        if submission.is_job or not submission.idempotent:
+            return False
+        if item.tries[index] >= item.limits.max_attempts:
+            return False
+        return self._budget(item).take()
+
+    def _budget(self, item: progress.Progress) -> retries.Budget:
+        service = item.submission.service
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = retries.Budget(item.limits.retry_ratio)
+        budget.ratio = item.limits.retry_ratio
+        return budget
+
+    # Outcomes
+
+    def _settle(
+        self, item: progress.Progress, now: datetime.datetime
+    ) -> list[events.Action]:
+        """Answer a submission that is whole, also after an ``unknown``."""
+        is_open = item.outcome is None or isinstance(item.outcome, outcomes.Unknown)
+        if item.is_whole() and is_open:
+            return self._replace(item, item.completed())
+        self._drop_if_done(item)
+        return []
+
+    def _replace(
+        self, item: progress.Progress, outcome: outcomes.Outcome
+    ) -> list[events.Action]:
+        item.outcome = outcome
+        self._drop_if_done(item)
+        return [events.Answer(item.submission.submission_id, outcome)]
+
+    def _end_early(
+        self,
+        item: progress.Progress,
+        reason: outcomes.Reason,
+        stops: dict[str, list[identifiers.TaskId]],
+    ) -> list[events.Action]:
+        if item.outcome is not None:
+            return []
+        return self._conclude(item, item.end_early(reason), stops)
+
+    def _conclude(
+        self,
+        item: progress.Progress,
+        outcome: outcomes.Outcome,
+        stops: dict[str, list[identifiers.TaskId]],
+    ) -> list[events.Action]:
+        """Answer a submission that is not whole; kill what waits, stop what runs."""
+        self.backlog.remove(item.flow, item.entry)
+        for index, number in item.running.items():
+            target_id = self.placing.batches[number].state.spec.target_id
+            task_id = identifiers.TaskId(item.key, index)
+            stops.setdefault(target_id, []).append(task_id)
+        return self._replace(item, outcome)
+
+    def _drop_if_done(self, item: progress.Progress) -> None:
+        if item.outcome is not None and not item.running:
+            self._submissions.pop(item.key, None)
+
+    # Time
+
+    @handlers.register("Ticked")
+    def _ticked(
+        self, event: events.Ticked, now: datetime.datetime
+    ) -> list[events.Action]:
+        self._wake = None
+        self._bring_back_delayed(now)
+        while self._ejected and self._ejected[0] <= now:
+            heapq.heappop(self._ejected)
+            self.backlog.unpark_all()
+        return self._expire(now)
+
+    def _bring_back_delayed(self, now: datetime.datetime) -> None:
+        while self._delayed and self._delayed[0][0] <= now:
+            _, _, item, index = heapq.heappop(self._delayed)
+            if item.outcome is None:
+                self.backlog.add_back(item.flow, item.entry, index)
+            else:
+                self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+
+    def _expire(self, now: datetime.datetime) -> list[events.Action]:
+        stops: dict[str, list[identifiers.TaskId]] = {}
+        actions: list[events.Action] = []
+        while self._due and self._due[0][0] <= now:
+            item = self._submissions.get(heapq.heappop(self._due)[2])
+            if item is not None:
+                actions += self._end_early(item, outcomes.Reason.DEADLINE, stops)
+        return actions + _stop_actions(stops)
+
+    def _ask_to_wake(
+        self, actions: list[events.Action], now: datetime.datetime
+    ) -> None:
+        while self._due and self._due[0][2] not in self._submissions:
+            heapq.heappop(self._due)
+        heads = [heap[0][0] for heap in (self._due, self._delayed) if heap]
+        if self._ejected and self.backlog.queued:
+            heads.append(self._ejected[0])
+        if not heads:
+            return
+        first = min(heads)
+        if self._wake is None or first < self._wake:
+            self._wake = first
+            actions.append(events.WakeAt(first))
+
+    # Placing
+
+    def _place(self, actions: list[events.Action], now: datetime.datetime) -> None:
+        if not self.backlog.queued:
+            return
+        out = placing.Outgoing(self.rules.batch_tasks)
+        while (flow := self.backlog.next(now)) is not None:
+            if flow.head() is None:
+                continue
+            if self.quotas.room(flow.team, now) <= 0:
+                self.backlog.park(flow, (TEAM, flow.team))
+            elif self._place_head(flow, out, now):
+                self.backlog.again(flow)
+            else:
+                self.backlog.park(flow, (flow.target_kind, flow.key.service))
+        for action in out.actions():
+            self.counters["batches_sent"] += 1
+            self.counters["tasks_sent"] += len(action.tasks)
+            actions.append(action)
+
+    def _place_head(
+        self, flow: queues.Flow, out: placing.Outgoing, now: datetime.datetime
+    ) -> bool:
+        entry = flow.entries[0]
+        item = self._submissions[entry.key]
+        needs = placing.needs_of(item, entry.indexes[0])
+        state = self.placing.find(
+            flow, needs, entry.expected_ms, self.rules, self._routing, out, now
+        )
+        if state is None:
+            return False
+        index = self.backlog.take(flow)
+        self.placing.send(item, index, needs, state, out, now)
+        self.quotas.started(flow.team)
+        if item.tries[index] == 1:
+            self._budget(item).started()
+        return True
+
+
+TEAM = "team"
+"""First part of the key under which flows of a team at its quota are parked."""
+
+_RAN = frozenset({outcomes.Reason.TARGET_FAILED, outcomes.Reason.TASK_STOPPED})
+
+
+def _is_feasible(submission: work.Submission, pool: pools.Pool) -> bool:
+    different = {task.needs for task in submission.tasks}
+    return all(pool.can_ever_hold(needs) for needs in different)
+
+
+def _stop_actions(
+    stops: dict[str, list[identifiers.TaskId]],
+) -> list[events.Action]:
+    return [
+        events.StopTasks(target_id, tuple(tasks)) for target_id, tasks in stops.items()
+    ]
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/health.py
@@ -0,0 +1,92 @@
+"""Health of a target, from the answers it gives: ejection, floor and probing."""
+
+import datetime
+import typing
+
+EJECT_AFTER_FAILURES = 3
+FIRST_EJECTION = datetime.timedelta(seconds=1)
+LONGEST_EJECTION = datetime.timedelta(seconds=60)
+MAX_EJECTED_SHARE = 0.5
+
+
+class Health:
+    """Failures in a row and what follows from them.
+
+    A failure leaves the target one task at a time until it answers well again, so a
+    target that fails everything at once, and looks idle, draws no work.
+    """
+
+    __slots__ = ("ejected_until", "failures", "limit", "period")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.limit: int | None = None
+        self.period = FIRST_EJECTION
+        self.ejected_until: datetime.datetime | None = None
+
+    def succeeded(self) -> None:
+        """Record a good answer: the limit doubles and then goes."""
+        self.failures = 0
+        if self.limit is None:
+            return
+        self.ejected_until = None
+        self.limit *= 2
+        if self.limit > RECOVERED_LIMIT:
+            self.limit = None
+            self.period = FIRST_EJECTION
+
+    def failed(self, now: datetime.datetime) -> bool:
+        """Record a failure.
+
+        Returns
+        -------
+        bool
+            Whether the target should be ejected, if the floor allows it.
+        """
+        self.failures += 1
+        self.limit = 1
+        return self.failures >= EJECT_AFTER_FAILURES and not self.is_ejected(now)
+
+    def eject(self, now: datetime.datetime) -> datetime.datetime:
+        """Send it nothing for a while; each time twice as long.
+
+        Returns
+        -------
+        datetime.datetime
+            When one task may probe it.
+        """
+        self.ejected_until = now + self.period
+        self.period = min(self.period * 2, LONGEST_EJECTION)
+        return self.ejected_until
+
+    def is_ejected(self, now: datetime.datetime) -> bool:
+        """Tell whether it gets nothing at an instant."""
+        return self.ejected_until is not None and now < self.ejected_until
+
+
+RECOVERED_LIMIT = 8
+
+
+def may_eject(ejected: int, total: int) -> bool:
+    """Tell whether one more target of a group may be ejected.
+
+    Parameters
+    ----------
+    ejected : int
+        Targets ejected now.
+    total : int
+        Targets of the group.
+
+    Examples
+    --------
+    >>> may_eject(2, 6), may_eject(3, 6)
+    (True, False)
+    """
+    return ejected + 1 <= total * MAX_EJECTED_SHARE
+
+
+class Ejection(typing.NamedTuple):
+    """A target that gets nothing until an instant."""
+
+    target_id: str
+    until: datetime.datetime
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
@@ -0,0 +1,449 @@
+"""Who may start a submission: identifiers bound to one incarnation for life.
+
+An identifier carries the owner token of the incarnation that may start it. Nobody
+else ever does, so no agreement is needed between entry daemons, and a paused, cut off
+or forgotten owner can only cause ``unknown``, never a second start. A token also
+carries an epoch, a count of whole minutes of the owner's own clock: once the epoch is
+out of the window the owner refuses the identifier for ever, so forgetting is safe.
+"""
+
+import array
+import bisect
+import collections
+import datetime
+import hashlib
+import itertools
+import typing
+
+from carawaysail_types import errors, identifiers, outcomes
+
+EPOCH = datetime.timedelta(minutes=1)
+ANSWERS_BYTES = 16_000_000
+RECORD_OVERHEAD_BYTES = 400
+
+
+class Start(typing.NamedTuple):
+    """The submission is new and now bound here: start it."""
+
+
+class Join(typing.NamedTuple):
+    """An equal submission is under way: wait for its outcome."""
+
+
+class Remembered(typing.NamedTuple):
+    """The submission has ended.
+
+    Parameters
+    ----------
+    outcome : outcomes.Outcome
+        Its outcome.
+    """
+
+    outcome: outcomes.Outcome
+
+
+class Conflict(typing.NamedTuple):
+    """The identifier came before with another body: run nothing."""
+
+
+class Forgotten(typing.NamedTuple):
+    """The identifier is too old, or its answer was evicted: never start it."""
+
+
+class Elsewhere(typing.NamedTuple):
+    """Another incarnation owns the identifier.
+
+    Parameters
+    ----------
+    owner : identifiers.Owner
+        The owner that the identifier names.
+    """
+
+    owner: identifiers.Owner
+
+
+Verdict = Start | Join | Remembered | Conflict | Forgotten | Elsewhere
+
+
+class Entry(typing.NamedTuple):
+    """One remembered submission, as handed to an heir.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of its token.
+    own : str
+        The caller's part of the identifier.
+    digest : bytes
+        Hash of its body.
+    outcome : outcomes.Plain
+        Its outcome.
+    """
+
+    epoch: int
+    own: str
+    digest: bytes
+    outcome: outcomes.Plain
+
+
+class Memory(typing.NamedTuple):
+    """All that one incarnation remembers, as handed to an heir.
+
+    Parameters
+    ----------
+    incarnation : str
+        The incarnation that ends.
+    epoch : int
+        Its epoch at the time of the handover.
+    entries : tuple of Entry
+        Submissions with their outcomes.
+    evicted : dict of int to bytes
+        For each epoch the eight-byte hashes of submissions without an answer.
+    """
+
+    incarnation: identifiers.Incarnation
+    epoch: int
+    entries: tuple[Entry, ...]
+    evicted: dict[int, bytes]
+
+
+class _Record:
+    __slots__ = ("digest", "outcome", "size")
+
+    def __init__(self, digest: bytes) -> None:
+        self.digest = digest
+        self.outcome: outcomes.Outcome | None = None
+        self.size = 0
+
+
+class _Evicted:
+    """Eight-byte hashes of submissions whose answers are gone."""
+
+    def __init__(self) -> None:
+        self._recent: set[int] = set()
+        self._sealed = array.array("Q")
+
+    def add(self, key: int) -> None:
+        self._recent.add(key)
+
+    def seal(self) -> None:
+        """Move the hashes from a set to a sorted array of eight bytes each."""
+        if self._recent:
+            self._sealed = array.array("Q", sorted([*self._sealed, *self._recent]))
+            self._recent = set()
+
+    def __contains__(self, key: int) -> bool:
+        if key in self._recent:
+            return True
+        at = bisect.bisect_left(self._sealed, key)
+        return at < len(self._sealed) and self._sealed[at] == key
+
+    def __len__(self) -> int:
+        return len(self._recent) + len(self._sealed)
+
+    def export(self) -> bytes:
+        self.seal()
+        return self._sealed.tobytes()
+
+    def load(self, data: bytes) -> None:
+        self._sealed.frombytes(data)
+
+
+class Book:
+    """What is remembered of the submissions of one incarnation.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch at ``since``.
+    since : datetime.datetime
+        When the book was opened here.
+    window : datetime.timedelta
+        How long an identifier is recognised at least after its token was given.
+    answers_bytes : int
+        Bound on the memory that kept answers take.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        since: datetime.datetime,
+        window: datetime.timedelta,
+        answers_bytes: int = ANSWERS_BYTES,
+    ) -> None:
+        self._first = epoch
+        self._since = since
+        self.window = window
+        self._answers_bytes = answers_bytes
+        self._kept_bytes = 0
+        self._records: dict[tuple[int, str], _Record] = {}
+        self._ended: collections.OrderedDict[tuple[int, str], None] = (
+            collections.OrderedDict()
+        )
+        self._evicted: dict[int, _Evicted] = {}
+        self._sealed_to = epoch
+
+    def epoch(self, now: datetime.datetime) -> int:
+        """Return the epoch of an instant."""
+        return self._first + int((now - self._since) / EPOCH)
+
+    def offer(
+        self, sid: identifiers.SubmissionId, digest: bytes, now: datetime.datetime
+    ) -> Verdict:
+        """Decide what to do with a copy of a submission, and bind it if it is new.
+
+        Parameters
+        ----------
+        sid : identifiers.SubmissionId
+            Its identifier.
+        digest : bytes
+            Hash of its body.
+        now : datetime.datetime
+            The present instant.
+
+        Raises
+        ------
+        errors.BadInputError
+            If the token's epoch has not come yet: nobody was given it.
+        """
+        self._forget(now)
+        present = self.epoch(now)
+        if sid.owner.epoch > present:
+            raise errors.BadInputError("id", str(sid), f"an epoch of at most {present}")
+        if sid.owner.epoch < self._oldest(present):
+            return Forgotten()
+        key = (sid.owner.epoch, sid.own)
+        record = self._records.get(key)
+        if record is None:
+            if _hash(sid.own) in self._evicted.get(sid.owner.epoch, ()):
+                return Forgotten()
+            self._records[key] = _Record(digest)
+            return Start()
+        if record.digest != digest:
+            return Conflict()
+        if record.outcome is None:
+            return Join()
+        return Remembered(record.outcome)
+
+    def peek(
+        self, sid: identifiers.SubmissionId, now: datetime.datetime
+    ) -> Join | Remembered | Forgotten | None:
+        """Return what is known of a submission; ``None`` if it never came."""
+        self._forget(now)
+        record = self._records.get((sid.owner.epoch, sid.own))
+        if record is not None:
+            return Join() if record.outcome is None else Remembered(record.outcome)
+        if sid.owner.epoch < self._oldest(self.epoch(now)):
+            return Forgotten()
+        evicted = self._evicted.get(sid.owner.epoch, ())
+        return Forgotten() if _hash(sid.own) in evicted else None
+
+    def end(self, sid: identifiers.SubmissionId, outcome: outcomes.Outcome) -> None:
+        """Remember an outcome, or replace an ``unknown`` one by what was learned."""
+        key = (sid.owner.epoch, sid.own)
+        record = self._records.get(key)
+        if record is None:
+            return
+        self._kept_bytes -= record.size
+        record.outcome = outcome
+        record.size = _size(sid.own, outcome)
+        self._kept_bytes += record.size
+        self._ended[key] = None
+        while self._kept_bytes > self._answers_bytes and self._ended:
+            self._evict(next(iter(self._ended)))
+
+    def unfinished(self) -> int:
+        """Return how many submissions have no outcome yet."""
+        return len(self._records) - len(self._ended)
+
+    def remembered(self) -> int:
+        """Return how many submissions are recognised, answers kept or not."""
+        return len(self._records) + sum(len(x) for x in self._evicted.values())
+
+    def export(
+        self, incarnation: identifiers.Incarnation, now: datetime.datetime
+    ) -> Memory:
+        """Return all that is remembered, for the heir; unfinished ones as unknown."""
+        entries = tuple(
+            Entry(epoch, own, x.digest, outcomes.to_plain(x.outcome or _LOST))
+            for (epoch, own), x in self._records.items()
+        )
+        evicted = {epoch: kept.export() for epoch, kept in self._evicted.items()}
+        return Memory(incarnation, self.epoch(now), entries, evicted)
+
+    def load(self, memory: Memory) -> None:
+        """Take over the memory of an incarnation that has ended."""
+        for entry in memory.entries:
+            sid = identifiers.SubmissionId(
+                identifiers.Owner("", "", memory.incarnation, entry.epoch), entry.own
+            )
+            self._records[(entry.epoch, entry.own)] = _Record(entry.digest)
+            self.end(sid, outcomes.from_plain(entry.outcome))
+        for epoch, data in memory.evicted.items():
+            self._evicted.setdefault(epoch, _Evicted()).load(data)
+
+    def _oldest(self, present: int) -> int:
+        return present - max(1, int(self.window / EPOCH))
+
+    def _evict(self, key: tuple[int, str]) -> None:
+        del self._ended[key]
+        record = self._records.pop(key)
+        self._kept_bytes -= record.size
+        self._evicted.setdefault(key[0], _Evicted()).add(_hash(key[1]))
+
+    def _forget(self, now: datetime.datetime) -> None:
+        present = self.epoch(now)
+        if present <= self._sealed_to:
+            return
+        self._sealed_to = present
+        oldest = self._oldest(present)
+        for epoch in [epoch for epoch in self._evicted if epoch < oldest]:
+            del self._evicted[epoch]
+        for kept in self._evicted.values():
+            kept.seal()
+        for key in [key for key in self._ended if key[0] < oldest]:
+            del self._ended[key]
+            self._kept_bytes -= self._records.pop(key).size
+
+
+class Register:
+    """The books of this incarnation and of those that it is the heir of.
+
+    Parameters
+    ----------
+    data_centre, vm : str
+        Where this daemon is.
+    incarnation : str
+        Sixteen hexadecimal digits, drawn at its start.
+    now : datetime.datetime
+        When it started.
+    window : datetime.timedelta
+        How long an identifier is recognised at least.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        vm: str,
+        incarnation: identifiers.Incarnation,
+        now: datetime.datetime,
+        window: datetime.timedelta,
+    ) -> None:
+        self._place = (data_centre, vm)
+        self.incarnation = incarnation
+        self.books = {incarnation: Book(0, now, window)}
+        self.handed_over = False
+        self._strays: dict[str, tuple[_Record, datetime.datetime]] = {}
+
+    def owner(self, now: datetime.datetime) -> identifiers.Owner:
+        """Return the token to give to callers now."""
+        epoch = self.books[self.incarnation].epoch(now)
+        return identifiers.Owner(*self._place, self.incarnation, epoch)
+
+    def set_window(self, window: datetime.timedelta) -> None:
+        """Change how long identifiers are recognised."""
+        for book in self.books.values():
+            book.window = max(window, book.window)
+
+    def offer(
+        self, sid: identifiers.SubmissionId, digest: bytes, now: datetime.datetime
+    ) -> Verdict:
+        """Decide what to do with a copy of a submission; see ``Book.offer``."""
+        book = self.books.get(sid.owner.incarnation)
+        if book is None or self.handed_over:
+            return Elsewhere(sid.owner)
+        return book.offer(sid, digest, now)
+
+    def offer_stray(
+        self, sid: identifiers.SubmissionId, digest: bytes, now: datetime.datetime
+    ) -> Verdict:
+        """Bind the only copy of a submission whose owner is known to be lost.
+
+        The caller states that it sent no other copy, and this daemon passed it to
+        nobody, so nobody else can start it. Only this identifier is bound, never
+        others of the same owner.
+        """
+        if self.handed_over:
+            return Elsewhere(sid.owner)
+        self._forget_strays(now)
+        name = str(sid)
+        if name not in self._strays:
+            self._strays[name] = (_Record(digest), now)
+            return Start()
+        record = self._strays[name][0]
+        if record.digest != digest:
+            return Conflict()
+        if record.outcome is None:
+            return Join()
+        return Remembered(record.outcome)
+
+    def knows_stray(self, sid: identifiers.SubmissionId) -> bool:
+        """Tell whether a submission of a lost owner is bound here."""
+        return str(sid) in self._strays
+
+    def _forget_strays(self, now: datetime.datetime) -> None:
+        window = self.books[self.incarnation].window
+        for name in list(itertools.takewhile(
+            lambda x: now - self._strays[x][1] > window, self._strays
+        )):  # fmt: skip
+            del self._strays[name]
+
+    def peek(
+        self, sid: identifiers.SubmissionId, now: datetime.datetime
+    ) -> Join | Remembered | Forgotten | Elsewhere | None:
+        """Return what is known of a submission; ``None`` if it never came here."""
+        stray = self._strays.get(str(sid))
+        if stray is not None:
+            outcome = stray[0].outcome
+            return Join() if outcome is None else Remembered(outcome)
+        book = self.books.get(sid.owner.incarnation)
+        if book is None or self.handed_over:
+            return Elsewhere(sid.owner)
+        return book.peek(sid, now)
+
+    def end(self, sid: identifiers.SubmissionId, outcome: outcomes.Outcome) -> None:
+        """Remember the outcome of a submission bound here."""
+        if str(sid) in self._strays:
+            self._strays[str(sid)][0].outcome = outcome
+            return
+        book = self.books.get(sid.owner.incarnation)
+        if book is not None:
+            book.end(sid, outcome)
+
+    def hand_over(self, now: datetime.datetime) -> tuple[Memory, ...]:
+        """Return every book for the heir; nothing is started here afterwards."""
+        self.handed_over = True
+        return tuple(book.export(name, now) for name, book in self.books.items())
+
+    def adopt(self, memories: tuple[Memory, ...], now: datetime.datetime) -> None:
+        """Become the heir of incarnations that have ended.
+
+        A repeated handover, whose first answer was lost, changes nothing.
+        """
+        window = self.books[self.incarnation].window
+        for memory in memories:
+            if memory.incarnation in self.books:
+                continue
+            book = Book(memory.epoch, now, window)
+            book.load(memory)
+            self.books[memory.incarnation] = book
+
+
+def digest_of(body: bytes) -> bytes:
+    """Return the hash that tells one body from another, sixteen bytes."""
+    return hashlib.blake2b(body, digest_size=16).digest()
+
+
+_LOST = outcomes.Unknown(outcomes.Reason.OWNER_LOST)
+
+
+def _hash(own: str) -> int:
+    raw = hashlib.blake2b(own.encode(), digest_size=8).digest()
+    return int.from_bytes(raw, "big")
+
+
+def _size(own: str, outcome: outcomes.Outcome) -> int:
+    size = RECORD_OVERHEAD_BYTES + len(own)
+    if isinstance(outcome, outcomes.Completed):
+        size += sum(len(answer) for answer in outcome.answers)
+    return size
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -0,0 +1,146 @@
+"""Pools: the targets that serve one service, and the search for one with room."""
+
+import collections.abc
+import datetime
+import random
+import typing
+
+from carawaysail_decisions import capacity, health, routing
+from carawaysail_types import work
+
+
+class Ask(typing.NamedTuple):
+    """What a task asks of a target.
+
+    Parameters
+    ----------
+    needs : work.Needs
+        Resources.
+    is_long : bool
+        Lane.
+    long_share : float
+        Share of the slots that long work may hold.
+    stretch : float
+        How many times the processors may be filled.
+    """
+
+    needs: work.Needs
+    is_long: bool
+    long_share: float
+    stretch: float
+
+    def fits(self, state: capacity.TargetState) -> bool:
+        """Tell whether a target has room for it."""
+        return state.fits(self.needs, self.is_long, self.long_share, self.stretch)
+
+
+class Pool:
+    """Targets of one kind that serve one service.
+
+    ``open`` holds those that may have room; a target that was found full leaves it
+    and returns when something it holds ends. So a search looks at a few targets,
+    however many there are.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of chance.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.states: list[capacity.TargetState] = []
+        self.slots = 0.0
+        self._rng = rng
+        self._names: set[str] = set()
+        self._open: list[capacity.TargetState] = []
+        self._place: dict[str, int] = {}
+
+    def __contains__(self, state: capacity.TargetState) -> bool:
+        """Tell whether a target belongs to the pool."""
+        return state.spec.target_id in self._names
+
+    def fill(self, states: collections.abc.Iterable[capacity.TargetState]) -> None:
+        """Replace the targets of the pool."""
+        self.states = list(states)
+        self._names = {state.spec.target_id for state in self.states}
+        self._open = []
+        self._place = {}
+        for state in self.states:
+            self.reopen(state)
+        self.slots = sum(state.share.processors for state in self.states)
+
+    def reopen(self, state: capacity.TargetState) -> None:
+        """Count a target as one that may have room."""
+        name = state.spec.target_id
+        if name not in self._place:
+            self._place[name] = len(self._open)
+            self._open.append(state)
+
+    def find(
+        self, ask: Ask, policy: routing.Policy, now: datetime.datetime
+    ) -> capacity.TargetState | None:
+        """Return the target for a task, or ``None`` where none has room now."""
+        candidates = self._sample(ask, policy.sample, now)
+        return policy.choose(candidates) if candidates else None
+
+    def find_with_backlog(
+        self, ask: Ask, now: datetime.datetime
+    ) -> capacity.TargetState | None:
+        """Return the least filled of a few workers that may take a backlog."""
+        best = None
+        for _ in range(min(routing.SAMPLE, len(self.states))):
+            state = self.states[int(self._rng.random() * len(self.states))]
+            if state.health.is_ejected(now) or not ask.fits(state):
+                continue
+            if best is None or state.processors < best.processors:
+                best = state
+        return best
+
+    def ejected(self, now: datetime.datetime) -> int:
+        """Return how many targets get nothing at an instant."""
+        return sum(1 for state in self.states if state.health.is_ejected(now))
+
+    def may_eject(self, now: datetime.datetime) -> bool:
+        """Tell whether the floor allows one more ejection."""
+        return health.may_eject(self.ejected(now), len(self.states))
+
+    def can_ever_hold(self, needs: work.Needs) -> bool:
+        """Tell whether any target, empty and whole, holds a task."""
+        return any(state.spec.capacity.holds(needs) for state in self.states)
+
+    def _sample(
+        self, ask: Ask, wanted: int, now: datetime.datetime
+    ) -> list[capacity.TargetState]:
+        found: list[capacity.TargetState] = []
+        position = len(self._open)
+        while position > 0 and len(found) < wanted:
+            position -= 1
+            self._swap(position, int(self._rng.random() * (position + 1)))
+            state = self._open[position]
+            if state.health.is_ejected(now):
+                continue
+            if ask.fits(state):
+                found.append(state)
+            elif _is_full(state):
+                self._close(position)
+        return found
+
+    def _swap(self, first: int, second: int) -> None:
+        if first == second:
+            return
+        a, b = self._open[first], self._open[second]
+        self._open[first], self._open[second] = b, a
+        self._place[a.spec.target_id] = second
+        self._place[b.spec.target_id] = first
+
+    def _close(self, position: int) -> None:
+        self._swap(position, len(self._open) - 1)
+        state = self._open.pop()
+        del self._place[state.spec.target_id]
+
+
+def _is_full(state: capacity.TargetState) -> bool:
+    limit = state.health.limit
+    if limit is not None and state.in_flight >= limit:
+        return True
+    return state.processors >= state.share.processors
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/progress.py
@@ -0,0 +1,83 @@
+"""How far one submission has come."""
+
+import typing
+
+from carawaysail_decisions import events, queues, runtimes
+from carawaysail_types import outcomes, work
+
+
+class Progress:
+    """A submission that has no final outcome yet.
+
+    Parameters
+    ----------
+    submission : work.Submission
+        The submission.
+    limits : events.Limits
+        Settings of its service and kind.
+    flow : queues.Flow
+        Flow that its tasks wait in.
+    entry : queues.Waiting
+        Its tasks that wait.
+    """
+
+    __slots__ = (
+        "answered", "answers", "entry", "flow", "key", "limits", "may_have_started",
+        "outcome", "running", "submission", "tries",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        submission: work.Submission,
+        limits: events.Limits,
+        flow: queues.Flow,
+        entry: queues.Waiting,
+    ) -> None:
+        self.submission = submission
+        self.limits = limits
+        self.flow = flow
+        self.entry = entry
+        self.key = entry.key
+        self.answers: list[bytes | None] = [None] * len(submission.tasks)
+        self.answered = 0
+        self.running: dict[int, int] = {}
+        self.may_have_started = 0
+        self.tries: dict[int, int] = {}
+        self.outcome: outcomes.Outcome | None = None
+
+    @property
+    def learn_key(self) -> runtimes.Key:
+        """What its run times are learned by."""
+        return self.flow.key
+
+    def is_whole(self) -> bool:
+        """Tell whether every task has its answer."""
+        return self.answered == len(self.answers)
+
+    def answer(self, index: int, value: bytes) -> None:
+        """Keep the answer of one task; a second one for it changes nothing."""
+        if self.answers[index] is None:
+            self.answers[index] = value
+            self.answered += 1
+
+    def completed(self) -> outcomes.Completed:
+        """Return the whole answer.
+
+        Returns
+        -------
+        outcomes.Completed
+            Every task's answer, in order; only valid when ``is_whole``.
+        """
+        return outcomes.Completed(typing.cast("tuple[bytes, ...]", tuple(self.answers)))
+
+    def end_early(self, reason: outcomes.Reason, detail: str = "") -> outcomes.Outcome:
+        """Return the truthful outcome of ending now.
+
+        Nothing started gives ``not run``; a job of which some ran has failed; a
+        request that runs, or may, is unknown.
+        """
+        if not self.may_have_started:
+            return outcomes.NotRun(reason, detail)
+        if self.submission.is_job and self.answered:
+            return outcomes.Failed(reason, detail)
+        return outcomes.Unknown(reason, detail)
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
@@ -0,0 +1,130 @@
+"""Shares: which part of each target this daemon may use.
+
+Every entry daemon of a data centre works out the same shares from the same gossip, so
+no message is spent on a task. Runners are split by slots; workers are given whole, so
+that large tasks still fit. Differing views cost a little over- or under-use until the
+next gossip, never correctness.
+"""
+
+import collections.abc
+import hashlib
+import typing
+
+from carawaysail_decisions import capacity
+
+MIN_DEMAND = 1.0
+
+
+class Demand(typing.NamedTuple):
+    """What one entry daemon asks for.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the daemon.
+    tasks : float
+        Tasks queued and running there.
+    """
+
+    vm: str
+    tasks: float
+
+
+def coarse(tasks: float) -> float:
+    """Return a demand rounded to a power of two, so that shares seldom change."""
+    return float(1 << max(0, int(tasks)).bit_length()) if tasks >= 1 else MIN_DEMAND
+
+
+def split(
+    target_id: str, slots: int, demands: collections.abc.Sequence[Demand]
+) -> dict[str, int]:
+    """Split the slots of one runner by demand.
+
+    Each daemon gets at least one slot where there are enough; the rest follows demand
+    by largest remainder, ties broken by a hash so that targets differ.
+
+    Returns
+    -------
+    dict of str to int
+        Slots by daemon; they add up to ``slots``.
+
+    Examples
+    --------
+    >>> split("r1", 8, [Demand("a", 1), Demand("b", 1)])
+    {'a': 4, 'b': 4}
+    """
+    if not demands:
+        return {}
+    floor = 1 if len(demands) <= slots else 0
+    rest = slots - floor * len(demands)
+    total = sum(demand.tasks for demand in demands) or 1.0
+    exact = {demand.vm: rest * demand.tasks / total for demand in demands}
+    given = {vm: floor + int(part) for vm, part in exact.items()}
+    left = slots - sum(given.values())
+    order = sorted(
+        exact, key=lambda vm: (int(exact[vm]) - exact[vm], _score(target_id, vm))
+    )
+    for vm in order[:left]:
+        given[vm] += 1
+    return given
+
+
+def assign(
+    target_ids: collections.abc.Iterable[str],
+    demands: collections.abc.Sequence[Demand],
+) -> dict[str, str]:
+    """Give each worker to one daemon, by demand, moving few when demand changes.
+
+    Returns
+    -------
+    dict of str to str
+        Daemon by worker.
+    """
+    ids = sorted(target_ids)
+    if not demands or not ids:
+        return {}
+    room = split("workers", len(ids), demands)
+    scored = sorted(
+        (_score(target_id, demand.vm), target_id, demand.vm)
+        for target_id in ids
+        for demand in demands
+    )
+    given: dict[str, str] = {}
+    for _, target_id, vm in scored:
+        if target_id not in given and room[vm] > 0:
+            given[target_id] = vm
+            room[vm] -= 1
+    return given
+
+
+def shares_of(
+    vm: str,
+    specs: collections.abc.Iterable[capacity.TargetSpec],
+    demands: collections.abc.Sequence[Demand],
+) -> dict[str, float]:
+    """Return this daemon's share of each target, 0 to 1.
+
+    Parameters
+    ----------
+    vm : str
+        This daemon.
+    specs : iterable of capacity.TargetSpec
+        The targets of the data centre.
+    demands : sequence of Demand
+        What each daemon of the data centre asks for.
+    """
+    kept = [spec for spec in specs if not spec.leaving]
+    workers = [spec.target_id for spec in kept if spec.kind == "worker"]
+    holders = assign(workers, demands)
+    found = {name: 1.0 for name, holder in holders.items() if holder == vm}
+    for spec in kept:
+        if spec.kind == "runner":
+            slots = int(spec.capacity.processors)
+            given = split(spec.target_id, slots, demands).get(vm, 0)
+            found[spec.target_id] = given / slots
+    return found
+
+
+def _score(target_id: str, vm: str) -> int:
+    raw = hashlib.blake2b(f"{target_id}/{vm}".encode(), digest_size=8).digest()
+    return int.from_bytes(raw, "big")
