Run the whole path: caller, entry daemon, entry daemon, target

Cause: a thin path from end to end comes before anything is made whole. Change: clients of the platform and of targets over urllib3; grpclib messages between daemons (typed, two codecs, generated code committed); the daemon on CherryPy's server with tasks and inboxes; stand-ins of store, VM list, runners and workers with faults; a launcher for a small fleet and its first test. Conclusion: the path stands; a daemon that had heard no gossip yet answered unknown for an id owned elsewhere, so it now falls back on the settings' address.

--- /dev/null
+++ b/libs/carawaysail_bench/src/carawaysail_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, measurements and proofs on small real processes over loopback."""
--- /dev/null
+++ b/libs/carawaysail_bench/tests/test_whole_path.py
@@ -0,0 +1,51 @@
+"""The whole path over loopback: real entry daemons, real stand-in targets."""
+
+import testtools
+
+from carawaysail_bench import fleet
+
+
+def make_targets(place: str, runners: int = 2, workers: int = 2) -> list:
+    """Return the specs of a data centre's targets."""
+    ports = fleet.free_ports(runners + workers)
+    kinds = ["runner"] * runners + ["worker"] * workers
+    return [
+        {
+            "name": f"{place}-{kind}-{number}",
+            "kind": kind,
+            "port": port,
+            "slots": 8,
+            "slowness": 1.0,
+        }
+        for number, (kind, port) in enumerate(zip(kinds, ports, strict=True))
+    ]
+
+
+class TestWholePath(testtools.TestCase):
+    """A request and a job through several entry daemons."""
+
+    def setUp(self):
+        super().setUp()
+        entries = fleet.plan_entries({"rosario": 2, "cordoba": 1})
+        targets = {place: make_targets(place) for place in ("rosario", "cordoba")}
+        teams = {"ventas": {"services": {"pedidos": {}}}}
+        self.fleet = fleet.Fleet(entries, targets, teams, {})
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.close)
+
+    def test_request_job_and_resubmission(self):
+        path = "/v1/services/pedidos/requests"
+        body = {"id": self.fleet.owner("rosario-e1") + "~order-1"}
+        body["payload"] = {"run_ms": 20, "echo": "oats"}
+        for vm in ("rosario-e1", "rosario-e2", "cordoba-e1"):
+            status, told = self.fleet.call(vm, "POST", path, body)
+            self.assertEqual((200, "completed"), (status, told["outcome"]))
+            self.assertEqual("oats", told["answer"]["echo"])
+        tasks = [{"payload": {"run_ms": 5, "echo": n}} for n in range(100)]
+        path = "/v1/services/pedidos/jobs"
+        status, told = self.fleet.call("cordoba-e1", "POST", path, {"tasks": tasks})
+        self.assertEqual(200, status)
+        self.assertEqual(list(range(100)), [x["echo"] for x in told["answers"]])
+        starts = self.fleet.starts()
+        self.assertEqual(101, len(starts))
+        self.assertEqual({1}, set(starts.values()))
--- /dev/null
+++ b/libs/carawaysail_cli/src/carawaysail_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- /dev/null
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -0,0 +1,342 @@
+"""The dispatch task: owns the dispatcher, the register of submissions and the links.
+
+Everything reaches it as a message; a registry says what each kind of message does.
+"""
+
+import asyncio
+import collections.abc
+import datetime
+import typing
+
+from carawaysail_decisions import capacity, dispatcher, events, ownership
+from carawaysail_entry import effective, inbox, links, logs, replies, traces
+from carawaysail_types import clock, identifiers, outcomes, registry, work
+
+INBOX_BOUND = 20_000
+
+
+class Place(typing.NamedTuple):
+    """Place a submission that this daemon may own.
+
+    Parameters
+    ----------
+    submission : work.Submission
+        The submission.
+    limits : events.Limits
+        Settings of its service.
+    is_stray : bool
+        Whether it is the only copy for a lost owner, to be bound here.
+    reply : replies.Reply
+        Takes its standing when it has ended.
+    """
+
+    submission: work.Submission
+    limits: events.Limits
+    is_stray: bool
+    reply: replies.Reply[replies.Standing]
+
+
+class Look(typing.NamedTuple):
+    """Ask after a submission.
+
+    Parameters
+    ----------
+    sid : identifiers.SubmissionId
+        Its identifier.
+    wait : bool
+        Whether to reply only when it has ended.
+    reply : replies.Reply
+        Takes its standing.
+    """
+
+    sid: identifiers.SubmissionId
+    wait: bool
+    reply: replies.Reply[replies.Standing]
+
+
+class Cancel(typing.NamedTuple):
+    """Cancel submissions that this daemon owns; texts of their identifiers."""
+
+    names: tuple[str, ...]
+
+
+class FromTarget(typing.NamedTuple):
+    """A link has news of a batch."""
+
+    event: events.TaskEnded | events.BatchEnded
+
+
+class Configure(typing.NamedTuple):
+    """Other settings, or other shares of the targets, are in force.
+
+    Parameters
+    ----------
+    settings : effective.Effective
+        The settings.
+    shares : dict of str to float
+        Share of each target for this daemon.
+    """
+
+    settings: effective.Effective
+    shares: dict[str, float]
+
+
+class Drain(typing.NamedTuple):
+    """Refuse new work from now on."""
+
+
+class HandOver(typing.NamedTuple):
+    """Close the register and reply with its memory."""
+
+    reply: replies.Reply[tuple[ownership.Memory, ...]]
+
+
+class Adopt(typing.NamedTuple):
+    """Take over the memory of daemons that have ended."""
+
+    memories: tuple[ownership.Memory, ...]
+    reply: replies.Reply[tuple[str, ...]]
+
+
+class Description(typing.NamedTuple):
+    """What the dispatch task says of itself, for status and metrics.
+
+    Parameters
+    ----------
+    demand, queued, running, unfinished, remembered : int
+        Tasks asked for, waiting and with targets; submissions under way and known.
+    ejected : tuple of str
+        Targets that get nothing for their failures.
+    counters : dispatcher.Counters
+        Totals.
+    targets : dict of str to dict
+        State of each target.
+    """
+
+    demand: int
+    queued: int
+    running: int
+    unfinished: int
+    remembered: int
+    ejected: tuple[str, ...]
+    counters: dispatcher.Counters
+    targets: dict[str, dict[str, object]]
+
+
+class Describe(typing.NamedTuple):
+    """Reply with a description."""
+
+    reply: replies.Reply[Description]
+
+
+class Tick(typing.NamedTuple):
+    """A timer has gone off."""
+
+
+Message = (
+    Place | Look | Cancel | FromTarget | Configure | Drain | HandOver | Adopt
+    | Describe | Tick
+)  # fmt: skip
+
+Handler = collections.abc.Callable[["DispatchTask", typing.Any], None]
+
+handlers: registry.Registry[Handler] = registry.Registry("dispatch messages")
+
+
+class DispatchTask:
+    """Owns what places work and remembers it.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop it runs in.
+    register : ownership.Register
+        The submissions bound here.
+    source : clock.Clock
+        The clock.
+    tracer : traces.Tracer
+        Records spans of messages to targets.
+    threads : int
+        Calls to targets at once.
+    random_state : int
+        Seed of every random choice.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        register: ownership.Register,
+        source: clock.Clock,
+        tracer: traces.Tracer,
+        threads: int,
+        random_state: int,
+    ) -> None:
+        self.inbox: inbox.Inbox[Message] = inbox.Inbox(loop, INBOX_BOUND)
+        self._loop = loop
+        self._register = register
+        self._clock = source
+        self._tracer = tracer
+        self._dispatcher = dispatcher.Dispatcher(random_state)
+        self._links = links.Links(loop, self._post, threads, source, tracer)
+        self._waiting: dict[str, list[replies.Reply[replies.Standing]]] = {}
+        self._specs: tuple[capacity.TargetSpec, ...] = ()
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        try:
+            while True:
+                for message in await self.inbox.drain():
+                    self._handle(message)
+        finally:
+            self._links.close()
+
+    def _handle(self, message: Message) -> None:
+        try:
+            handlers.get(type(message).__name__)(self, message)
+        except Exception as exc:
+            kind = type(message).__name__
+            logs.fault("dispatch", "Message failed.", exc, message=kind)
+
+    def _post(self, event: events.TaskEnded | events.BatchEnded) -> None:
+        self.inbox.put(FromTarget(event))
+
+    @handlers.register("Place")
+    def _place(self, message: Place) -> None:
+        submission, limits, is_stray, reply = message
+        sid = submission.submission_id
+        now = self._clock.now()
+        verdict = self._offer(submission, is_stray, now)
+        if isinstance(verdict, ownership.Start | ownership.Join):
+            self._waiting.setdefault(str(sid), []).append(reply)
+        if isinstance(verdict, ownership.Start):
+            self._apply(events.Submitted(submission, limits), now)
+        elif not isinstance(verdict, ownership.Join):
+            reply.give(_standing(verdict))
+
+    def _offer(
+        self, submission: work.Submission, is_stray: bool, now: datetime.datetime
+    ) -> ownership.Verdict:
+        sid, digest = submission.submission_id, submission.digest
+        if is_stray or self._register.knows_stray(sid):
+            return self._register.offer_stray(sid, digest, now)
+        return self._register.offer(sid, digest, now)
+
+    @handlers.register("Look")
+    def _look(self, message: Look) -> None:
+        known = self._register.peek(message.sid, self._clock.now())
+        if isinstance(known, ownership.Join) and message.wait:
+            name = str(message.sid)
+            self._waiting.setdefault(name, []).append(message.reply)
+        else:
+            message.reply.give(_standing(known))
+
+    @handlers.register("Cancel")
+    def _cancel(self, message: Cancel) -> None:
+        self._apply(events.Cancelled(message.names), self._clock.now())
+
+    @handlers.register("FromTarget")
+    def _from_target(self, message: FromTarget) -> None:
+        if isinstance(message.event, events.BatchEnded):
+            self._links.ended(message.event.batch)
+        self._apply(message.event, self._clock.now())
+
+    @handlers.register("Configure")
+    def _configure(self, message: Configure) -> None:
+        settings, shares = message
+        now = self._clock.now()
+        if settings.specs != self._specs:
+            self._specs = settings.specs
+            self._links.change(settings.specs)
+        self._register.set_window(settings.remember)
+        self._tracer.set_ratio(settings.trace_ratio)
+        self._apply(events.RulesChanged(settings.rules), now)
+        self._apply(events.QuotasChanged(settings.parts), now)
+        self._apply(events.TargetsChanged(settings.specs, shares), now)
+
+    @handlers.register("Drain")
+    def _drain(self, message: Drain) -> None:
+        self._apply(events.Drained(), self._clock.now())
+
+    @handlers.register("HandOver")
+    def _hand_over(self, message: HandOver) -> None:
+        message.reply.give(self._register.hand_over(self._clock.now()))
+
+    @handlers.register("Adopt")
+    def _adopt(self, message: Adopt) -> None:
+        self._register.adopt(message.memories, self._clock.now())
+        own = self._register.incarnation
+        message.reply.give(tuple(x for x in self._register.books if x != own))
+
+    @handlers.register("Describe")
+    def _describe(self, message: Describe) -> None:
+        now = self._clock.now()
+        books = self._register.books.values()
+        states = self._dispatcher.placing.targets.items()
+        message.reply.give(
+            Description(
+                self._dispatcher.demand(),
+                self._dispatcher.backlog.queued,
+                self._dispatcher.running(),
+                self._dispatcher.unfinished(),
+                sum(book.remembered() for book in books),
+                self._dispatcher.ejected(now),
+                self._dispatcher.counters,
+                {name: _target(state, now) for name, state in states},
+            )
+        )
+
+    @handlers.register("Tick")
+    def _tick(self, message: Tick) -> None:
+        self._timer = None
+        self._apply(events.Ticked(), self._clock.now())
+
+    def _apply(self, event: events.Event, now: datetime.datetime) -> None:
+        for action in self._dispatcher.handle(event, now):
+            if isinstance(action, events.SendBatch):
+                self._links.send(action)
+            elif isinstance(action, events.StopTasks):
+                self._links.stop(action)
+            elif isinstance(action, events.Answer):
+                self._answer(action)
+            else:
+                self._wake_at(action.at, now)
+
+    def _answer(self, action: events.Answer) -> None:
+        self._register.end(action.submission, action.outcome)
+        for reply in self._waiting.pop(str(action.submission), ()):
+            reply.give(replies.ended(action.outcome))
+
+    def _wake_at(self, at: datetime.datetime, now: datetime.datetime) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max(0.0, (at - now).total_seconds())
+        self._timer = self._loop.call_later(delay, self.inbox.put, Tick())
+
+
+def _standing(
+    verdict: ownership.Verdict | None,
+) -> replies.Standing:
+    if verdict is None:
+        return replies.Standing(replies.State.NEVER_CAME)
+    if isinstance(verdict, ownership.Remembered):
+        return replies.ended(verdict.outcome)
+    if isinstance(verdict, ownership.Forgotten):
+        return replies.ended(outcomes.Unknown(outcomes.Reason.FORGOTTEN))
+    if isinstance(verdict, ownership.Conflict):
+        return replies.Standing(replies.State.CONFLICT)
+    if isinstance(verdict, ownership.Elsewhere):
+        return replies.Standing(replies.State.ELSEWHERE)
+    return replies.Standing(replies.State.UNDER_WAY)
+
+
+def _target(state: capacity.TargetState, now: datetime.datetime) -> dict[str, object]:
+    return {
+        "kind": state.spec.kind,
+        "in_flight": state.in_flight,
+        "share": round(state.share.processors, 2),
+        "speed": round(state.speed, 3),
+        "failures": state.health.failures,
+        "ejected": state.health.is_ejected(now),
+        "leaving": state.spec.leaving,
+    }
--- /dev/null
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front end over HTTP, for callers and operators."""
--- /dev/null
+++ b/libs/carawaysail_entry/src/carawaysail_entry/main.py
@@ -0,0 +1,33 @@
+"""Run one entry daemon of carawaysail.
+
+Usage:
+  carawaysail-entry --settings FILE
+  carawaysail-entry (-h | --help)
+
+Options:
+  --settings FILE  JSON with comments: who and where this daemon is.
+  -h --help        Show this text.
+"""
+
+import pathlib
+import sys
+
+import docopt
+
+from carawaysail_entry import daemon
+from carawaysail_settings import daemon as daemon_settings
+from carawaysail_types import errors
+
+
+def main() -> None:
+    """Read the settings and run; exit 2 if they are not accepted."""
+    args = docopt.docopt(__doc__)
+    path = pathlib.Path(args["--settings"])
+    try:
+        cfg = daemon_settings.load(str(path), path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        sys.exit(f"carawaysail-entry: cannot read {path}: {exc.strerror}")
+    except errors.CarawaysailError as exc:
+        print(f"carawaysail-entry: {exc}", file=sys.stderr)
+        sys.exit(2)
+    daemon.run(cfg)
--- /dev/null
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -0,0 +1,394 @@
+"""The peers task: owns the membership, the channels and the server for peers."""
+
+import asyncio
+import collections.abc
+import typing
+
+from carawaysail_decisions import membership, shares
+from carawaysail_entry import configuring, dispatch, logs, replies, traces
+from carawaysail_peers import errors, messages, transport
+from carawaysail_types import clock, identifiers, outcomes, registry, work
+from carawaysail_types import errors as type_errors
+
+GOSSIP_S = 1.0
+CONTROL_S = 2.0
+RELAY_GRACE_S = 2.0
+HANDOVER_TRIES = 5
+HANDOVER_S = 10.0
+
+Answers = collections.abc.Callable[
+    ["PeersTask", transport.Sender, typing.Any],
+    collections.abc.Awaitable[messages.Message],
+]
+
+Errand = collections.abc.Coroutine[typing.Any, typing.Any, None]
+
+handlers: registry.Registry[Answers] = registry.Registry("peer message handlers")
+
+
+class PeersTask:
+    """Talks with the other entry daemons.
+
+    Parameters
+    ----------
+    members : membership.Members
+        What this daemon knows of all.
+    dispatch_task : dispatch.DispatchTask
+        Places submissions.
+    settings_task : configuring.SettingsTask
+        Holds the settings.
+    source : clock.Clock
+        The clock.
+    tracer : traces.Tracer
+        Records spans of messages to peers.
+    """
+
+    def __init__(
+        self,
+        members: membership.Members,
+        dispatch_task: dispatch.DispatchTask,
+        settings_task: configuring.SettingsTask,
+        source: clock.Clock,
+        tracer: traces.Tracer,
+    ) -> None:
+        self.members = members
+        self._dispatch = dispatch_task
+        self._settings = settings_task
+        self._clock = source
+        self._tracer = tracer
+        me = transport.Sender(members.me.vm, members.me.data_centre)
+        self.channels = transport.Channels(me)
+        self.service = transport.Service(me, self._answer)
+        self.server = transport.Server(self.service)
+        self._shares: dict[str, float] = {}
+        self._asking: set[str] = set()
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        try:
+            while True:
+                await self._round()
+                await asyncio.sleep(self.members.period().total_seconds())
+        finally:
+            self.channels.close()
+            await self.server.stop()
+
+    async def _round(self) -> None:
+        reply: replies.Reply[dispatch.Description] = replies.Reply()
+        self._dispatch.inbox.put(dispatch.Describe(reply))
+        told = await asyncio.wrap_future(reply.fut)
+        self.members.update(
+            demand=shares.coarse(told.demand),
+            settings=self._settings.versions.digest(),
+            ejected=told.ejected,
+        )
+        for address in self.members.tick(self._clock.now()):
+            self._spawn(self._gossip(address))
+        self._apply_shares()
+
+    def _spawn(self, errand: Errand) -> None:
+        task = asyncio.get_running_loop().create_task(errand)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _gossip(self, address: str) -> None:
+        known = self.members.record_of(address)
+        gossip = self.members.gossip(known.data_centre if known else "")
+        try:
+            answer = await self.channels.exchange(
+                address, messages.Gossip(gossip), GOSSIP_S
+            )
+        except type_errors.CarawaysailError as exc:
+            if known and isinstance(exc, errors.PeerUnreachableError) and exc.refused:
+                self.members.saw_dead(known.vm, known.incarnation)
+            return
+        if isinstance(answer, messages.Gossip):
+            self._took(answer.gossip)
+
+    def _took(self, gossip: membership.Gossip) -> None:
+        try:
+            self.members.received(gossip, self._clock.now())
+        except type_errors.BadInputError as exc:
+            logs.fault("peers", "Gossip refused.", exc)
+            return
+        mine = self._settings.versions.digest()
+        for record in gossip.records:
+            current = self.members.record_of(record.peer)
+            if current is None or current.state != membership.ALIVE:
+                continue
+            if current.settings not in ("", mine):
+                self._spawn(self._pull(record.peer))
+
+    async def _pull(self, address: str) -> None:
+        if address in self._asking:
+            return
+        self._asking.add(address)
+        try:
+            pull = messages.Pull(self._settings.versions.revisions())
+            answer = await self.channels.exchange(address, pull, CONTROL_S)
+            if isinstance(answer, messages.Push):
+                self._settings.inbox.put(configuring.Took(answer.sections, "peer"))
+        except type_errors.CarawaysailError:
+            return
+        finally:
+            self._asking.discard(address)
+
+    def _apply_shares(self) -> None:
+        settings = self._settings.effective
+        if settings is None:
+            return
+        alive = self.members.alive(self._clock.now())
+        demands = [shares.Demand(x.vm, x.demand) for x in alive]
+        found = shares.shares_of(self.members.me.vm, settings.specs, demands)
+        key = {**found, "": float(id(settings))}
+        if key != self._shares:
+            self._shares = key
+            self._dispatch.inbox.put(dispatch.Configure(settings, found))
+
+    def settings_changed(self) -> None:
+        """Work out the shares again and spread the newer sections at once."""
+        self._apply_shares()
+
+    def spread(self, sections: messages.Push) -> None:
+        """Send sections that came from the store to every daemon nearby."""
+        for record in self.members.alive(self._clock.now()):
+            if record.vm != self.members.me.vm:
+                self._spawn(self._push(record.peer, sections))
+
+    async def _push(self, address: str, push: messages.Push) -> None:
+        try:
+            await self.channels.exchange(address, push, CONTROL_S)
+        except type_errors.CarawaysailError:
+            return  # The gossip's hash makes up for a push that was lost.
+
+    def is_watcher(self) -> bool:
+        """Tell whether this daemon watches the store for its data centre.
+
+        The first ``WATCHERS`` daemons by name do; the rest hear from them.
+        """
+        names = [x.vm for x in self.members.alive(self._clock.now())]
+        return self.members.me.vm in names[:WATCHERS] or not names
+
+    # Relaying
+
+    async def relay(
+        self, submission: work.Submission, wait_s: float
+    ) -> replies.Standing:
+        """Pass a submission to its owner and return how it stands.
+
+        Parameters
+        ----------
+        submission : work.Submission
+            The submission.
+        wait_s : float
+            How long to wait for its outcome, in seconds.
+        """
+        now = self._clock.now()
+        left = (submission.deadline - now).total_seconds()
+        message = messages.Forward(submission, left * 1000.0, wait_s * 1000.0)
+        only_copy = submission.attempt == 1
+        with self._tracer.span("entry.relay", submission.trace) as span:
+            return await self._ask_owner(
+                submission.submission_id, message, wait_s, only_copy, span.traceparent
+            )
+
+    async def look(
+        self, sid: identifiers.SubmissionId, wait_s: float
+    ) -> replies.Standing:
+        """Ask the owner of a submission how it stands."""
+        message = messages.Lookup(str(sid), wait_s * 1000.0)
+        return await self._ask_owner(sid, message, wait_s, False, "")
+
+    async def cancel(self, names: tuple[str, ...]) -> None:
+        """Pass a cancellation to the owners, one message an owner."""
+        groups: dict[str, list[str]] = {}
+        for name in names:
+            owner = identifiers.parse_submission(name).owner
+            located = self.members.locate(owner, self._clock.now())
+            if located.peer:
+                groups.setdefault(located.peer, []).append(name)
+        for address, group in groups.items():
+            try:
+                cancel = messages.Cancel(tuple(group))
+                await self.channels.exchange(address, cancel, CONTROL_S)
+            except type_errors.CarawaysailError as exc:
+                logs.fault("peers", "Cancellation lost.", exc, peer=address)
+
+    async def _ask_owner(
+        self,
+        sid: identifiers.SubmissionId,
+        message: messages.Forward | messages.Lookup,
+        wait_s: float,
+        only_copy: bool,
+        trace: str,
+    ) -> replies.Standing:
+        located = self.members.locate(sid.owner, self._clock.now())
+        if located.lost:
+            return _LOST
+        address = located.peer or self._address_in_settings(sid.owner)
+        if not address:
+            return _unreachable(only_copy)
+        try:
+            answer = await self.channels.exchange(
+                address, message, wait_s + RELAY_GRACE_S, trace
+            )
+        except errors.PeerUnreachableError as exc:
+            if exc.refused:
+                self.members.saw_dead(sid.owner.vm, sid.owner.incarnation)
+                return _LOST
+            return _unreachable(only_copy and not exc.sent)
+        except type_errors.CarawaysailError as exc:
+            logs.fault("peers", "Answer refused.", exc, peer=address)
+            return _unreachable(False)
+        if not isinstance(answer, messages.Placed):
+            return _unreachable(False)
+        if answer.state == replies.State.ELSEWHERE:
+            self.members.saw_dead(sid.owner.vm, sid.owner.incarnation)
+            return _LOST
+        outcome = outcomes.from_plain(answer.outcome) if answer.outcome else None
+        return replies.Standing(replies.State(answer.state), outcome)
+
+    def _address_in_settings(self, owner: identifiers.Owner) -> str:
+        """Return the address of a daemon that no gossip has told of yet."""
+        settings = self._settings.effective
+        places = settings.cfg.get("places", {}) if settings else {}
+        entries = places.get(owner.data_centre, {}).get("entries", {})
+        return entries.get(owner.vm, {}).get("peer", "")
+
+    # Messages from peers
+
+    async def _answer(
+        self, sender: transport.Sender, message: messages.Message
+    ) -> messages.Message:
+        handler = handlers.get(messages.kind_of(message))
+        return await handler(self, sender, message)
+
+    @handlers.register("gossip")
+    async def _on_gossip(
+        self, sender: transport.Sender, message: messages.Gossip
+    ) -> messages.Message:
+        self._took(message.gossip)
+        return messages.Gossip(self.members.gossip(sender.data_centre))
+
+    @handlers.register("push")
+    async def _on_push(
+        self, sender: transport.Sender, message: messages.Push
+    ) -> messages.Message:
+        self._settings.inbox.put(configuring.Took(message.sections, "peer"))
+        return messages.Done()
+
+    @handlers.register("pull")
+    async def _on_pull(
+        self, sender: transport.Sender, message: messages.Pull
+    ) -> messages.Message:
+        newer = self._settings.versions.newer_than(message.revisions)
+        return messages.Push(newer)
+
+    @handlers.register("forward")
+    async def _on_forward(
+        self, sender: transport.Sender, message: messages.Forward
+    ) -> messages.Message:
+        settings = self._settings.effective
+        remaining = clock.milliseconds(message.remaining_ms)
+        submission = message.submission._replace(
+            deadline=self._clock.now() + remaining, trace=sender.trace
+        )
+        if settings is None:
+            reason = outcomes.Reason.NO_TARGET
+            return _placed(replies.ended(outcomes.NotRun(reason)))
+        limits = settings.service(submission.service, submission.kind).limits
+        reply: replies.Reply[replies.Standing] = replies.Reply()
+        place = dispatch.Place(submission, limits, False, reply)
+        if not self._dispatch.inbox.offer(place):
+            reason = outcomes.Reason.QUEUE_FULL
+            return _placed(replies.ended(outcomes.NotRun(reason)))
+        return _placed(await _wait(reply, message.wait_ms))
+
+    @handlers.register("lookup")
+    async def _on_lookup(
+        self, sender: transport.Sender, message: messages.Lookup
+    ) -> messages.Message:
+        sid = identifiers.parse_submission(message.submission_id)
+        reply: replies.Reply[replies.Standing] = replies.Reply()
+        self._dispatch.inbox.put(dispatch.Look(sid, message.wait_ms > 0, reply))
+        return _placed(await _wait(reply, max(message.wait_ms, LOOK_MS)))
+
+    @handlers.register("cancel")
+    async def _on_cancel(
+        self, sender: transport.Sender, message: messages.Cancel
+    ) -> messages.Message:
+        self._dispatch.inbox.put(dispatch.Cancel(message.submission_ids))
+        return messages.Done()
+
+    @handlers.register("hand_over")
+    async def _on_hand_over(
+        self, sender: transport.Sender, message: messages.HandOver
+    ) -> messages.Message:
+        reply: replies.Reply[tuple[str, ...]] = replies.Reply()
+        self._dispatch.inbox.put(dispatch.Adopt(message.memories, reply))
+        inherited = await asyncio.wrap_future(reply.fut)
+        self.members.update(inherited=inherited)
+        logs.tell("peers", "Memory adopted.", incarnations=list(inherited))
+        return messages.Done()
+
+    # Leaving
+
+    async def announce(self, state: str) -> None:
+        """Tell every daemon nearby of this one's state, at once."""
+        self.members.update(state=state)
+        peers = [
+            record.peer
+            for record, _ in self.members.all(self._clock.now())
+            if record.vm != self.members.me.vm and record.state != membership.GONE
+        ]
+        await asyncio.gather(*(self._gossip(peer) for peer in peers))
+
+    async def hand_over(self) -> bool:
+        """Hand the memory of submissions to one heir; tell whether it took it.
+
+        Only one heir is ever tried: the answer of a handover that took effect may be
+        lost, and two heirs could start the same submission.
+        """
+        heir = self.members.choose_heir(self._clock.now())
+        if heir is None:
+            return False
+        reply: replies.Reply[typing.Any] = replies.Reply()
+        self._dispatch.inbox.put(dispatch.HandOver(reply))
+        message = messages.HandOver(await asyncio.wrap_future(reply.fut))
+        for _ in range(HANDOVER_TRIES):
+            try:
+                await self.channels.exchange(heir.peer, message, HANDOVER_S)
+            except type_errors.CarawaysailError as exc:
+                logs.fault("peers", "Handover not answered.", exc, heir=heir.vm)
+                await asyncio.sleep(GOSSIP_S)
+            else:
+                self.members.update(heir=heir.incarnation)
+                return True
+        return False
+
+
+WATCHERS = 2
+LOOK_MS = 1000.0
+
+_LOST = replies.ended(outcomes.Unknown(outcomes.Reason.OWNER_LOST))
+
+
+def _unreachable(never_sent: bool) -> replies.Standing:
+    reason = outcomes.Reason.OWNER_UNREACHABLE
+    if never_sent:
+        return replies.ended(outcomes.NotRun(reason))
+    return replies.ended(outcomes.Unknown(reason))
+
+
+def _placed(standing: replies.Standing) -> messages.Placed:
+    outcome = outcomes.to_plain(standing.outcome) if standing.outcome else None
+    return messages.Placed(standing.state.value, outcome)
+
+
+async def _wait(
+    reply: replies.Reply[replies.Standing], wait_ms: float
+) -> replies.Standing:
+    fut = asyncio.wrap_future(reply.fut)
+    done, _ = await asyncio.wait([fut], timeout=max(0.0, wait_ms) / 1000.0)
+    return fut.result() if done else replies.Standing(replies.State.UNDER_WAY)
--- /dev/null
+++ b/libs/carawaysail_peers/src/carawaysail_peers/__init__.py
@@ -0,0 +1,5 @@
+"""Messages between entry daemons: types, codecs and transport."""
+
+from carawaysail_peers import codecs, errors, messages, transport
+
+__all__ = ["codecs", "errors", "messages", "transport"]
--- /dev/null
+++ b/libs/carawaysail_peers/src/carawaysail_peers/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the envelope that carries messages; see ``bin/generate``."""
--- /dev/null
+++ b/libs/carawaysail_platform/src/carawaysail_platform/targets.py
@@ -0,0 +1,101 @@
+"""What a target says of the tasks it was sent, and the interface of its client."""
+
+import collections.abc
+import enum
+import typing
+
+from carawaysail_types import identifiers, outcomes, work
+
+
+class Fate(enum.StrEnum):
+    """What is known of the tasks of an exchange that were not answered."""
+
+    ANSWERED = "answered"
+    NOT_STARTED = "not_started"
+    MAY_HAVE_STARTED = "may_have_started"
+
+
+class Order(typing.NamedTuple):
+    """One task for a target.
+
+    Parameters
+    ----------
+    task : identifiers.TaskId
+        Its identifier; the target names it in its answer.
+    service : str
+        Name of the service.
+    payload : bytes
+        JSON text.
+    needs : work.Needs
+        What it takes of a worker.
+    trace : str
+        W3C ``traceparent``, or empty.
+    """
+
+    task: identifiers.TaskId
+    service: str
+    payload: bytes
+    needs: work.Needs
+    trace: str
+
+
+class Result(typing.NamedTuple):
+    """A target's answer for one task.
+
+    Parameters
+    ----------
+    task : identifiers.TaskId
+        The task that the target names.
+    ok : bool
+        Whether it completed.
+    answer : bytes
+        JSON text; empty where it failed.
+    reason : outcomes.Reason
+        Why it failed.
+    ran_ms : float or None
+        Run time that the target reports, in milliseconds.
+    """
+
+    task: identifiers.TaskId
+    ok: bool
+    answer: bytes
+    reason: outcomes.Reason = outcomes.Reason.NONE
+    ran_ms: float | None = None
+
+
+class End(typing.NamedTuple):
+    """The exchange is over.
+
+    Parameters
+    ----------
+    fate : Fate
+        What is known of the tasks that have no result.
+    reason : outcomes.Reason
+        What went wrong, if anything did.
+    """
+
+    fate: Fate
+    reason: outcomes.Reason = outcomes.Reason.NONE
+
+
+class Client(typing.Protocol):
+    """One target as the system uses it."""
+
+    def run(
+        self, orders: tuple[Order, ...], wait_s: float
+    ) -> collections.abc.Iterator[Result | End]:
+        """Send tasks in one message; yield their results and one end."""
+
+    def stop(self, tasks: tuple[identifiers.TaskId, ...]) -> None:
+        """Ask the target to stop tasks, in one message; best effort."""
+
+
+def parse_task(text: str) -> identifiers.TaskId | None:
+    """Return the task that a text names, or ``None``."""
+    submission, separator, index = text.rpartition("#")
+    if not separator or not index.isdigit() or len(index) > MAX_INDEX_DIGITS:
+        return None
+    return identifiers.TaskId(submission, int(index))
+
+
+MAX_INDEX_DIGITS = 6
--- /dev/null
+++ b/libs/carawaysail_standins/src/carawaysail_standins/runner.py
@@ -0,0 +1,87 @@
+"""A stand-in runner: slots, one request each, a run time that the payload tells.
+
+The payload is ``{"run_ms": ..., "echo": ...}``; the runner takes ``run_ms`` times its
+slowness in one of its slots and answers ``{"target", "echo"}``.
+"""
+
+import json
+import threading
+import typing
+
+from carawaysail_platform import runners
+from carawaysail_standins import faults, records, web
+from carawaysail_types import clock
+
+FOREVER_S = 60.0
+MORE_THREADS = 24
+
+
+class Runner:
+    """One runner.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    port : int
+        Port on loopback; 0 for any free one.
+    slots : int
+        Requests that it works on at once; more wait inside it.
+    slowness : float
+        Factor on every run time.
+    """
+
+    def __init__(self, name: str, port: int, slots: int, slowness: float) -> None:
+        self.name = name
+        self.faults = faults.Switchboard("target")
+        self.records = records.Records()
+        self._clock = clock.SystemClock()
+        self._slowness = slowness
+        self._slots = threading.BoundedSemaphore(slots)
+        self.server = web.WebServer(self._handle, port, slots + MORE_THREADS)
+
+    def _handle(self, request: web.Request) -> web.Answer:
+        if request.path.startswith("/run/"):
+            return self._run(request)
+        if request.path == "/faults":
+            self.faults.set(request.json())
+            return web.answer_json({})
+        if request.path == "/starts":
+            return web.answer_json(self.records.starts())
+        return web.answer_json(self.records.totals())
+
+    def _run(self, request: web.Request) -> web.Answer:
+        task = request.header(runners.TASK_HEADER)
+        self.records.message()
+        if self.faults.value("refuse"):
+            headers = ((runners.NOT_STARTED_HEADER, "1"), (runners.TASK_HEADER, task))
+            return web.Answer(503, b"{}", headers)
+        with self._slots:
+            self.records.started(task)
+            began = self._clock.seconds()
+            if self.faults.value("fail_all"):
+                return web.Answer(500, b"{}", ((runners.TASK_HEADER, task),))
+            payload = request.json()
+            self._clock.sleep_s(self._run_s(payload))
+            ran_ms = (self._clock.seconds() - began) * 1000.0
+        return self._answer(task, payload, ran_ms)
+
+    def _run_s(self, payload: typing.Any) -> float:
+        if self.faults.value("never_end"):
+            return FOREVER_S
+        factor = self._slowness * (self.faults.value("slow") or 1.0)
+        run_ms = payload.get("run_ms", 0) if isinstance(payload, dict) else 0
+        return float(run_ms) * factor / 1000.0
+
+    def _answer(self, task: str, payload: typing.Any, ran_ms: float) -> web.Answer:
+        echo = payload.get("echo") if isinstance(payload, dict) else payload
+        body = json.dumps({"target": self.name, "echo": echo}).encode()
+        headers = [(runners.TASK_HEADER, task), (runners.RAN_HEADER, f"{ran_ms:.2f}")]
+        if self.faults.value("crossed"):
+            headers[0] = (runners.TASK_HEADER, "another~task#0")
+        if self.faults.value("nonsense"):
+            body = b"{nonsense"
+        if self.faults.value("cut_short"):
+            headers.append(("Content-Length", str(len(body) + 100)))
+            return web.Answer(200, iter([body]), tuple(headers))
+        return web.Answer(200, body, tuple(headers))
--- /dev/null
+++ b/libs/carawaysail_standins/src/carawaysail_standins/store.py
@@ -0,0 +1,171 @@
+"""A stand-in key-value service: the JSON mapping of etcd's interface, in memory.
+
+Compare-and-swap, leases and watches; it counts its calls, a waiting watch as one.
+"""
+
+import base64
+import collections
+import collections.abc
+import json
+import threading
+import typing
+
+from carawaysail_standins import faults, web
+from carawaysail_types import clock
+
+THREADS = 64
+WATCH_WAIT_S = 5.0
+
+
+class Change(typing.NamedTuple):
+    """One change of a key.
+
+    Parameters
+    ----------
+    at : float
+        Monotonic time of the change.
+    revision : int
+        Its revision.
+    key, value : str
+        The key and its value, in base64; the value is empty for a deletion.
+    """
+
+    at: float
+    revision: int
+    key: str
+    value: str
+
+
+class Store:
+    """The service.
+
+    Parameters
+    ----------
+    port : int
+        Port on loopback; 0 for any free one.
+    """
+
+    def __init__(self, port: int) -> None:
+        self.faults = faults.Switchboard("store")
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._clock = clock.SystemClock()
+        self._changed = threading.Condition()
+        self._revision = 1
+        self._held: dict[bytes, Change] = {}
+        self._log: list[Change] = []
+        self._leases: dict[str, float] = {}
+        self.server = web.WebServer(self._handle, port, THREADS)
+        self._calls: dict[str, collections.abc.Callable[[typing.Any], typing.Any]] = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep,
+        }
+
+    def _handle(self, request: web.Request) -> web.Answer:
+        if request.path == "/faults":
+            self.faults.set(request.json())
+            return web.answer_json({})
+        if request.path == "/calls":
+            return web.answer_json(dict(self.calls))
+        with self._changed:
+            self.calls[request.path] += 1
+        if self.faults.value("down"):
+            return web.answer_json({"error": "down"}, 503)
+        self._clock.sleep_s(self.faults.value("slow_store"))
+        if request.path == "/v3/watch":
+            return web.Answer(200, self._watch(request.json()["create_request"]))
+        call = self._calls.get(request.path)
+        if call is None:
+            return web.answer_json({"error": "no such call"}, 404)
+        with self._changed:
+            value = call(request.json())
+        if request.path == "/v3/kv/txn" and self.faults.value("lost_answers"):
+            return web.answer_json({"error": "lost"}, 500)
+        return web.answer_json(value)
+
+    def _header(self) -> dict[str, typing.Any]:
+        return {"header": {"revision": str(self._revision)}}
+
+    def _range(self, body: typing.Any) -> typing.Any:
+        first = base64.b64decode(body["key"])
+        end = base64.b64decode(body.get("range_end", ""))
+        kvs = [
+            _kv(change)
+            for key, change in sorted(self._held.items())
+            if key == first or (end and first <= key < end)
+        ]
+        return {**self._header(), "kvs": kvs}
+
+    def _txn(self, body: typing.Any) -> typing.Any:
+        compare = body["compare"][0]
+        held = self._held.get(base64.b64decode(compare["key"]))
+        found = held.revision if held else 0
+        if found != int(compare["mod_revision"]):
+            kvs = [_kv(held)] if held else []
+            responses = [{"response_range": {"kvs": kvs}}]
+            return {**self._header(), "succeeded": False, "responses": responses}
+        for change in body["success"]:
+            if "requestPut" in change:
+                put = change["requestPut"]
+                self._write(put["key"], put["value"])
+            else:
+                self._write(change["requestDeleteRange"]["key"], "")
+        return {**self._header(), "succeeded": True}
+
+    def _write(self, key: str, value: str) -> None:
+        self._revision += 1
+        change = Change(self._clock.seconds(), self._revision, key, value)
+        self._log.append(change)
+        if value:
+            self._held[base64.b64decode(key)] = change
+        else:
+            self._held.pop(base64.b64decode(key), None)
+        self._changed.notify_all()
+
+    def _grant(self, body: typing.Any) -> typing.Any:
+        lease = str(len(self._leases) + 1)
+        self._leases[lease] = self._clock.seconds() + float(body["TTL"])
+        return {**self._header(), "ID": lease, "TTL": body["TTL"]}
+
+    def _keep(self, body: typing.Any) -> typing.Any:
+        until = self._leases.get(str(body["ID"]), 0.0)
+        left = until > self._clock.seconds()
+        return {"result": {"ID": body["ID"], "TTL": "10" if left else "0"}}
+
+    def _watch(self, request: typing.Any) -> typing.Iterator[bytes]:
+        first = base64.b64decode(request["key"])
+        end = base64.b64decode(request["range_end"])
+        after = int(request["start_revision"]) - 1
+        yield json.dumps({"result": {"created": True}}).encode() + b"\n"
+        while not self.faults.value("down"):
+            found = self._since(after, first, end)
+            if found:
+                after = found[-1].revision
+                events = [_event(change) for change in found]
+                yield json.dumps({"result": {"events": events}}).encode() + b"\n"
+
+    def _since(self, after: int, first: bytes, end: bytes) -> list[Change]:
+        with self._changed:
+            lag = self.faults.value("lagging_watch")
+            found = [
+                change
+                for change in self._log
+                if change.revision > after
+                and first <= base64.b64decode(change.key) < end
+                and self._clock.seconds() - change.at >= lag
+            ]
+            if not found:
+                self._changed.wait(lag or WATCH_WAIT_S)
+            return found
+
+
+def _kv(change: Change) -> dict[str, str]:
+    kv = {"key": change.key, "mod_revision": str(change.revision)}
+    return {**kv, "value": change.value} if change.value else kv
+
+
+def _event(change: Change) -> dict[str, typing.Any]:
+    if change.value:
+        return {"kv": _kv(change)}
+    return {"type": "DELETE", "kv": _kv(change)}
