Cut the cost of a placed task; honour notices, the VM list and others' ejections

A target's own notice, the VM list and the ejections seen by other daemons reached nobody. Change: a message to a worker is filled before the next is begun; a flow is served while its turn lasts; timers stand in a module of their own. Notices and the VM list travel in the gossip; a target that another daemon ejected is held to one task at a time.

--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -6,8 +6,6 @@
 
 import collections.abc
 import datetime
-import heapq
-import itertools
 import random
 import typing
 
@@ -16,6 +14,7 @@
     backlog,
     capacity,
     events,
+    health,
     placing,
     pools,
     progress,
@@ -24,6 +23,7 @@
     retries,
     routing,
     runtimes,
+    timers,
 )
 from carawaysail_types import identifiers, outcomes, registry, work
 
@@ -63,6 +63,7 @@
         self.run_times = runtimes.RunTimes()
         self.quotas = quotas.Ledger()
         self.draining = False
+        self.noticed: dict[str, datetime.datetime] = {}
         self.counters = Counters(
             submitted=0, refused=0, tasks_sent=0, batches_sent=0, retries=0,
             unmatched_answers=0, ejections=0,
@@ -72,12 +73,8 @@
         self.backlog = backlog.Backlog(queues.policies.get(self.rules.queue)())
         self._set_policies()
         self._submissions: dict[str, progress.Progress] = {}
-        self._order = itertools.count()
-        self._due: list[tuple[datetime.datetime, int, str]] = []
-        self._delayed: list[tuple[datetime.datetime, int, progress.Progress, int]] = []
-        self._ejected: list[datetime.datetime] = []
-        self._budgets: dict[str, retries.Budget] = {}
-        self._wake: datetime.datetime | None = None
+        self._timers = timers.Timers()
+        self._budgets = retries.Budgets()
 
     def handle(
         self, event: events.Event, now: datetime.datetime
@@ -97,8 +94,11 @@
             What to do, in order.
         """
         actions = handlers.get(type(event).__name__)(self, event, now)
-        self._place(actions, now)
-        self._ask_to_wake(actions, now)
+        if self.backlog.queued:
+            self._place(actions, now)
+        wake = self._timers.next_wake(self._submissions, self.backlog.queued > 0)
+        if wake is not None:
+            actions.append(events.WakeAt(wake))
         return actions
 
     def unfinished(self) -> int:
@@ -144,8 +144,7 @@
         indexes = range(len(submission.tasks))
         entry = queues.Waiting(name, submission.tasks, indexes, expected, now)
         self._submissions[name] = progress.Progress(submission, limits, flow, entry)
-        due = (submission.deadline, next(self._order), name)
-        heapq.heappush(self._due, due)
+        self._timers.add_deadline(submission.deadline, name)
         self.backlog.add(flow, entry)
         return []
 
@@ -223,6 +222,32 @@
         self.backlog.unpark_all()
         return []
 
+    @handlers.register("Suspected")
+    def _suspected(
+        self, event: events.Suspected, now: datetime.datetime
+    ) -> list[events.Action]:
+        for name in event.targets:
+            state = self.placing.targets.get(name)
+            if state is not None:
+                state.health.suspect()
+        return []
+
+    @handlers.register("TargetLeaving")
+    def _target_leaving(
+        self, event: events.TargetLeaving, now: datetime.datetime
+    ) -> list[events.Action]:
+        state = self.placing.targets.get(event.target_id)
+        if state is not None:
+            until = now + health.NOTICE_KEPT
+            state.health.ejected_until = until
+            self.noticed[event.target_id] = until
+            self._timers.add_ejection(until)
+        return []
+
+    def leaving(self, now: datetime.datetime) -> tuple[str, ...]:
+        """Return the targets that lately told that they are leaving."""
+        return tuple(name for name, until in self.noticed.items() if now < until)
+
     # Answers
 
     @handlers.register("TaskEnded")
@@ -236,6 +261,7 @@
             return []
         self._freed(item, batch.state)
         if event.reason == outcomes.Reason.TARGET_REFUSED:
+            self._blame(batch.state, now)
             return self._not_started(item, event.task.position, now)
         self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
         if event.ok:
@@ -295,7 +321,7 @@
         until = self.placing.failed(state, now)
         if until is not None:
             self.counters["ejections"] += 1
-            heapq.heappush(self._ejected, until)
+            self._timers.add_ejection(until)
 
     def _not_started(
         self, item: progress.Progress, index: int, now: datetime.datetime
@@ -311,8 +337,7 @@
         self, item: progress.Progress, index: int, now: datetime.datetime
     ) -> None:
         wait = retries.backoff(item.tries[index], self._rng)
-        delayed = (now + wait, next(self._order), item, index)
-        heapq.heappush(self._delayed, delayed)
+        self._timers.add_delayed(now + wait, timers.Delayed(item, index))
 
     def _task_failed(
         self,
@@ -345,12 +370,7 @@
         return self._budget(item).take()
 
     def _budget(self, item: progress.Progress) -> retries.Budget:
-        service = item.submission.service
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = retries.Budget(item.limits.retry_ratio)
-        budget.ratio = item.limits.retry_ratio
-        return budget
+        return self._budgets.of(item.submission.service, item.limits.retry_ratio)
 
     # Outcomes
 
@@ -405,82 +425,64 @@
     def _ticked(
         self, event: events.Ticked, now: datetime.datetime
     ) -> list[events.Action]:
-        self._wake = None
-        self._bring_back_delayed(now)
-        while self._ejected and self._ejected[0] <= now:
-            heapq.heappop(self._ejected)
-            self.backlog.unpark_all()
-        return self._expire(now)
-
-    def _bring_back_delayed(self, now: datetime.datetime) -> None:
-        while self._delayed and self._delayed[0][0] <= now:
-            _, _, item, index = heapq.heappop(self._delayed)
+        self._timers.woken()
+        for item, index in self._timers.pop_delayed(now):
             if item.outcome is None:
                 self.backlog.add_back(item.flow, item.entry, index)
             else:
                 self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+        if self._timers.pop_ejections(now):
+            self.backlog.unpark_all()
+        return self._expire(now)
 
     def _expire(self, now: datetime.datetime) -> list[events.Action]:
         stops: dict[str, list[identifiers.TaskId]] = {}
         actions: list[events.Action] = []
-        while self._due and self._due[0][0] <= now:
-            item = self._submissions.get(heapq.heappop(self._due)[2])
+        for name in self._timers.pop_due(now):
+            item = self._submissions.get(name)
             if item is not None:
                 actions += self._end_early(item, outcomes.Reason.DEADLINE, stops)
         return actions + _stop_actions(stops)
 
-    def _ask_to_wake(
-        self, actions: list[events.Action], now: datetime.datetime
-    ) -> None:
-        while self._due and self._due[0][2] not in self._submissions:
-            heapq.heappop(self._due)
-        heads = [heap[0][0] for heap in (self._due, self._delayed) if heap]
-        if self._ejected and self.backlog.queued:
-            heads.append(self._ejected[0])
-        if not heads:
-            return
-        first = min(heads)
-        if self._wake is None or first < self._wake:
-            self._wake = first
-            actions.append(events.WakeAt(first))
-
     # Placing
 
     def _place(self, actions: list[events.Action], now: datetime.datetime) -> None:
-        if not self.backlog.queued:
-            return
         out = placing.Outgoing(self.rules.batch_tasks)
         while (flow := self.backlog.next(now)) is not None:
-            if flow.head() is None:
-                continue
-            if self.quotas.room(flow.team, now) <= 0:
-                self.backlog.park(flow, (TEAM, flow.team))
-            elif self._place_head(flow, out, now):
+            blocked = self._place_from(flow, out, now)
+            if blocked is not None:
+                self.backlog.park(flow, blocked)
+            elif flow.head() is not None:
                 self.backlog.again(flow)
-            else:
-                self.backlog.park(flow, (flow.target_kind, flow.key.service))
         for action in out.actions():
             self.counters["batches_sent"] += 1
             self.counters["tasks_sent"] += len(action.tasks)
             actions.append(action)
 
-    def _place_head(
+    def _place_from(
         self, flow: queues.Flow, out: placing.Outgoing, now: datetime.datetime
-    ) -> bool:
-        entry = flow.entries[0]
-        item = self._submissions[entry.key]
-        needs = placing.needs_of(item, entry.indexes[0])
-        state = self.placing.find(
-            flow, needs, entry.expected_ms, self.rules, self._routing, out, now
-        )
-        if state is None:
-            return False
-        index = self.backlog.take(flow)
-        self.placing.send(item, index, needs, state, out, now)
-        self.quotas.started(flow.team)
-        if item.tries[index] == 1:
-            self._budget(item).started()
-        return True
+    ) -> backlog.PoolKey | None:
+        """Place tasks of a flow while its turn lasts; return what it waits for."""
+        room = self.quotas.room(flow.team, now)
+        while (entry := flow.head()) is not None:
+            if room <= 0:
+                return (TEAM, flow.team)
+            item = self._submissions[entry.key]
+            needs = placing.needs_of(item, entry.indexes[0])
+            state = self.placing.find(
+                flow, needs, entry.expected_ms, self.rules, self._routing, out, now
+            )
+            if state is None:
+                return (flow.target_kind, flow.key.service)
+            index = self.backlog.take(flow)
+            self.placing.send(item, index, needs, state, out, now)
+            self.quotas.started(flow.team)
+            room -= 1
+            if item.tries[index] == 1:
+                self._budget(item).started()
+            if flow.deficit_ms <= 0.0:
+                return None
+        return None
 
 
 TEAM = "team"
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
@@ -151,6 +151,18 @@
     reason: outcomes.Reason = outcomes.Reason.NONE
 
 
+class Suspected(typing.NamedTuple):
+    """Other daemons have ejected targets for their failures."""
+
+    targets: tuple[identifiers.TargetId, ...]
+
+
+class TargetLeaving(typing.NamedTuple):
+    """A target told that it is leaving."""
+
+    target_id: identifiers.TargetId
+
+
 class Ticked(typing.NamedTuple):
     """A wake-up that was asked for has come."""
 
@@ -167,6 +179,8 @@
     | RulesChanged
     | TaskEnded
     | BatchEnded
+    | Suspected
+    | TargetLeaving
     | Ticked
     | Drained
 )
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/health.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/health.py
@@ -7,6 +7,7 @@
 FIRST_EJECTION = datetime.timedelta(seconds=1)
 LONGEST_EJECTION = datetime.timedelta(seconds=60)
 MAX_EJECTED_SHARE = 0.5
+NOTICE_KEPT = datetime.timedelta(seconds=60)
 
 
 class Health:
@@ -47,6 +48,11 @@
         self.limit = 1
         return self.failures >= EJECT_AFTER_FAILURES and not self.is_ejected(now)
 
+    def suspect(self) -> None:
+        """Leave the target one task at a time, as others have seen it fail."""
+        if self.limit is None:
+            self.limit = 1
+
     def eject(self, now: datetime.datetime) -> datetime.datetime:
         """Send it nothing for a while; each time twice as long.
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
@@ -55,6 +55,8 @@
         Hash of the revisions of all sections that it holds.
     ejected : tuple of str
         Targets that it sends nothing for their failures.
+    leaving : tuple of str
+        Targets that it knows to be leaving, by the VM list or their own notice.
     """
 
     vm: str
@@ -70,6 +72,7 @@
     demand: float = 1.0
     settings: str = ""
     ejected: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 class Gossip(typing.NamedTuple):
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/quotas.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/quotas.py
@@ -133,6 +133,8 @@
 
 
 def _limit(state: _Team, now: datetime.datetime) -> int:
+    if not state.lent and not state.borrowed:
+        return state.part
     if state.lent:
         state.lent = [item for item in state.lent if item[0] > now]
     if state.borrowed:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/retries.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/retries.py
@@ -37,6 +37,21 @@
         return True
 
 
+class Budgets:
+    """The budget of each service."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, Budget] = {}
+
+    def of(self, service: str, ratio: float) -> Budget:
+        """Return the budget of a service, at its present ratio."""
+        budget = self._held.get(service)
+        if budget is None:
+            budget = self._held[service] = Budget(ratio)
+        budget.ratio = ratio
+        return budget
+
+
 def backoff(attempt: int, rng: random.Random) -> datetime.timedelta:
     """Return the wait before a retry, uniform up to a bound that doubles.
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
@@ -1,15 +1,24 @@
 """The daemon: wires the tasks, starts them, and ends them gracefully."""
 
 import asyncio
+import functools
 import secrets
 import signal
 import sys
 
 from carawaysail_decisions import membership, ownership, versions
-from carawaysail_entry import configuring, dispatch, logs, metrics, peering, traces
+from carawaysail_entry import (
+    configuring,
+    dispatch,
+    logs,
+    metrics,
+    peering,
+    traces,
+    vmwatch,
+)
 from carawaysail_entry.front import door, server
 from carawaysail_peers import messages
-from carawaysail_platform import keyvalue
+from carawaysail_platform import keyvalue, vmlist
 from carawaysail_settings import daemon as daemon_settings
 from carawaysail_types import clock
 
@@ -42,6 +51,8 @@
         tasks = [asyncio.create_task(x) for x in work]
         if self._watch is not None:
             self._watch.start()
+        if self._vm_watch is not None:
+            self._vm_watch.start()
         await asyncio.to_thread(self._http.start)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -81,6 +92,13 @@
             self._watch = configuring.StoreWatch(
                 store, self._settings, self._peers.is_watcher
             )
+        self._vm_watch = None
+        if cfg["vm_list_url"]:
+            self._vm_watch = vmwatch.VmWatch(
+                vmlist.HttpVmList(cfg["vm_list_url"]),
+                lambda vms: self._tell_vm_list(loop, vms),
+                self._peers.is_watcher,
+            )
         max_waiting = cfg["threads"] - max(2, cfg["threads"] // SPARE_SHARE)
         self._desk = door.Door(
             loop, register, self._dispatch, self._peers, self._settings, self._clock,
@@ -91,6 +109,11 @@
             application, cfg["caller"], cfg["threads"], cfg["backlog"]
         )
 
+    def _tell_vm_list(
+        self, loop: asyncio.AbstractEventLoop, vms: tuple[vmlist.Vm, ...]
+    ) -> None:
+        loop.call_soon_threadsafe(functools.partial(self._peers.took_vm_list, vms))
+
     def _settings_changed(
         self, sections: tuple[versions.Section, ...], source: str
     ) -> None:
--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -63,7 +63,7 @@
 class FromTarget(typing.NamedTuple):
     """A link has news of a batch."""
 
-    event: events.TaskEnded | events.BatchEnded
+    event: links.News
 
 
 class Configure(typing.NamedTuple):
@@ -81,6 +81,12 @@
     shares: dict[str, float]
 
 
+class Suspect(typing.NamedTuple):
+    """Other daemons have ejected targets for their failures."""
+
+    targets: tuple[str, ...]
+
+
 class Drain(typing.NamedTuple):
     """Refuse new work from now on."""
 
@@ -107,6 +113,8 @@
         Tasks asked for, waiting and with targets; submissions under way and known.
     ejected : tuple of str
         Targets that get nothing for their failures.
+    leaving : tuple of str
+        Targets that lately told that they are leaving.
     counters : dispatcher.Counters
         Totals.
     targets : dict of str to dict
@@ -119,6 +127,7 @@
     unfinished: int
     remembered: int
     ejected: tuple[str, ...]
+    leaving: tuple[str, ...]
     counters: dispatcher.Counters
     targets: dict[str, dict[str, object]]
 
@@ -134,7 +143,7 @@
 
 
 Message = (
-    Place | Look | Cancel | FromTarget | Configure | Drain | HandOver | Adopt
+    Place | Look | Cancel | FromTarget | Configure | Suspect | Drain | HandOver | Adopt
     | Describe | Tick
 )  # fmt: skip
 
@@ -198,7 +207,7 @@
             kind = type(message).__name__
             logs.fault("dispatch", "Message failed.", exc, message=kind)
 
-    def _post(self, event: events.TaskEnded | events.BatchEnded) -> None:
+    def _post(self, event: links.News) -> None:
         self.inbox.put(FromTarget(event))
 
     @handlers.register("Place")
@@ -254,6 +263,10 @@
         self._apply(events.QuotasChanged(settings.parts), now)
         self._apply(events.TargetsChanged(settings.specs, shares), now)
 
+    @handlers.register("Suspect")
+    def _suspect(self, message: Suspect) -> None:
+        self._apply(events.Suspected(message.targets), self._clock.now())
+
     @handlers.register("Drain")
     def _drain(self, message: Drain) -> None:
         self._apply(events.Drained(), self._clock.now())
@@ -281,6 +294,7 @@
                 self._dispatcher.unfinished(),
                 sum(book.remembered() for book in books),
                 self._dispatcher.ejected(now),
+                self._dispatcher.leaving(now),
                 self._dispatcher.counters,
                 {name: _target(state, now) for name, state in states},
             )
--- a/libs/carawaysail_entry/src/carawaysail_entry/links.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/links.py
@@ -13,7 +13,9 @@
 LATE_S = 30.0
 """How long after the deadline an answer is still taken, in seconds."""
 
-Post = collections.abc.Callable[["events.TaskEnded | events.BatchEnded"], None]
+News = events.TaskEnded | events.BatchEnded | events.TargetLeaving
+
+Post = collections.abc.Callable[[News], None]
 MakeClient = collections.abc.Callable[[capacity.TargetSpec], targets.Client]
 
 clients: registry.Registry[MakeClient] = registry.Registry("target kinds")
@@ -125,6 +127,8 @@
             fate = targets.Fate.MAY_HAVE_STARTED
             ended = targets.End(fate, outcomes.Reason.CONNECTION_LOST)
         end = ended or targets.End(targets.Fate.MAY_HAVE_STARTED)
+        if end.is_leaving:
+            self._post(events.TargetLeaving(action.target_id))
         known = events.Fate(end.fate.value)
         self._post(events.BatchEnded(action.batch, known, end.reason))
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -5,8 +5,9 @@
 import typing
 
 from carawaysail_decisions import membership, shares
-from carawaysail_entry import configuring, dispatch, logs, replies, traces
+from carawaysail_entry import configuring, dispatch, effective, logs, replies, traces
 from carawaysail_peers import errors, messages, transport
+from carawaysail_platform import vmlist
 from carawaysail_types import clock, identifiers, outcomes, registry, work
 from carawaysail_types import errors as type_errors
 
@@ -26,6 +27,14 @@
 handlers: registry.Registry[Answers] = registry.Registry("peer message handlers")
 
 
+_Inputs = tuple[effective.Effective, frozenset[str], tuple[shares.Demand, ...]]
+"""What the shares follow from: settings, leaving targets and demands."""
+
+
+def _is_same(first: _Inputs, second: _Inputs) -> bool:
+    return first[0] is second[0] and first[1:] == second[1:]
+
+
 class PeersTask:
     """Talks with the other entry daemons.
 
@@ -60,7 +69,9 @@
         self.channels = transport.Channels(me)
         self.service = transport.Service(me, self._answer)
         self.server = transport.Server(self.service)
-        self._shares: dict[str, float] = {}
+        self._applied: _Inputs | None = None
+        self._suspected: frozenset[str] = frozenset()
+        self._vm_list_leaving: tuple[str, ...] = ()
         self._asking: set[str] = set()
         self._background: set[asyncio.Task[None]] = set()
 
@@ -82,6 +93,7 @@
             demand=shares.coarse(told.demand),
             settings=self._settings.versions.digest(),
             ejected=told.ejected,
+            leaving=tuple(sorted({*told.leaving, *self._vm_list_leaving})),
         )
         for address in self.members.tick(self._clock.now()):
             self._spawn(self._gossip(address))
@@ -140,11 +152,32 @@
             return
         alive = self.members.alive(self._clock.now())
         demands = [shares.Demand(x.vm, x.demand) for x in alive]
-        found = shares.shares_of(self.members.me.vm, settings.specs, demands)
-        key = {**found, "": float(id(settings))}
-        if key != self._shares:
-            self._shares = key
+        leaving = {name for record in alive for name in record.leaving}
+        leaving.update(self.members.me.leaving)
+        key = (settings, frozenset(leaving), tuple(demands))
+        if self._applied is None or not _is_same(key, self._applied):
+            self._applied = key
+            specs = tuple(
+                spec._replace(leaving=spec.leaving or spec.target_id in leaving)
+                for spec in settings.specs
+            )
+            found = shares.shares_of(self.members.me.vm, specs, demands)
+            settings = settings._replace(specs=specs)
             self._dispatch.inbox.put(dispatch.Configure(settings, found))
+        self._tell_suspects(alive)
+
+    def _tell_suspects(self, alive: tuple[membership.Record, ...]) -> None:
+        """Pass on which targets other daemons have newly ejected."""
+        others = [record for record in alive if record.vm != self.members.me.vm]
+        ejected = frozenset(name for record in others for name in record.ejected)
+        fresh = ejected - self._suspected
+        self._suspected = ejected
+        if fresh:
+            self._dispatch.inbox.put(dispatch.Suspect(tuple(sorted(fresh))))
+
+    def took_vm_list(self, vms: tuple[vmlist.Vm, ...]) -> None:
+        """Take over which VMs the platform's list says are leaving."""
+        self._vm_list_leaving = tuple(vm.name for vm in vms if vm.state == "leaving")
 
     def settings_changed(self) -> None:
         """Work out the shares again and spread the newer sections at once."""
--- a/libs/carawaysail_platform/src/carawaysail_platform/runners.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/runners.py
@@ -3,7 +3,8 @@
 ``POST /run/<service>`` with the payload as body and the task's identifier in the
 ``Carawaysail-Task`` header. A runner answers 200 with JSON and the same header; 503
 with ``Carawaysail-Not-Started: 1`` when it did not start the task; anything else means
-that the task ran and failed.
+that the task ran and failed. ``Carawaysail-Leaving: 1`` on any answer says that the
+runner is leaving.
 """
 
 import collections.abc
@@ -17,6 +18,7 @@
 
 TASK_HEADER = "Carawaysail-Task"
 NOT_STARTED_HEADER = "Carawaysail-Not-Started"
+LEAVING_HEADER = "Carawaysail-Leaving"
 RAN_HEADER = "Carawaysail-Ran-Ms"
 SEND_S = 10.0
 
@@ -85,21 +87,21 @@
     order: targets.Order, answer: urllib3.BaseHTTPResponse
 ) -> collections.abc.Iterator[targets.Result | targets.End]:
     named = targets.parse_task(answer.headers.get(TASK_HEADER, ""))
+    is_leaving = answer.headers.get(LEAVING_HEADER) == "1"
+    end = targets.End(targets.Fate.ANSWERED, is_leaving=is_leaving)
     if answer.status == 503 and answer.headers.get(NOT_STARTED_HEADER) == "1":
         refused = outcomes.Reason.TARGET_REFUSED
         yield targets.Result(order.task, False, b"", refused)
-        yield targets.End(targets.Fate.ANSWERED)
     elif named != order.task:
         reason = outcomes.Reason.BAD_ANSWER
-        yield targets.End(targets.Fate.MAY_HAVE_STARTED, reason)
+        end = targets.End(targets.Fate.MAY_HAVE_STARTED, reason, is_leaving)
     elif answer.status != 200 or not is_json(answer.data):
         reason = outcomes.Reason.TARGET_FAILED
         yield targets.Result(order.task, False, b"", reason)
-        yield targets.End(targets.Fate.ANSWERED)
     else:
         ran_ms = parse_ms(answer.headers.get(RAN_HEADER))
         yield targets.Result(order.task, True, answer.data, ran_ms=ran_ms)
-        yield targets.End(targets.Fate.ANSWERED)
+    yield end
 
 
 def is_json(data: bytes) -> bool:
--- a/libs/carawaysail_platform/src/carawaysail_platform/targets.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/targets.py
@@ -72,10 +72,13 @@
         What is known of the tasks that have no result.
     reason : outcomes.Reason
         What went wrong, if anything did.
+    is_leaving : bool
+        Whether the target told that it is leaving.
     """
 
     fate: Fate
     reason: outcomes.Reason = outcomes.Reason.NONE
+    is_leaving: bool = False
 
 
 class Client(typing.Protocol):
--- a/libs/carawaysail_platform/src/carawaysail_platform/workers.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/workers.py
@@ -155,9 +155,11 @@
     answer: urllib3.BaseHTTPResponse, waiting: set[identifiers.TaskId]
 ) -> collections.abc.Iterator[targets.Result | targets.End]:
     """Yield what the lines say; a line that names no waiting task is passed over."""
+    is_leaving = answer.headers.get(runners.LEAVING_HEADER) == "1"
     if answer.status == 503 and answer.headers.get(runners.NOT_STARTED_HEADER) == "1":
         answer.drain_conn()
-        yield targets.End(targets.Fate.NOT_STARTED, outcomes.Reason.TARGET_REFUSED)
+        reason = outcomes.Reason.TARGET_REFUSED
+        yield targets.End(targets.Fate.NOT_STARTED, reason, is_leaving)
         return
     rest = b""
     try:
@@ -176,7 +178,7 @@
         reason = outcomes.Reason.BAD_ANSWER
         yield targets.End(targets.Fate.MAY_HAVE_STARTED, reason)
     else:
-        yield targets.End(targets.Fate.ANSWERED)
+        yield targets.End(targets.Fate.ANSWERED, is_leaving=is_leaving)
 
 
 def parse_line(line: bytes) -> targets.Result | None:
--- a/libs/carawaysail_standins/src/carawaysail_standins/runner.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/runner.py
@@ -77,6 +77,8 @@
         echo = payload.get("echo") if isinstance(payload, dict) else payload
         body = json.dumps({"target": self.name, "echo": echo}).encode()
         headers = [(runners.TASK_HEADER, task), (runners.RAN_HEADER, f"{ran_ms:.2f}")]
+        if self.faults.value("leaving"):
+            headers.append((runners.LEAVING_HEADER, "1"))
         if self.faults.value("crossed"):
             headers[0] = (runners.TASK_HEADER, "another~task#0")
         if self.faults.value("nonsense"):
