--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/relaying.py
@@ -0,0 +1,85 @@
+"""Relaying: what a daemon does with a submission that another one owns.
+
+Pure steps: ``first`` says where to ask, ``refused`` what a failure to ask means, and
+``told`` what the owner's answer means. Only an exchange that certainly never left, for
+the only copy that the caller sent, may be answered with ``not run``.
+"""
+
+import typing
+
+from carawaysail_decisions import membership
+from carawaysail_types import outcomes
+
+
+class Ask(typing.NamedTuple):
+    """Ask the daemon at a peer address."""
+
+    address: str
+
+
+class End(typing.NamedTuple):
+    """Answer the caller with an outcome."""
+
+    outcome: outcomes.Outcome
+
+
+class BindHere(typing.NamedTuple):
+    """Bind the only copy of a submission whose owner is lost, and place it here."""
+
+
+Step = Ask | End | BindHere
+
+ONLY_COPY = 1
+"""The ``attempt`` of a caller that has sent no other copy."""
+
+
+def first(located: membership.Located, address: str, attempt: int) -> Step:
+    """Return the first step for a submission of another owner.
+
+    Parameters
+    ----------
+    located : membership.Located
+        What membership says of the owner.
+    address : str
+        Address of the owner's VM in the settings; empty for none.
+    attempt : int
+        Copies that the caller has sent, this one included; 0 if not told.
+    """
+    if located.lost:
+        return _lost(attempt)
+    if located.peer or address:
+        return Ask(located.peer or address)
+    return _unreachable(attempt == ONLY_COPY)
+
+
+def refused(attempt: int, was_sent: bool, nobody_listens: bool) -> Step:
+    """Return what follows when the owner could not be asked.
+
+    Parameters
+    ----------
+    attempt : int
+        Copies that the caller has sent.
+    was_sent : bool
+        Whether the message may have arrived.
+    nobody_listens : bool
+        Whether the address refused the connection: that process has ended.
+    """
+    if nobody_listens and not was_sent:
+        return _lost(attempt)
+    return _unreachable(attempt == ONLY_COPY and not was_sent)
+
+
+def not_the_owner(attempt: int) -> Step:
+    """Return what follows when another incarnation answers at the owner's address."""
+    return _lost(attempt)
+
+
+def _lost(attempt: int) -> Step:
+    if attempt == ONLY_COPY:
+        return BindHere()
+    return End(outcomes.Unknown(outcomes.Reason.OWNER_LOST))
+
+
+def _unreachable(never_sent: bool) -> Step:
+    reason = outcomes.Reason.OWNER_UNREACHABLE
+    return End(outcomes.NotRun(reason) if never_sent else outcomes.Unknown(reason))
--- a/libs/carawaysail_entry/src/carawaysail_entry/front/door.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/door.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-from carawaysail_decisions import membership, ownership
+from carawaysail_decisions import membership, ownership, relaying
 from carawaysail_entry import (
     configuring,
     dispatch,
@@ -129,12 +129,9 @@
         if relayed is None:
             reason = outcomes.Reason.OWNER_UNREACHABLE
             return replies.ended(outcomes.Unknown(reason))
-        lost = isinstance(relayed.outcome, outcomes.Unknown) and (
-            relayed.outcome.reason == outcomes.Reason.OWNER_LOST
-        )
-        if lost and submission.attempt == 1:
+        if isinstance(relayed, relaying.BindHere):
             return self._place_here(submission, wait_s, is_stray=True)
-        return relayed
+        return typing.cast(replies.Standing, relayed)
 
     def _place_here(
         self, submission: work.Submission, wait_s: float, is_stray: bool
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from carawaysail_decisions import membership, shares
+from carawaysail_decisions import membership, relaying, shares
 from carawaysail_entry import configuring, dispatch, effective, logs, replies, traces
 from carawaysail_peers import errors, messages, transport
 from carawaysail_platform import vmlist
@@ -22,6 +22,8 @@
     collections.abc.Awaitable[messages.Message],
 ]
 
+Relayed = replies.Standing | relaying.BindHere
+
 Errand = collections.abc.Coroutine[typing.Any, typing.Any, None]
 
 handlers: registry.Registry[Answers] = registry.Registry("peer message handlers")
@@ -205,9 +207,7 @@
 
     # Relaying
 
-    async def relay(
-        self, submission: work.Submission, wait_s: float
-    ) -> replies.Standing:
+    async def relay(self, submission: work.Submission, wait_s: float) -> Relayed:
         """Pass a submission to its owner and return how it stands.
 
         Parameters
@@ -216,22 +216,26 @@
             The submission.
         wait_s : float
             How long to wait for its outcome, in seconds.
+
+        Returns
+        -------
+        Relayed
+            Its standing, or ``BindHere`` if it is to be placed here.
         """
         now = self._clock.now()
         left = (submission.deadline - now).total_seconds()
         message = messages.Forward(submission, left * 1000.0, wait_s * 1000.0)
-        only_copy = submission.attempt == 1
+        sid, attempt = submission.submission_id, submission.attempt
         with self._tracer.span("entry.relay", submission.trace) as span:
-            return await self._ask_owner(
-                submission.submission_id, message, wait_s, only_copy, span.traceparent
-            )
+            return await self._ask(sid, message, wait_s, attempt, span.traceparent)
 
     async def look(
         self, sid: identifiers.SubmissionId, wait_s: float
     ) -> replies.Standing:
         """Ask the owner of a submission how it stands."""
         message = messages.Lookup(str(sid), wait_s * 1000.0)
-        return await self._ask_owner(sid, message, wait_s, False, "")
+        found = await self._ask(sid, message, wait_s, attempt=0, trace="")
+        return typing.cast(replies.Standing, found)
 
     async def cancel(self, names: tuple[str, ...]) -> None:
         """Pass a cancellation to the owners, one message an owner."""
@@ -248,37 +252,35 @@
             except type_errors.CarawaysailError as exc:
                 logs.fault("peers", "Cancellation lost.", exc, peer=address)
 
-    async def _ask_owner(
+    async def _ask(
         self,
         sid: identifiers.SubmissionId,
         message: messages.Forward | messages.Lookup,
         wait_s: float,
-        only_copy: bool,
+        attempt: int,
         trace: str,
-    ) -> replies.Standing:
+    ) -> Relayed:
         located = self.members.locate(sid.owner, self._clock.now())
-        if located.lost:
-            return _LOST
-        address = located.peer or self._address_in_settings(sid.owner)
-        if not address:
-            return _unreachable(only_copy)
+        address = self._address_in_settings(sid.owner)
+        step = relaying.first(located, address, attempt)
+        if not isinstance(step, relaying.Ask):
+            return _relayed(step)
         try:
             answer = await self.channels.exchange(
-                address, message, wait_s + RELAY_GRACE_S, trace
+                step.address, message, wait_s + RELAY_GRACE_S, trace
             )
         except errors.PeerUnreachableError as exc:
             if exc.refused:
                 self.members.saw_dead(sid.owner.vm, sid.owner.incarnation)
-                return _LOST
-            return _unreachable(only_copy and not exc.sent)
+            return _relayed(relaying.refused(attempt, exc.sent, exc.refused))
         except type_errors.CarawaysailError as exc:
-            logs.fault("peers", "Answer refused.", exc, peer=address)
-            return _unreachable(False)
+            logs.fault("peers", "Answer refused.", exc, peer=step.address)
+            return _relayed(relaying.refused(attempt, True, False))
         if not isinstance(answer, messages.Placed):
-            return _unreachable(False)
+            return _relayed(relaying.refused(attempt, True, False))
         if answer.state == replies.State.ELSEWHERE:
             self.members.saw_dead(sid.owner.vm, sid.owner.incarnation)
-            return _LOST
+            return _relayed(relaying.not_the_owner(attempt))
         outcome = outcomes.from_plain(answer.outcome) if answer.outcome else None
         return replies.Standing(replies.State(answer.state), outcome)
 
@@ -404,14 +406,11 @@
 WATCHERS = 2
 LOOK_MS = 1000.0
 
-_LOST = replies.ended(outcomes.Unknown(outcomes.Reason.OWNER_LOST))
-
 
-def _unreachable(never_sent: bool) -> replies.Standing:
-    reason = outcomes.Reason.OWNER_UNREACHABLE
-    if never_sent:
-        return replies.ended(outcomes.NotRun(reason))
-    return replies.ended(outcomes.Unknown(reason))
+def _relayed(step: relaying.Step) -> Relayed:
+    if isinstance(step, relaying.End):
+        return replies.ended(step.outcome)
+    return relaying.BindHere()
 
 
 def _placed(standing: replies.Standing) -> messages.Placed:
--- a/libs/carawaysail_settings/src/carawaysail_settings/checks.py
+++ b/libs/carawaysail_settings/src/carawaysail_settings/checks.py
@@ -15,7 +15,7 @@
     """Return a whole number within the key's bounds."""
     whole = isinstance(value, int) and not isinstance(value, bool)
     if not whole or not key.low <= value <= key.high:  # type: ignore[operator]
-        accepted = f"a whole number from {key.low:g} to {key.high:g}"
+        accepted = f"a whole number from {key.low:.0f} to {key.high:.0f}"
         raise errors.SettingRejectedError(path, value, accepted)
     return value  # type: ignore[return-value]
 
