Prove the promises by histories and a fault matrix over the real decisions

Cause: the promises were held by argument only. Found by it, cause and mend: (1) a daemon that ended gracefully cut off callers for whom it had relayed to another owner (sent:target_slow+graceful_end:job); it now waits for every waiting caller, not only for its own submissions.

--- /dev/null
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -0,0 +1,570 @@
+"""Nodes: one entry daemon's decisions, joined by fakes instead of sockets."""
+
+import collections
+import datetime
+import typing
+
+from carawaysail_bench.proof import fakes, history, world
+from carawaysail_decisions import (
+    capacity,
+    desk,
+    dispatcher,
+    events,
+    membership,
+    ownership,
+    relaying,
+    shares,
+    standing,
+    versions,
+)
+from carawaysail_entry import configuring, effective
+from carawaysail_platform import errors
+from carawaysail_settings import sections, text
+from carawaysail_types import clock, identifiers, outcomes, work
+
+WINDOW = datetime.timedelta(minutes=10)
+EXCHANGE = clock.milliseconds(6_000)
+GOSSIP = clock.milliseconds(1_000)
+POLL = clock.milliseconds(2_000)
+READ = clock.milliseconds(500)
+DRAIN = clock.milliseconds(300)
+PREFIX = "carawaysail/settings/"
+
+
+class Parts(typing.NamedTuple):
+    """The decisions that a node is made of; broken variants replace one.
+
+    Parameters
+    ----------
+    register, dispatcher, versions : type
+        Classes of the decisions.
+    relaying : module
+        Steps of relaying.
+    limits : events.Limits
+        Limits of every submission.
+    waits_until_idle : bool
+        Whether a graceful end waits for what is under way.
+    """
+
+    register: typing.Any = ownership.Register
+    dispatcher: typing.Any = dispatcher.Dispatcher
+    versions: typing.Any = versions.Versions
+    relaying: typing.Any = relaying
+    limits: events.Limits = events.Limits()
+    waits_until_idle: bool = True
+
+
+class Fleet(typing.TypedDict):
+    """Who there is: nodes, targets by name, the store and the VM list."""
+
+    nodes: dict[str, "Node"]
+    targets: dict[str, fakes.Target]
+    store: fakes.Store
+    leaving_vms: set[str]
+    list_is_out: bool
+
+
+class Node:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    earth : world.World
+        The world.
+    fleet : Fleet
+        Who there is.
+    name, place : str
+        Its name and data centre.
+    parts : Parts
+        What it is made of.
+    """
+
+    def __init__(
+        self, earth: world.World, fleet: Fleet, name: str, place: str, parts: Parts
+    ) -> None:
+        self.name = name
+        self.place = place
+        self.life = 0
+        self.is_alive = False
+        self.is_leaving = False
+        self.earth = earth
+        self._fleet = fleet
+        self._parts = parts
+        self._kept: collections.deque[world.Call] | None = None
+        self._relays = 0
+        self._waiting: dict[str, list[typing.Any]] = {}
+        self._applied: typing.Any = None
+        self._vm_leaving: tuple[str, ...] = ()
+
+    def start(self) -> None:
+        """Start a new incarnation, without memory."""
+        now = self.earth.now()
+        self.life += 1
+        self.is_alive = True
+        self.is_leaving = False
+        self._kept = None
+        seed = f"{self.name}/{self.life}".encode()
+        incarnation = ownership.digest_of(seed).hex()[:16]
+        register = self._parts.register(self.place, self.name, incarnation, now, WINDOW)
+        self.desk = desk.Desk(register, self._parts.dispatcher(self.life))
+        born_ms = int(now.timestamp() * 1000)
+        me = membership.Record(
+            self.name, self.place, incarnation, born_ms, self.name, self.name
+        )
+        seeds = tuple(x for x in self._fleet["nodes"] if x != self.name)
+        self.members = membership.Members(me, seeds, self.life, now)
+        self.versions = self._parts.versions()
+        self._waiting = {}
+        self._relays = 0
+        self._applied = None
+        self._vm_leaving = ()
+        quotas = events.QuotasChanged({self._parts.limits.team: 1_000})
+        self._apply(quotas)
+        life = self.life
+        self.earth.later(READ, lambda: self._in_life(life, self._read_store))
+        self._round(life)
+        self._poll(life)
+
+    # Life
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process is stopped for now."""
+        return self._kept is not None
+
+    def post(self, call: world.Call) -> None:
+        """Run a call, or keep it while the process is paused."""
+        if self._kept is not None:
+            self._kept.append(call)
+        elif self.is_alive:
+            call()
+
+    def _in_life(self, life: int, call: world.Call) -> None:
+        if self.is_alive and self.life == life:
+            self.post(call)
+
+    def kill(self) -> None:
+        """End at once."""
+        self.is_alive = False
+
+    def restart(self) -> None:
+        """End at once and start again at the same address, without memory."""
+        self.kill()
+        self.start()
+
+    def pause(self, duration: datetime.timedelta) -> None:
+        """Stop the process; what comes meanwhile waits until it goes on."""
+        self._kept = collections.deque()
+        life = self.life
+
+        def go_on() -> None:
+            if self.life != life or self._kept is None:
+                return
+            kept, self._kept = self._kept, None
+            for call in kept:
+                self.post(call)
+
+        self.earth.later(duration, go_on)
+
+    # Callers
+
+    def take(
+        self,
+        submission: work.Submission,
+        give: typing.Any,
+    ) -> None:
+        """Take a caller's copy; ``give`` takes its outcome."""
+        name = str(submission.submission_id)
+        self.earth.step("received", name, self)
+        self.earth.step("checked", name, self)
+        self.post(lambda: self._place(submission, give, is_stray=False))
+
+    def _place(
+        self, submission: work.Submission, give: typing.Any, is_stray: bool
+    ) -> None:
+        now = self.earth.now()
+        life = self.life
+        limits = self._parts.limits
+        taken = self.desk.submit(submission, limits, is_stray, now)
+        state = taken.standing.state
+        if state == standing.State.ELSEWHERE:
+            self._relay(submission, give)
+            return
+        name = str(submission.submission_id)
+        if state == standing.State.UNDER_WAY:
+            self._waiting.setdefault(name, []).append(give)
+        elif taken.standing.outcome is not None:
+            give(taken.standing.outcome)
+        if taken.actions:
+            self.earth.step("bound", name, self)
+            self.earth.step("queued", name, self)
+        self._in_life(life, lambda: self._do(taken.actions))
+
+    def _relay(self, submission: work.Submission, give: typing.Any) -> None:
+        self._relays += 1
+
+        def give_once(outcome: outcomes.Outcome) -> None:
+            self._relays -= 1
+            give(outcome)
+
+        self._begin_relay(submission, give_once)
+
+    def _begin_relay(self, submission: work.Submission, give: typing.Any) -> None:
+        owner = submission.submission_id.owner
+        located = self.members.locate(owner, self.earth.now())
+        address = owner.vm if owner.vm in self._fleet["nodes"] else ""
+        step = self._parts.relaying.first(located, address, submission.attempt)
+        self._follow(step, submission, give)
+
+    def _follow(
+        self, step: relaying.Step, submission: work.Submission, give: typing.Any
+    ) -> None:
+        if isinstance(step, relaying.End):
+            give(step.outcome)
+        elif isinstance(step, relaying.BindHere):
+            self._place(submission, give, is_stray=True)
+        else:
+            self._ask(step.address, submission, give)
+
+    def _ask(self, address: str, submission: work.Submission, give: typing.Any) -> None:
+        peer = self._fleet["nodes"][address]
+        owner = submission.submission_id.owner
+        attempt = submission.attempt
+
+        def serve(answer: world.Give) -> None:
+            peer.answer_forward(submission, answer)
+
+        def got(value: standing.Standing) -> None:
+            if value.state == standing.State.ELSEWHERE:
+                self.members.saw_dead(owner.vm, owner.incarnation)
+                step = self._parts.relaying.not_the_owner(attempt)
+                self._follow(step, submission, give)
+            elif value.outcome is not None:
+                give(value.outcome)
+
+        def fail(was_sent: bool, nobody_listens: bool) -> None:
+            if nobody_listens:
+                self.members.saw_dead(owner.vm, owner.incarnation)
+            step = self._parts.relaying.refused(attempt, was_sent, nobody_listens)
+            self._follow(step, submission, give)
+
+        self.earth.exchange(self, peer, serve, got, fail, EXCHANGE)
+
+    def answer_forward(self, submission: work.Submission, answer: world.Give) -> None:
+        """Answer a peer that passes a submission on."""
+        now = self.earth.now()
+        life = self.life
+        limits = self._parts.limits
+        taken = self.desk.submit(submission, limits, False, now)
+        name = str(submission.submission_id)
+        if taken.standing.state == standing.State.UNDER_WAY:
+
+            def give(outcome: outcomes.Outcome) -> None:
+                answer(standing.ended(outcome))
+
+            self._waiting.setdefault(name, []).append(give)
+        else:
+            answer(taken.standing)
+        if taken.actions:
+            self.earth.step("bound", name, self)
+            self.earth.step("queued", name, self)
+        self._in_life(life, lambda: self._do(taken.actions))
+
+    def cancel(self, names: tuple[str, ...]) -> None:
+        """Cancel submissions."""
+        self._apply(events.Cancelled(names))
+
+    # Actions
+
+    def tell(self, event: events.Event) -> None:
+        """Take an event from a target."""
+        self._apply(event)
+
+    def _apply(self, event: events.Event) -> None:
+        self._do(self.desk.handle(event, self.earth.now()))
+
+    def _do(self, actions: list[events.Action]) -> None:
+        life = self.life
+        for action in actions:
+            if not self.is_alive or self.life != life:
+                return
+            if isinstance(action, events.SendBatch):
+                self._send(action)
+            elif isinstance(action, events.StopTasks):
+                self._fleet["targets"][action.target_id].stop(action.tasks)
+            elif isinstance(action, events.Answer):
+                self._answer(action)
+            else:
+                self._wake_at(action.at)
+
+    def _send(self, action: events.SendBatch) -> None:
+        name = action.tasks[0].task.submission
+        life = self.life
+        self.earth.step("slot_granted", name, self)
+        target = self._fleet["targets"][action.target_id]
+
+        def send() -> None:
+            target.take(self, action, self.tell)
+            self.earth.step("sent", name, self)
+
+        self._in_life(life, send)
+
+    def _answer(self, action: events.Answer) -> None:
+        name = str(action.submission)
+        waiting = self._waiting.pop(name, [])
+        life = self.life
+        self.earth.step("answered", name, self)
+        for give in waiting:
+
+            def call(give: typing.Any = give) -> None:
+                give(action.outcome)
+
+            self._in_life(life, call)
+        self.earth.step("remembered", name, self)
+
+    def _wake_at(self, at: datetime.datetime) -> None:
+        life = self.life
+        wait = max(datetime.timedelta(), at - self.earth.now())
+        tick = lambda: self._apply(events.Ticked())  # noqa: E731
+        self.earth.later(wait, lambda: self._in_life(life, tick))
+
+    # Gossip
+
+    def _round(self, life: int) -> None:
+        def act() -> None:
+            dispatch = self.desk.dispatcher
+            now = self.earth.now()
+            leaving = {*dispatch.leaving(now), *self._vm_leaving}
+            self.members.update(
+                demand=shares.coarse(dispatch.demand()),
+                settings=self.versions.digest(),
+                ejected=dispatch.ejected(now),
+                leaving=tuple(sorted(leaving)),
+            )
+            for address in self.members.tick(now):
+                self._gossip(self._fleet["nodes"][address])
+            self._apply_shares()
+
+        if self.life != life or not self.is_alive:
+            return
+        self.post(act)
+        self.earth.later(self.members.period(), lambda: self._round(life))
+
+    def _gossip(self, peer: "Node") -> None:
+        message = self.members.gossip(peer.place)
+
+        def serve(answer: world.Give) -> None:
+            peer._took(message)
+            answer(peer.members.gossip(self.place))
+
+        def fail(was_sent: bool, nobody_listens: bool) -> None:
+            known = self.members.record_of(peer.name)
+            if nobody_listens and known is not None:
+                self.members.saw_dead(known.vm, known.incarnation)
+
+        self.earth.exchange(self, peer, serve, self._took, fail, GOSSIP)
+
+    def _took(self, gossip: membership.Gossip) -> None:
+        self.members.received(gossip, self.earth.now())
+        mine = self.versions.digest()
+        for record in gossip.records:
+            current = self.members.record_of(record.peer)
+            if current is not None and current.settings not in ("", mine):
+                self._pull(self._fleet["nodes"][record.peer])
+
+    def _pull(self, peer: "Node") -> None:
+        revisions = self.versions.revisions()
+
+        def serve(answer: world.Give) -> None:
+            answer(peer.versions.newer_than(revisions))
+
+        def fail(was_sent: bool, nobody_listens: bool) -> None:
+            """Leave it to the next gossip."""
+
+        self.earth.exchange(self, peer, serve, self.accept, fail, GOSSIP)
+
+    def _apply_shares(self) -> None:
+        alive = self.members.alive(self.earth.now())
+        demands = tuple(shares.Demand(x.vm, x.demand) for x in alive)
+        leaving = {name for record in alive for name in record.leaving}
+        leaving.update(self.members.me.leaving, self._leaving_by_settings())
+        key = (demands, frozenset(leaving))
+        if key == self._applied:
+            return
+        self._applied = key
+        specs = tuple(
+            make_spec(target, target.name in leaving)
+            for target in self._fleet["targets"].values()
+            if target.place == self.place
+        )
+        found = shares.shares_of(self.name, specs, demands)
+        self._apply(events.TargetsChanged(specs, found))
+
+    # Settings and the VM list
+
+    def _leaving_by_settings(self) -> set[str]:
+        parts = {
+            section.name: text.parse(section.name, section.text)
+            for section in self.versions.sections()
+        }
+        cfg = sections.join(parts)
+        specs = effective.target_specs(cfg, self.place)
+        return {spec.target_id for spec in specs if spec.leaving}
+
+    def accept(self, given: tuple[versions.Section, ...]) -> None:
+        """Take over newer sections."""
+        now = self.earth.now()
+        taken = []
+        for section in given:
+            if self.versions.accept(section, now):
+                taken.append(section)
+                daemon = f"{self.name}/{self.life}"
+                self.earth.history.append(
+                    history.InForce(now, daemon, section.name, section.revision)
+                )
+        if not taken:
+            return
+        for section in taken:
+            self.earth.step("in_force", section.name, self)
+        self._apply_shares()
+
+    def hear_later(self, items: typing.Any) -> world.Call:
+        """Return the call that brings a watch's news to this incarnation."""
+        life = self.life
+
+        def hear() -> None:
+            given = tuple(_section(item) for item in items)
+            for section in given:
+                self.earth.step("watched", section.name, self)
+            self._in_life(life, lambda: self._spread(given))
+
+        return hear
+
+    def _spread(self, given: tuple[versions.Section, ...]) -> None:
+        self.accept(given)
+        for record in self.members.alive(self.earth.now()):
+            if record.vm != self.name:
+                self._push(self._fleet["nodes"][record.peer], given)
+
+    def _push(self, peer: "Node", given: tuple[versions.Section, ...]) -> None:
+        def serve(answer: world.Give) -> None:
+            self.earth.step("relayed", given[0].name, peer)
+            peer.accept(given)
+            answer(None)
+
+        def nothing(*args: object) -> None:
+            """Leave the rest to the gossip."""
+
+        self.earth.exchange(self, peer, serve, nothing, nothing, GOSSIP)
+
+    def _read_store(self) -> None:
+        """Read the store now and again while this node watches."""
+        store = self._fleet["store"]
+        life = self.life
+        is_watcher = self.members.is_watcher(self.earth.now())
+        if is_watcher and not self.earth.is_cut(self, store):
+            try:
+                snapshot = store.read(PREFIX)
+                self._spread(tuple(_section(item) for item in snapshot.items))
+                if self not in store.watchers:
+                    store.watchers.append(self)
+            except errors.StoreUnavailableError:
+                pass
+        self.earth.later(POLL, lambda: self._in_life(life, self._read_store))
+
+    def _poll(self, life: int) -> None:
+        def act() -> None:
+            is_watcher = self.members.is_watcher(self.earth.now())
+            if is_watcher and not self._fleet["list_is_out"]:
+                self._vm_leaving = tuple(sorted(self._fleet["leaving_vms"]))
+
+        if self.life != life or not self.is_alive:
+            return
+        self.post(act)
+        self.earth.later(POLL, lambda: self._poll(life))
+
+    # Graceful end
+
+    def end(self) -> None:
+        """End gracefully: drain, hand over, then go."""
+        self.is_leaving = True
+        self.members.update(state=membership.LEAVING)
+        self._announce()
+        life = self.life
+        self.earth.later(DRAIN, lambda: self._in_life(life, self._drain))
+
+    def _announce(self) -> None:
+        for record, _ in self.members.all(self.earth.now()):
+            if record.vm != self.name and record.state != membership.GONE:
+                self._gossip(self._fleet["nodes"][record.peer])
+
+    def _drain(self) -> None:
+        self._apply(events.Drained())
+        self._until_idle()
+
+    def _until_idle(self) -> None:
+        life = self.life
+        is_busy = self._relays or self.desk.dispatcher.unfinished()
+        if self._parts.waits_until_idle and is_busy:
+            again = lambda: self._in_life(life, self._until_idle)  # noqa: E731
+            self.earth.later(clock.milliseconds(50), again)
+            return
+        heir = self.members.choose_heir(self.earth.now())
+        if heir is None:
+            self._go()
+            return
+        memories = self.desk.register.hand_over(self.earth.now())
+        self._hand_over(self._fleet["nodes"][heir.peer], memories, 5)
+
+    def _hand_over(self, heir: "Node", memories: typing.Any, tries: int) -> None:
+        def serve(answer: world.Give) -> None:
+            heir.adopt(memories)
+            answer(None)
+
+        def fail(was_sent: bool, nobody_listens: bool) -> None:
+            if tries > 1:
+                self._hand_over(heir, memories, tries - 1)
+            else:
+                self._go()
+
+        def done(value: object) -> None:
+            self._go()
+
+        self.earth.exchange(self, heir, serve, done, fail, GOSSIP)
+
+    def adopt(self, memories: tuple[ownership.Memory, ...]) -> None:
+        """Become the heir of incarnations that have ended."""
+        register = self.desk.register
+        register.adopt(memories, self.earth.now())
+        inherited = tuple(x for x in register.books if x != register.incarnation)
+        self.members.update(inherited=inherited)
+
+    def _go(self) -> None:
+        self.members.update(state=membership.GONE)
+        self._announce()
+        life = self.life
+
+        def last() -> None:
+            self.is_alive = False
+
+        wait = clock.milliseconds(50)
+        self.earth.later(wait, lambda: self._in_life(life, last))
+
+
+def make_spec(target: fakes.Target, is_leaving: bool) -> capacity.TargetSpec:
+    """Return the description of a fake target."""
+    held = capacity.Capacity(4.0)
+    if target.kind == "worker":
+        held = capacity.Capacity(4.0, 16_000.0, 1.0)
+    services = frozenset({"pedidos"})
+    return capacity.TargetSpec(target.name, target.kind, "", services, held, is_leaving)
+
+
+def _section(item: typing.Any) -> versions.Section:
+    content = configuring.unwrap(item.value)
+    return versions.Section(item.key[len(PREFIX) :], item.revision, content)
+
+
+def owner_of(node: Node) -> identifiers.Owner:
+    """Return the owner token that a node gives now."""
+    return node.desk.register.owner(node.earth.now())
--- /dev/null
+++ b/libs/carawaysail_bench/src/carawaysail_bench/testing.py
@@ -0,0 +1,116 @@
+"""Builders and ``assert_`` helpers that the tests of all libraries share."""
+
+import datetime
+import typing
+
+import testtools
+
+from carawaysail_decisions import capacity, dispatcher, events, ownership
+from carawaysail_types import clock, identifiers, outcomes, work
+
+OWNER = identifiers.Owner("rosario", "e1", "0123456789abcdef", 0)
+TEAM = "default"
+
+
+def make_id(own: str = "order-1") -> identifiers.SubmissionId:
+    """Return an identifier of the usual owner."""
+    return identifiers.SubmissionId(OWNER, own)
+
+
+def make_submission(
+    now: datetime.datetime,
+    own: str = "order-1",
+    tasks: int = 1,
+    deadline_ms: float = 5_000,
+    **changes: typing.Any,
+) -> work.Submission:
+    """Return a submission of ``tasks`` tasks; a job if there are several."""
+    payloads = [f'"{own}-{number}"'.encode() for number in range(tasks)]
+    submission = work.Submission(
+        make_id(own),
+        ownership.digest_of(b"".join(payloads)),
+        "pedidos",
+        "job" if tasks > 1 else "request",
+        tuple(work.Task(payload) for payload in payloads),
+        now + clock.milliseconds(deadline_ms),
+        is_job=tasks > 1,
+    )
+    return submission._replace(**changes)
+
+
+def make_spec(name: str, kind: str = "runner", slots: float = 4) -> capacity.TargetSpec:
+    """Return a target that serves the usual service."""
+    held = capacity.Capacity(slots)
+    if kind == "worker":
+        held = capacity.Capacity(slots, 16_000.0, 1.0)
+    return capacity.TargetSpec(name, kind, "", frozenset({"pedidos"}), held)
+
+
+class DispatcherCase(testtools.TestCase):
+    """A dispatcher with a clock, some targets and a large quota."""
+
+    specs: tuple[capacity.TargetSpec, ...] = (
+        make_spec("r1"),
+        make_spec("r2"),
+        make_spec("w1", "worker"),
+        make_spec("w2", "worker"),
+    )
+    rules = events.Rules()
+
+    def setUp(self) -> None:
+        """Build the dispatcher."""
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.dispatcher = dispatcher.Dispatcher(1, self.rules)
+        self.give(events.QuotasChanged({TEAM: 1_000}))
+        self.give_targets(self.specs)
+
+    def give(self, event: events.Event) -> list[events.Action]:
+        """Give the dispatcher an event now."""
+        return self.dispatcher.handle(event, self.clock.now())
+
+    def give_targets(
+        self, specs: tuple[capacity.TargetSpec, ...]
+    ) -> list[events.Action]:
+        """Give the dispatcher the whole of some targets."""
+        shares = {spec.target_id: 1.0 for spec in specs}
+        return self.give(events.TargetsChanged(specs, shares))
+
+    def submit(
+        self,
+        own: str = "order-1",
+        limits: events.Limits | None = None,
+        **more: typing.Any,
+    ) -> list[events.Action]:
+        """Submit and return what follows."""
+        submission = make_submission(self.clock.now(), own, **more)
+        return self.give(events.Submitted(submission, limits or events.Limits()))
+
+    def finish(
+        self, sent: events.SendBatch, ran_ms: float = 100.0
+    ) -> list[events.Action]:
+        """Let a target complete a batch."""
+        actions = []
+        for task in sent.tasks:
+            ended = events.TaskEnded(
+                sent.batch, task.task, True, task.payload, ran_ms=ran_ms
+            )
+            actions += self.give(ended)
+        return actions + self.give(events.BatchEnded(sent.batch, events.Fate.ANSWERED))
+
+    def advance(self, milliseconds: float) -> list[events.Action]:
+        """Let time pass and tick."""
+        self.clock.advance(clock.milliseconds(milliseconds))
+        return self.give(events.Ticked())
+
+    def assert_answer(
+        self, actions: list[events.Action], expected: outcomes.Outcome
+    ) -> None:
+        """Check that the actions answer one submission, so."""
+        found = [x.outcome for x in actions if isinstance(x, events.Answer)]
+        self.assertEqual([expected], found)
+
+
+def sent_batches(actions: list[events.Action]) -> list[events.SendBatch]:
+    """Return the batches that actions send."""
+    return [action for action in actions if isinstance(action, events.SendBatch)]
--- /dev/null
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/desk.py
@@ -0,0 +1,109 @@
+"""The desk: binds submissions, places them, and remembers their outcomes.
+
+It joins the register of submissions and the dispatcher, so that nothing is placed
+that is not bound here, and every outcome is remembered before it is told.
+"""
+
+import datetime
+import typing
+
+from carawaysail_decisions import dispatcher, events, ownership, standing
+from carawaysail_types import identifiers, outcomes, work
+
+
+class Taken(typing.NamedTuple):
+    """What follows from a submission.
+
+    Parameters
+    ----------
+    standing : standing.Standing
+        How it stands now; ``under_way`` means that an ``Answer`` will follow.
+    actions : list of events.Action
+        What to do.
+    """
+
+    standing: standing.Standing
+    actions: list[events.Action]
+
+
+class Desk:
+    """One daemon's register and dispatcher.
+
+    Parameters
+    ----------
+    register : ownership.Register
+        Submissions bound here.
+    placer : dispatcher.Dispatcher
+        Places them.
+    """
+
+    def __init__(
+        self, register: ownership.Register, placer: dispatcher.Dispatcher
+    ) -> None:
+        self.register = register
+        self.dispatcher = placer
+
+    def submit(
+        self,
+        submission: work.Submission,
+        limits: events.Limits,
+        is_stray: bool,
+        now: datetime.datetime,
+    ) -> Taken:
+        """Take a copy of a submission.
+
+        Parameters
+        ----------
+        submission : work.Submission
+            The submission.
+        limits : events.Limits
+            Settings of its service.
+        is_stray : bool
+            Whether it is the only copy for a lost owner, to be bound here.
+        now : datetime.datetime
+            The present instant.
+
+        Raises
+        ------
+        carawaysail_types.errors.BadInputError
+            If its identifier was never given out.
+        """
+        sid, digest = submission.submission_id, submission.digest
+        if is_stray or self.register.knows_stray(sid):
+            verdict = self.register.offer_stray(sid, digest, now)
+        else:
+            verdict = self.register.offer(sid, digest, now)
+        if not isinstance(verdict, ownership.Start):
+            return Taken(_standing(verdict), [])
+        actions = self.handle(events.Submitted(submission, limits), now)
+        return Taken(standing.UNDER_WAY, actions)
+
+    def look(
+        self, sid: identifiers.SubmissionId, now: datetime.datetime
+    ) -> standing.Standing:
+        """Return how a submission stands."""
+        return _standing(self.register.peek(sid, now))
+
+    def handle(
+        self, event: events.Event, now: datetime.datetime
+    ) -> list[events.Action]:
+        """Take an event and return what follows, outcomes remembered."""
+        actions = self.dispatcher.handle(event, now)
+        for action in actions:
+            if isinstance(action, events.Answer):
+                self.register.end(action.submission, action.outcome)
+        return actions
+
+
+def _standing(verdict: ownership.Verdict | None) -> standing.Standing:
+    if verdict is None:
+        return standing.Standing(standing.State.NEVER_CAME)
+    if isinstance(verdict, ownership.Remembered):
+        return standing.ended(verdict.outcome)
+    if isinstance(verdict, ownership.Forgotten):
+        return standing.ended(outcomes.Unknown(outcomes.Reason.FORGOTTEN))
+    if isinstance(verdict, ownership.Conflict):
+        return standing.Standing(standing.State.CONFLICT)
+    if isinstance(verdict, ownership.Elsewhere):
+        return standing.Standing(standing.State.ELSEWHERE)
+    return standing.UNDER_WAY
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
@@ -18,6 +18,7 @@
 SUSPECT_PERIODS = 6
 FORGET_AFTER = datetime.timedelta(minutes=15)
 FAR_EVERY = 4
+WATCHERS = 2
 
 ALIVE = "alive"
 LEAVING = "leaving"
@@ -216,6 +217,15 @@
         near = [x for x in found if x.data_centre == self.me.data_centre]
         return tuple(sorted(near, key=lambda x: x.vm))
 
+    def is_watcher(self, now: datetime.datetime) -> bool:
+        """Tell whether this daemon asks the platform for its data centre.
+
+        The first ``WATCHERS`` daemons by name do; the rest hear from them, so the
+        calls to the platform do not grow with the number of daemons.
+        """
+        names = [record.vm for record in self.alive(now)]
+        return not names or self.me.vm in names[:WATCHERS]
+
     def all(self, now: datetime.datetime) -> tuple[tuple[Record, bool], ...]:
         """Return every record with whether its daemon is thought to live."""
         found = [(held.record, self._lives(held, now)) for held in self._held.values()]
--- a/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
@@ -138,10 +138,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _until_idle(self) -> None:
-        """Wait until every submission under way has its outcome."""
+        """Wait until every submission has its outcome and every caller its answer.
+
+        Callers also wait here for what other daemons own; ending earlier would cut
+        them off.
+        """
         while True:
             described = await asyncio.to_thread(self._desk.describe)
-            if described is not None and not described.unfinished:
+            is_idle = described is not None and not described.unfinished
+            if is_idle and not self._desk.waiting():
                 return
             await asyncio.sleep(CHECK_S)
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -8,9 +8,16 @@
 import datetime
 import typing
 
-from carawaysail_decisions import capacity, dispatcher, events, ownership
+from carawaysail_decisions import (
+    capacity,
+    desk,
+    dispatcher,
+    events,
+    ownership,
+    standing,
+)
 from carawaysail_entry import effective, inbox, links, logs, replies, traces
-from carawaysail_types import clock, identifiers, outcomes, registry, work
+from carawaysail_types import clock, identifiers, registry, work
 
 INBOX_BOUND = 20_000
 
@@ -33,7 +40,7 @@
     submission: work.Submission
     limits: events.Limits
     is_stray: bool
-    reply: replies.Reply[replies.Standing]
+    reply: replies.Reply[standing.Standing]
 
 
 class Look(typing.NamedTuple):
@@ -51,7 +58,7 @@
 
     sid: identifiers.SubmissionId
     wait: bool
-    reply: replies.Reply[replies.Standing]
+    reply: replies.Reply[standing.Standing]
 
 
 class Cancel(typing.NamedTuple):
@@ -186,8 +193,9 @@
         self._clock = source
         self._tracer = tracer
         self._dispatcher = dispatcher.Dispatcher(random_state)
+        self._desk = desk.Desk(register, self._dispatcher)
         self._links = links.Links(loop, self._post, threads, source, tracer)
-        self._waiting: dict[str, list[replies.Reply[replies.Standing]]] = {}
+        self._waiting: dict[str, list[replies.Reply[standing.Standing]]] = {}
         self._specs: tuple[capacity.TargetSpec, ...] = ()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -213,32 +221,23 @@
     @handlers.register("Place")
     def _place(self, message: Place) -> None:
         submission, limits, is_stray, reply = message
-        sid = submission.submission_id
         now = self._clock.now()
-        verdict = self._offer(submission, is_stray, now)
-        if isinstance(verdict, ownership.Start | ownership.Join):
-            self._waiting.setdefault(str(sid), []).append(reply)
-        if isinstance(verdict, ownership.Start):
-            self._apply(events.Submitted(submission, limits), now)
-        elif not isinstance(verdict, ownership.Join):
-            reply.give(_standing(verdict))
-
-    def _offer(
-        self, submission: work.Submission, is_stray: bool, now: datetime.datetime
-    ) -> ownership.Verdict:
-        sid, digest = submission.submission_id, submission.digest
-        if is_stray or self._register.knows_stray(sid):
-            return self._register.offer_stray(sid, digest, now)
-        return self._register.offer(sid, digest, now)
+        taken = self._desk.submit(submission, limits, is_stray, now)
+        if taken.standing.state == standing.State.UNDER_WAY:
+            name = str(submission.submission_id)
+            self._waiting.setdefault(name, []).append(reply)
+        else:
+            reply.give(taken.standing)
+        self._do(taken.actions, now)
 
     @handlers.register("Look")
     def _look(self, message: Look) -> None:
-        known = self._register.peek(message.sid, self._clock.now())
-        if isinstance(known, ownership.Join) and message.wait:
+        known = self._desk.look(message.sid, self._clock.now())
+        if known.state == standing.State.UNDER_WAY and message.wait:
             name = str(message.sid)
             self._waiting.setdefault(name, []).append(message.reply)
         else:
-            message.reply.give(_standing(known))
+            message.reply.give(known)
 
     @handlers.register("Cancel")
     def _cancel(self, message: Cancel) -> None:
@@ -306,21 +305,20 @@
         self._apply(events.Ticked(), self._clock.now())
 
     def _apply(self, event: events.Event, now: datetime.datetime) -> None:
-        for action in self._dispatcher.handle(event, now):
+        self._do(self._desk.handle(event, now), now)
+
+    def _do(self, actions: list[events.Action], now: datetime.datetime) -> None:
+        for action in actions:
             if isinstance(action, events.SendBatch):
                 self._links.send(action)
             elif isinstance(action, events.StopTasks):
                 self._links.stop(action)
             elif isinstance(action, events.Answer):
-                self._answer(action)
+                for reply in self._waiting.pop(str(action.submission), ()):
+                    reply.give(standing.ended(action.outcome))
             else:
                 self._wake_at(action.at, now)
 
-    def _answer(self, action: events.Answer) -> None:
-        self._register.end(action.submission, action.outcome)
-        for reply in self._waiting.pop(str(action.submission), ()):
-            reply.give(replies.ended(action.outcome))
-
     def _wake_at(self, at: datetime.datetime, now: datetime.datetime) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -328,22 +326,6 @@
         self._timer = self._loop.call_later(delay, self.inbox.put, Tick())
 
 
-def _standing(
-    verdict: ownership.Verdict | None,
-) -> replies.Standing:
-    if verdict is None:
-        return replies.Standing(replies.State.NEVER_CAME)
-    if isinstance(verdict, ownership.Remembered):
-        return replies.ended(verdict.outcome)
-    if isinstance(verdict, ownership.Forgotten):
-        return replies.ended(outcomes.Unknown(outcomes.Reason.FORGOTTEN))
-    if isinstance(verdict, ownership.Conflict):
-        return replies.Standing(replies.State.CONFLICT)
-    if isinstance(verdict, ownership.Elsewhere):
-        return replies.Standing(replies.State.ELSEWHERE)
-    return replies.Standing(replies.State.UNDER_WAY)
-
-
 def _target(state: capacity.TargetState, now: datetime.datetime) -> dict[str, object]:
     return {
         "kind": state.spec.kind,
--- a/libs/carawaysail_entry/src/carawaysail_entry/front/calls.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/calls.py
@@ -40,9 +40,9 @@
     now = desk.clock.now()
     left_s = (submission.deadline - now).total_seconds() + door.ANSWER_GRACE_S
     wait_ms = routes.integer(call, "wait_ms", MAX_WAIT_MS, MAX_WAIT_MS)
-    standing = desk.place(submission, min(left_s, wait_ms / 1000.0))
-    desk.meters.answered(submission, standing, desk.clock.now() - now)
-    return encode.standing(str(submission.submission_id), standing, submission.is_job)
+    found = desk.place(submission, min(left_s, wait_ms / 1000.0))
+    desk.meters.answered(submission, found, desk.clock.now() - now)
+    return encode.answer(str(submission.submission_id), found, submission.is_job)
 
 
 @routes.routes.register("GET /v1/submissions/{id}")
@@ -51,8 +51,8 @@
     sid = identifiers.parse_submission(call.parts["id"])
     wait_ms = routes.integer(call, "wait_ms", 0, MAX_WAIT_MS)
     is_job = call.query.get("as") == "job"
-    standing = desk.look(sid, wait_ms / 1000.0)
-    return encode.standing(str(sid), standing, is_job)
+    found = desk.look(sid, wait_ms / 1000.0)
+    return encode.answer(str(sid), found, is_job)
 
 
 @routes.routes.register("POST /v1/cancellations")
--- a/libs/carawaysail_entry/src/carawaysail_entry/front/door.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/door.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-from carawaysail_decisions import membership, ownership, relaying
+from carawaysail_decisions import membership, ownership, relaying, standing
 from carawaysail_entry import (
     configuring,
     dispatch,
@@ -69,6 +69,8 @@
         self._peers = peers_task
         self._settings = settings_task
         self._seats = threading.BoundedSemaphore(max_waiting)
+        self._waiting = 0
+        self._lock = threading.Lock()
         self.clock = source
         self.tracer = tracer
         self.meters = meters
@@ -103,7 +105,7 @@
             self.clock.now(), self.owner(), mint, self.effective(), trace
         )
 
-    def place(self, submission: work.Submission, wait_s: float) -> replies.Standing:
+    def place(self, submission: work.Submission, wait_s: float) -> standing.Standing:
         """Place a submission, here or with its owner, and wait for its outcome.
 
         Parameters
@@ -115,44 +117,55 @@
         """
         if not self._seats.acquire(blocking=False):
             reason = outcomes.Reason.QUEUE_FULL
-            return replies.ended(outcomes.NotRun(reason, "too many callers wait"))
+            return standing.ended(outcomes.NotRun(reason, "too many callers wait"))
+        self._count_waiting(1)
         try:
             return self._place(submission, wait_s)
         finally:
+            self._count_waiting(-1)
             self._seats.release()
 
-    def _place(self, submission: work.Submission, wait_s: float) -> replies.Standing:
-        standing = self._place_here(submission, wait_s, is_stray=False)
-        if standing.state != replies.State.ELSEWHERE:
-            return standing
+    def waiting(self) -> int:
+        """Return how many callers wait, also for what other daemons own."""
+        with self._lock:
+            return self._waiting
+
+    def _count_waiting(self, change: int) -> None:
+        with self._lock:
+            self._waiting += change
+
+    def _place(self, submission: work.Submission, wait_s: float) -> standing.Standing:
+        found = self._place_here(submission, wait_s, is_stray=False)
+        if found.state != standing.State.ELSEWHERE:
+            return found
         relayed = self._run(self._peers.relay(submission, wait_s), wait_s + RELAY_S)
         if relayed is None:
             reason = outcomes.Reason.OWNER_UNREACHABLE
-            return replies.ended(outcomes.Unknown(reason))
+            return standing.ended(outcomes.Unknown(reason))
         if isinstance(relayed, relaying.BindHere):
             return self._place_here(submission, wait_s, is_stray=True)
-        return typing.cast(replies.Standing, relayed)
+        return typing.cast(standing.Standing, relayed)
 
     def _place_here(
         self, submission: work.Submission, wait_s: float, is_stray: bool
-    ) -> replies.Standing:
+    ) -> standing.Standing:
         found = self.effective().service(submission.service, submission.kind)
-        reply: replies.Reply[replies.Standing] = replies.Reply()
+        reply: replies.Reply[standing.Standing] = replies.Reply()
         message = dispatch.Place(submission, found.limits, is_stray, reply)
         if not self._dispatch.inbox.offer(message):
-            return replies.ended(outcomes.NotRun(outcomes.Reason.QUEUE_FULL))
-        return reply.wait(wait_s) or _UNDER_WAY
+            return standing.ended(outcomes.NotRun(outcomes.Reason.QUEUE_FULL))
+        return reply.wait(wait_s) or standing.UNDER_WAY
 
-    def look(self, sid: identifiers.SubmissionId, wait_s: float) -> replies.Standing:
+    def look(self, sid: identifiers.SubmissionId, wait_s: float) -> standing.Standing:
         """Return how a submission stands, waiting for its outcome at most so long."""
-        reply: replies.Reply[replies.Standing] = replies.Reply()
+        reply: replies.Reply[standing.Standing] = replies.Reply()
         self._dispatch.inbox.put(dispatch.Look(sid, wait_s > 0, reply))
-        standing = reply.wait(max(wait_s, LOOK_S)) or _UNDER_WAY
-        if standing.state != replies.State.ELSEWHERE:
-            return standing
-        found = self._run(self._peers.look(sid, wait_s), wait_s + RELAY_S)
+        found = reply.wait(max(wait_s, LOOK_S)) or standing.UNDER_WAY
+        if found.state != standing.State.ELSEWHERE:
+            return found
+        told = self._run(self._peers.look(sid, wait_s), wait_s + RELAY_S)
         reason = outcomes.Reason.OWNER_UNREACHABLE
-        return found or replies.ended(outcomes.Unknown(reason))
+        return told or standing.ended(outcomes.Unknown(reason))
 
     def cancel(self, names: tuple[str, ...]) -> None:
         """Cancel submissions, here and at their owners."""
@@ -203,8 +216,6 @@
 RELAY_S = 4.0
 LOOK_S = 2.0
 
-_UNDER_WAY = replies.Standing(replies.State.UNDER_WAY)
-
 
 def _mint() -> str:
     return secrets.token_urlsafe(OWN_BYTES)
--- a/libs/carawaysail_entry/src/carawaysail_entry/front/encode.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/encode.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from carawaysail_entry import replies
+from carawaysail_decisions import standing
 from carawaysail_entry.front import routes
 from carawaysail_settings import errors as settings_errors
 from carawaysail_types import errors, outcomes
@@ -33,24 +33,24 @@
     return _NOT_RUN_STATUS.get(outcome.reason, 503)
 
 
-def standing(sid: str, value: replies.Standing, is_job: bool) -> routes.Response:
+def answer(sid: str, value: standing.Standing, is_job: bool) -> routes.Response:
     """Return the answer for a submission.
 
     Parameters
     ----------
     sid : str
         Text of its identifier.
-    value : replies.Standing
+    value : standing.Standing
         How it stands.
     is_job : bool
         Whether a completed one is answered as a list.
     """
     if value.outcome is not None:
         return _outcome(sid, value.outcome, is_job)
-    if value.state == replies.State.UNDER_WAY:
+    if value.state == standing.State.UNDER_WAY:
         body = {"id": sid, "state": "under_way", "resubmit": "same_id"}
         return routes.Response(202, msgspec.json.encode(body))
-    if value.state == replies.State.CONFLICT:
+    if value.state == standing.State.CONFLICT:
         accepted = "the body that came first under this id"
         return failure(409, "IdConflict", "id", sid, accepted)
     accepted = "an id that was submitted"
--- a/libs/carawaysail_entry/src/carawaysail_entry/metrics.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/metrics.py
@@ -6,7 +6,8 @@
 
 import aioprometheus
 
-from carawaysail_entry import dispatch, replies
+from carawaysail_decisions import standing
+from carawaysail_entry import dispatch
 from carawaysail_types import clock, work
 
 BUCKETS_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 2500.0, 10_000.0]
@@ -49,7 +50,7 @@
     def answered(
         self,
         submission: work.Submission,
-        standing: replies.Standing,
+        standing: standing.Standing,
         took: datetime.timedelta,
     ) -> None:
         """Count an answer to a caller."""
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from carawaysail_decisions import membership, relaying, shares
+from carawaysail_decisions import membership, relaying, shares, standing
 from carawaysail_entry import configuring, dispatch, effective, logs, replies, traces
 from carawaysail_peers import errors, messages, transport
 from carawaysail_platform import vmlist
@@ -22,7 +22,7 @@
     collections.abc.Awaitable[messages.Message],
 ]
 
-Relayed = replies.Standing | relaying.BindHere
+Relayed = standing.Standing | relaying.BindHere
 
 Errand = collections.abc.Coroutine[typing.Any, typing.Any, None]
 
@@ -198,12 +198,8 @@
             return  # The gossip's hash makes up for a push that was lost.
 
     def is_watcher(self) -> bool:
-        """Tell whether this daemon watches the store for its data centre.
-
-        The first ``WATCHERS`` daemons by name do; the rest hear from them.
-        """
-        names = [x.vm for x in self.members.alive(self._clock.now())]
-        return self.members.me.vm in names[:WATCHERS] or not names
+        """Tell whether this daemon asks the platform for its data centre."""
+        return self.members.is_watcher(self._clock.now())
 
     # Relaying
 
@@ -231,11 +227,11 @@
 
     async def look(
         self, sid: identifiers.SubmissionId, wait_s: float
-    ) -> replies.Standing:
+    ) -> standing.Standing:
         """Ask the owner of a submission how it stands."""
         message = messages.Lookup(str(sid), wait_s * 1000.0)
         found = await self._ask(sid, message, wait_s, attempt=0, trace="")
-        return typing.cast(replies.Standing, found)
+        return typing.cast(standing.Standing, found)
 
     async def cancel(self, names: tuple[str, ...]) -> None:
         """Pass a cancellation to the owners, one message an owner."""
@@ -278,11 +274,11 @@
             return _relayed(relaying.refused(attempt, True, False))
         if not isinstance(answer, messages.Placed):
             return _relayed(relaying.refused(attempt, True, False))
-        if answer.state == replies.State.ELSEWHERE:
+        if answer.state == standing.State.ELSEWHERE:
             self.members.saw_dead(sid.owner.vm, sid.owner.incarnation)
             return _relayed(relaying.not_the_owner(attempt))
         outcome = outcomes.from_plain(answer.outcome) if answer.outcome else None
-        return replies.Standing(replies.State(answer.state), outcome)
+        return standing.Standing(standing.State(answer.state), outcome)
 
     def _address_in_settings(self, owner: identifiers.Owner) -> str:
         """Return the address of a daemon that no gossip has told of yet."""
@@ -331,13 +327,13 @@
         )
         if settings is None:
             reason = outcomes.Reason.NO_TARGET
-            return _placed(replies.ended(outcomes.NotRun(reason)))
+            return _placed(standing.ended(outcomes.NotRun(reason)))
         limits = settings.service(submission.service, submission.kind).limits
-        reply: replies.Reply[replies.Standing] = replies.Reply()
+        reply: replies.Reply[standing.Standing] = replies.Reply()
         place = dispatch.Place(submission, limits, False, reply)
         if not self._dispatch.inbox.offer(place):
             reason = outcomes.Reason.QUEUE_FULL
-            return _placed(replies.ended(outcomes.NotRun(reason)))
+            return _placed(standing.ended(outcomes.NotRun(reason)))
         return _placed(await _wait(reply, message.wait_ms))
 
     @handlers.register("lookup")
@@ -345,7 +341,7 @@
         self, sender: transport.Sender, message: messages.Lookup
     ) -> messages.Message:
         sid = identifiers.parse_submission(message.submission_id)
-        reply: replies.Reply[replies.Standing] = replies.Reply()
+        reply: replies.Reply[standing.Standing] = replies.Reply()
         self._dispatch.inbox.put(dispatch.Look(sid, message.wait_ms > 0, reply))
         return _placed(await _wait(reply, max(message.wait_ms, LOOK_MS)))
 
@@ -403,24 +399,23 @@
         return False
 
 
-WATCHERS = 2
 LOOK_MS = 1000.0
 
 
 def _relayed(step: relaying.Step) -> Relayed:
     if isinstance(step, relaying.End):
-        return replies.ended(step.outcome)
+        return standing.ended(step.outcome)
     return relaying.BindHere()
 
 
-def _placed(standing: replies.Standing) -> messages.Placed:
+def _placed(standing: standing.Standing) -> messages.Placed:
     outcome = outcomes.to_plain(standing.outcome) if standing.outcome else None
     return messages.Placed(standing.state.value, outcome)
 
 
 async def _wait(
-    reply: replies.Reply[replies.Standing], wait_ms: float
-) -> replies.Standing:
+    reply: replies.Reply[standing.Standing], wait_ms: float
+) -> standing.Standing:
     fut = asyncio.wrap_future(reply.fut)
     done, _ = await asyncio.wait([fut], timeout=max(0.0, wait_ms) / 1000.0)
-    return fut.result() if done else replies.Standing(replies.State.UNDER_WAY)
+    return fut.result() if done else standing.Standing(standing.State.UNDER_WAY)
