--- a/libs/carawaysail_bench/src/carawaysail_bench/testing.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/testing.py
@@ -1,6 +1,8 @@
 """Builders and ``assert_`` helpers that the tests of all libraries share."""
 
 import datetime
+import pathlib
+import tempfile
 import typing
 
 import testtools
@@ -46,6 +48,13 @@
     return capacity.TargetSpec(name, kind, "", frozenset({"pedidos"}), held)
 
 
+def make_folder(case: testtools.TestCase) -> pathlib.Path:
+    """Return a folder that is removed after a test."""
+    folder = tempfile.TemporaryDirectory()
+    case.addCleanup(folder.cleanup)
+    return pathlib.Path(folder.name)
+
+
 class DispatcherCase(testtools.TestCase):
     """A dispatcher with a clock, some targets and a large quota."""
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -34,12 +34,60 @@
         return state.fits(self.needs, self.is_long, self.long_share, self.stretch)
 
 
+class _Open:
+    """Targets that may have room; one found full leaves until it is reopened."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._states: list[capacity.TargetState] = []
+        self._place: dict[str, int] = {}
+
+    def clear(self) -> None:
+        self._states = []
+        self._place = {}
+
+    def add(self, state: capacity.TargetState) -> None:
+        name = state.spec.target_id
+        if name not in self._place:
+            self._place[name] = len(self._states)
+            self._states.append(state)
+
+    def sample(
+        self, ask: Ask, wanted: int, now: datetime.datetime
+    ) -> list[capacity.TargetState]:
+        """Return up to ``wanted`` targets with room, drawn at random."""
+        found: list[capacity.TargetState] = []
+        position = len(self._states)
+        while position > 0 and len(found) < wanted:
+            position -= 1
+            self._swap(position, int(self._rng.random() * (position + 1)))
+            state = self._states[position]
+            if state.health.is_ejected(now):
+                continue
+            if ask.fits(state):
+                found.append(state)
+            elif _is_full(state, ask.stretch):
+                self._close(position)
+        return found
+
+    def _swap(self, first: int, second: int) -> None:
+        if first == second:
+            return
+        a, b = self._states[first], self._states[second]
+        self._states[first], self._states[second] = b, a
+        self._place[a.spec.target_id] = second
+        self._place[b.spec.target_id] = first
+
+    def _close(self, position: int) -> None:
+        self._swap(position, len(self._states) - 1)
+        state = self._states.pop()
+        del self._place[state.spec.target_id]
+
+
 class Pool:
     """Targets of one kind that serve one service.
 
-    ``open`` holds those that may have room; a target that was found full leaves it
-    and returns when something it holds ends. So a search looks at a few targets,
-    however many there are.
+    A search looks at a few targets that may have room, however many there are.
 
     Parameters
     ----------
@@ -50,10 +98,9 @@
     def __init__(self, rng: random.Random) -> None:
         self.states: list[capacity.TargetState] = []
         self.slots = 0.0
-        self._rng = rng
         self._names: set[str] = set()
-        self._open: list[capacity.TargetState] = []
-        self._place: dict[str, int] = {}
+        self._free = _Open(rng)
+        self._backlog = _Open(rng)
 
     def __contains__(self, state: capacity.TargetState) -> bool:
         """Tell whether a target belongs to the pool."""
@@ -63,38 +110,30 @@
         """Replace the targets of the pool."""
         self.states = list(states)
         self._names = {state.spec.target_id for state in self.states}
-        self._open = []
-        self._place = {}
+        self._free.clear()
+        self._backlog.clear()
         for state in self.states:
             self.reopen(state)
         self.slots = sum(state.share.processors for state in self.states)
 
     def reopen(self, state: capacity.TargetState) -> None:
         """Count a target as one that may have room."""
-        name = state.spec.target_id
-        if name not in self._place:
-            self._place[name] = len(self._open)
-            self._open.append(state)
+        self._free.add(state)
+        self._backlog.add(state)
 
     def find(
         self, ask: Ask, policy: routing.Policy, now: datetime.datetime
     ) -> capacity.TargetState | None:
         """Return the target for a task, or ``None`` where none has room now."""
-        candidates = self._sample(ask, policy.sample, now)
+        candidates = self._free.sample(ask, policy.sample, now)
         return policy.choose(candidates) if candidates else None
 
     def find_with_backlog(
         self, ask: Ask, now: datetime.datetime
     ) -> capacity.TargetState | None:
         """Return the least filled of a few workers that may take a backlog."""
-        best = None
-        for _ in range(min(routing.SAMPLE, len(self.states))):
-            state = self.states[int(self._rng.random() * len(self.states))]
-            if state.health.is_ejected(now) or not ask.fits(state):
-                continue
-            if best is None or state.processors < best.processors:
-                best = state
-        return best
+        candidates = self._backlog.sample(ask, routing.SAMPLE, now)
+        return min(candidates, key=_processors) if candidates else None
 
     def ejected(self, now: datetime.datetime) -> int:
         """Return how many targets get nothing at an instant."""
@@ -108,39 +147,13 @@
         """Tell whether any target, empty and whole, holds a task."""
         return any(state.spec.capacity.holds(needs) for state in self.states)
 
-    def _sample(
-        self, ask: Ask, wanted: int, now: datetime.datetime
-    ) -> list[capacity.TargetState]:
-        found: list[capacity.TargetState] = []
-        position = len(self._open)
-        while position > 0 and len(found) < wanted:
-            position -= 1
-            self._swap(position, int(self._rng.random() * (position + 1)))
-            state = self._open[position]
-            if state.health.is_ejected(now):
-                continue
-            if ask.fits(state):
-                found.append(state)
-            elif _is_full(state):
-                self._close(position)
-        return found
-
-    def _swap(self, first: int, second: int) -> None:
-        if first == second:
-            return
-        a, b = self._open[first], self._open[second]
-        self._open[first], self._open[second] = b, a
-        self._place[a.spec.target_id] = second
-        self._place[b.spec.target_id] = first
 
-    def _close(self, position: int) -> None:
-        self._swap(position, len(self._open) - 1)
-        state = self._open.pop()
-        del self._place[state.spec.target_id]
+def _processors(state: capacity.TargetState) -> float:
+    return state.processors
 
 
-def _is_full(state: capacity.TargetState) -> bool:
+def _is_full(state: capacity.TargetState, stretch: float) -> bool:
     limit = state.health.limit
     if limit is not None and state.in_flight >= limit:
         return True
-    return state.processors >= state.share.processors
+    return state.processors >= state.share.processors * stretch
--- /dev/null
+++ b/libs/carawaysail_decisions/tests/test_ownership.py
@@ -0,0 +1,202 @@
+"""Who may start a submission: the scenarios in which memory and views fail."""
+
+import datetime
+
+import testtools
+
+from carawaysail_bench import testing
+from carawaysail_decisions import membership, ownership, relaying
+from carawaysail_types import clock, errors, identifiers, outcomes
+
+WINDOW = datetime.timedelta(minutes=10)
+DONE = outcomes.Completed((b"1",))
+A = ownership.digest_of(b"a")
+B = ownership.digest_of(b"b")
+
+
+class RegisterCase(testtools.TestCase):
+    """A register with a clock."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.register = self.make_register("0123456789abcdef")
+
+    def make_register(self, incarnation, vm="e1"):
+        now = self.clock.now()
+        return ownership.Register("rosario", vm, incarnation, now, WINDOW)
+
+    def make_id(self, own="order-1", register=None):
+        owner = (register or self.register).owner(self.clock.now())
+        return identifiers.SubmissionId(owner, own)
+
+    def offer(self, sid, digest=A, register=None):
+        return (register or self.register).offer(sid, digest, self.clock.now())
+
+    def assert_verdict(self, kind, verdict):
+        self.assertIsInstance(verdict, kind)
+
+
+class TestOffers(RegisterCase):
+    """Copies of one submission at its owner."""
+
+    def test_first_starts_second_joins_third_gets_the_answer(self):
+        sid = self.make_id()
+        self.assert_verdict(ownership.Start, self.offer(sid))
+        self.assert_verdict(ownership.Join, self.offer(sid))
+        self.register.end(sid, DONE)
+        self.assertEqual(ownership.Remembered(DONE), self.offer(sid))
+
+    def test_same_id_with_another_body(self):
+        sid = self.make_id()
+        self.offer(sid, A)
+        self.assert_verdict(ownership.Conflict, self.offer(sid, B))
+        self.register.end(sid, DONE)
+        self.assert_verdict(ownership.Conflict, self.offer(sid, B))
+
+    def test_resubmission_hours_later_is_never_started(self):
+        sid = self.make_id()
+        self.offer(sid)
+        self.register.end(sid, DONE)
+        self.clock.advance(datetime.timedelta(hours=3))
+        self.assert_verdict(ownership.Forgotten, self.offer(sid))
+
+    def test_late_first_copy_of_an_old_token_is_never_started(self):
+        sid = self.make_id()
+        self.clock.advance(WINDOW + datetime.timedelta(minutes=2))
+        self.assert_verdict(ownership.Forgotten, self.offer(sid))
+
+    def test_token_of_the_future_was_never_given(self):
+        sid = self.make_id()
+        forged = sid._replace(owner=sid.owner._replace(epoch=99))
+        self.assertRaises(errors.BadInputError, self.offer, forged)
+
+    def test_unknown_is_replaced_by_what_is_learned(self):
+        sid = self.make_id()
+        self.offer(sid)
+        self.register.end(sid, outcomes.Unknown(outcomes.Reason.DEADLINE))
+        self.register.end(sid, DONE)
+        self.assertEqual(ownership.Remembered(DONE), self.offer(sid))
+
+    def test_evicted_answers_are_still_recognised(self):
+        self.register.books[self.register.incarnation] = ownership.Book(
+            0, self.clock.now(), WINDOW, answers_bytes=5_000
+        )
+        large = outcomes.Completed((b"x" * 2_000,))
+        for number in range(10):
+            sid = self.make_id(f"order-{number}")
+            self.offer(sid)
+            self.register.end(sid, large)
+        first = self.make_id("order-0")
+        self.assert_verdict(ownership.Forgotten, self.offer(first))
+        self.assertEqual(
+            ownership.Forgotten(), self.register.peek(first, self.clock.now())
+        )
+        last = self.make_id("order-9")
+        self.assertEqual(ownership.Remembered(large), self.offer(last))
+        self.clock.advance(datetime.timedelta(minutes=2))
+        self.assert_verdict(ownership.Forgotten, self.offer(first))
+
+    def test_memory_is_dropped_after_the_window(self):
+        book = self.register.books[self.register.incarnation]
+        for number in range(50):
+            sid = self.make_id(f"order-{number}")
+            self.offer(sid)
+            self.register.end(sid, DONE)
+        self.assertEqual(50, book.remembered())
+        self.clock.advance(WINDOW + datetime.timedelta(minutes=2))
+        self.offer(self.make_id("later"))
+        self.assertEqual(1, book.remembered())
+
+
+class TestOtherOwners(RegisterCase):
+    """Identifiers of other incarnations."""
+
+    def test_restart_at_the_same_address_starts_nothing_old(self):
+        sid = self.make_id()
+        self.offer(sid)
+        reborn = self.make_register("fedcba9876543210")
+        verdict = self.offer(sid, register=reborn)
+        self.assertEqual(ownership.Elsewhere(sid.owner), verdict)
+
+    def test_heir_answers_and_starts_what_never_came(self):
+        known, new = self.make_id("known"), self.make_id("new")
+        self.offer(known)
+        self.register.end(known, DONE)
+        heir = self.make_register("fedcba9876543210", "e2")
+        heir.adopt(self.register.hand_over(self.clock.now()), self.clock.now())
+        self.assert_verdict(ownership.Elsewhere, self.offer(new))
+        self.assertEqual(ownership.Remembered(DONE), self.offer(known, register=heir))
+        self.assert_verdict(ownership.Start, self.offer(new, register=heir))
+
+    def test_repeated_handover_changes_nothing(self):
+        memories = self.register.hand_over(self.clock.now())
+        heir = self.make_register("fedcba9876543210", "e2")
+        sid = self.make_id()
+        heir.adopt(memories, self.clock.now())
+        self.offer(sid, register=heir)
+        heir.adopt(memories, self.clock.now())
+        self.assert_verdict(ownership.Join, self.offer(sid, register=heir))
+
+    def test_unfinished_work_is_handed_over_as_unknown(self):
+        sid = self.make_id()
+        self.offer(sid)
+        heir = self.make_register("fedcba9876543210", "e2")
+        heir.adopt(self.register.hand_over(self.clock.now()), self.clock.now())
+        verdict = self.offer(sid, register=heir)
+        self.assertEqual("unknown", verdict.outcome.tag)
+
+    def test_heir_of_an_heir(self):
+        sid = self.make_id()
+        self.offer(sid)
+        self.register.end(sid, DONE)
+        second = self.make_register("fedcba9876543210", "e2")
+        second.adopt(self.register.hand_over(self.clock.now()), self.clock.now())
+        third = self.make_register("00000000000000aa", "e3")
+        third.adopt(second.hand_over(self.clock.now()), self.clock.now())
+        self.assertEqual(ownership.Remembered(DONE), self.offer(sid, register=third))
+
+    def test_stray_binds_one_identifier_only(self):
+        lost = testing.make_id("only")._replace(
+            owner=testing.OWNER._replace(vm="e9", incarnation="9" * 16)
+        )
+        now = self.clock.now()
+        self.assert_verdict(ownership.Start, self.register.offer_stray(lost, A, now))
+        self.assert_verdict(ownership.Join, self.register.offer_stray(lost, A, now))
+        self.assert_verdict(ownership.Conflict, self.register.offer_stray(lost, B, now))
+        self.register.end(lost, DONE)
+        self.assertEqual(
+            ownership.Remembered(DONE), self.register.offer_stray(lost, A, now)
+        )
+        other = lost._replace(own="other")
+        self.assert_verdict(ownership.Elsewhere, self.offer(other))
+
+
+class TestRelaying(testtools.TestCase):
+    """What a daemon does with another owner's submission."""
+
+    def assert_outcome(self, tag, step):
+        self.assertIsInstance(step, relaying.End)
+        self.assertEqual(tag, step.outcome.tag)
+
+    def test_lost_owner(self):
+        lost = membership.Located("", lost=True)
+        self.assert_outcome("unknown", relaying.first(lost, "h:1", 0))
+        self.assert_outcome("unknown", relaying.first(lost, "h:1", 2))
+        self.assertIsInstance(relaying.first(lost, "h:1", 1), relaying.BindHere)
+
+    def test_settings_give_the_address_before_gossip_does(self):
+        nobody = membership.Located("")
+        self.assertEqual(relaying.Ask("h:1"), relaying.first(nobody, "h:1", 0))
+        self.assert_outcome("unknown", relaying.first(nobody, "", 0))
+        self.assert_outcome("not_run", relaying.first(nobody, "", 1))
+
+    def test_only_an_unsent_only_copy_is_not_run(self):
+        for attempt, was_sent, tag in (
+            (1, False, "not_run"),
+            (1, True, "unknown"),
+            (2, False, "unknown"),
+            (0, False, "unknown"),
+        ):
+            step = relaying.refused(attempt, was_sent, nobody_listens=False)
+            self.assert_outcome(tag, step)
--- /dev/null
+++ b/libs/carawaysail_decisions/tests/test_policies.py
@@ -0,0 +1,260 @@
+"""Queues, shares, quotas, admission, run times, retries, health."""
+
+import datetime
+import random
+
+import hypothesis
+import hypothesis.strategies
+import testtools
+
+from carawaysail_decisions import (
+    admission,
+    health,
+    queues,
+    quotas,
+    retries,
+    runtimes,
+    shares,
+)
+from carawaysail_types import clock, outcomes, work
+
+FUZZ = hypothesis.settings(
+    max_examples=150, derandomize=True, deadline=None, database=None
+)
+NOW = clock.ManualClock().now()
+
+
+def make_flow(kind, is_long=False, weight=1.0, tasks=100, expected_ms=50.0):
+    """Return a flow with one entry."""
+    flow = queues.Flow(runtimes.Key("s", kind), "t", "runner", is_long, weight)
+    flow.push(
+        queues.Waiting(kind, (work.Task(b"1"),) * tasks, range(tasks), expected_ms, NOW)
+    )
+    return flow
+
+
+def serve(policy, count, now=NOW):
+    """Return the kinds of the first tasks that a policy serves."""
+    found = []
+    for _ in range(count):
+        flow = policy.next(now)
+        if flow is None:
+            break
+        found.append(flow.key.kind)
+        flow.take()
+        if flow.head() is not None:
+            policy.push(flow)
+    return found
+
+
+class TestFairLanes(testtools.TestCase):
+    """Short first, fair within a lane, long ageing."""
+
+    def make(self, *flows):
+        policy = queues.FairLanes()
+        for flow in flows:
+            policy.push(flow)
+        return policy
+
+    def test_weights_share_the_slots(self):
+        policy = self.make(make_flow("a", weight=3.0), make_flow("b", weight=1.0))
+        served = serve(policy, 80)
+        self.assertEqual(60, served.count("a"))
+
+    def test_short_goes_before_long(self):
+        policy = self.make(make_flow("long", is_long=True), make_flow("short"))
+        self.assertEqual(["short"] * 5, serve(policy, 5))
+
+    def test_aged_long_work_takes_turns(self):
+        policy = self.make(make_flow("long", is_long=True), make_flow("short"))
+        later = NOW + queues.AGEING * 2
+        served = serve(policy, 10, later)
+        self.assertEqual(5, served.count("long"))
+
+    def test_very_long_tasks_and_small_weights_end(self):
+        policy = self.make(
+            make_flow("a", weight=0.01, expected_ms=3e6),
+            make_flow("b", weight=0.01, expected_ms=3e6),
+        )
+        self.assertEqual(20, len(serve(policy, 20)))
+
+    def test_empty(self):
+        self.assertIsNone(self.make().next(NOW))
+
+
+class TestFifo(testtools.TestCase):
+    """First come, first served."""
+
+    def test_order_of_arrival(self):
+        policy = queues.Fifo()
+        second = make_flow("b")
+        second.entries[0].since = NOW + clock.milliseconds(1)
+        policy.push(second)
+        policy.push(make_flow("a"))
+        self.assertEqual(["a"] * 3, serve(policy, 3))
+
+
+DEMANDS = hypothesis.strategies.lists(
+    hypothesis.strategies.integers(0, 10_000), min_size=1, max_size=12
+).map(lambda x: [shares.Demand(f"e{n}", float(max(1, t))) for n, t in enumerate(x)])
+
+
+class TestShares(testtools.TestCase):
+    """Slots and workers split among daemons."""
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.integers(1, 64), DEMANDS)
+    def test_split_adds_up_and_starves_nobody(self, slots, demands):
+        given = shares.split("r1", slots, demands)
+        self.assertEqual(slots, sum(given.values()))
+        if len(demands) <= slots:
+            self.assertGreaterEqual(min(given.values()), 1)
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.integers(1, 40), DEMANDS)
+    def test_every_worker_has_one_holder(self, count, demands):
+        names = [f"w{n}" for n in range(count)]
+        given = shares.assign(names, demands)
+        self.assertEqual(sorted(names), sorted(given))
+
+    def test_demand_moves_slots(self):
+        demands = [shares.Demand("a", 64.0), shares.Demand("b", 1.0)]
+        self.assertEqual({"a": 7, "b": 1}, shares.split("r1", 8, demands))
+
+    def test_few_workers_move_with_demand(self):
+        names = [f"w{n}" for n in range(24)]
+        even = [shares.Demand("a", 1.0), shares.Demand("b", 1.0)]
+        more = [shares.Demand("a", 2.0), shares.Demand("b", 1.0)]
+        before, after = shares.assign(names, even), shares.assign(names, more)
+        moved = [name for name in names if before[name] != after[name]]
+        self.assertLessEqual(len(moved), 6)
+
+    def test_coarse_demand_seldom_changes(self):
+        found = {shares.coarse(tasks) for tasks in range(1_000)}
+        self.assertLessEqual(len(found), 11)
+
+
+class TestQuotas(testtools.TestCase):
+    """Parts, loans, and a sum that never exceeds the quota."""
+
+    @FUZZ
+    @hypothesis.given(
+        hypothesis.strategies.integers(0, 5_000), hypothesis.strategies.integers(1, 30)
+    )
+    def test_parts_add_up(self, quota, count):
+        members = tuple(f"e{n}" for n in range(count))
+        parts = [quotas.part_of(quota, members, vm) for vm in members]
+        self.assertEqual(quota, sum(parts))
+        self.assertLessEqual(max(parts) - min(parts), 1)
+
+    def test_stranger_has_no_part(self):
+        self.assertEqual(0, quotas.part_of(10, ("a",), "b"))
+
+    def test_loan_never_exceeds_the_sum(self):
+        lender, borrower = quotas.Ledger(), quotas.Ledger()
+        lender.set_part("t", 10)
+        borrower.set_part("t", 10)
+        loan = lender.lend("t", 8, NOW)
+        borrower.borrow(loan, NOW)
+        at = NOW
+        for _ in range(30):
+            total = lender.room("t", at) + borrower.room("t", at)
+            self.assertLessEqual(total, 20)
+            at += datetime.timedelta(milliseconds=500)
+        self.assertEqual(20, total)
+
+    def test_lender_keeps_half_of_its_room(self):
+        ledger = quotas.Ledger()
+        ledger.set_part("t", 10)
+        self.assertEqual(5, ledger.lend("t", 100, NOW).tasks)
+        self.assertIsNone(ledger.lend("unknown", 1, NOW))
+
+
+class TestAdmission(testtools.TestCase):
+    """Early refusals."""
+
+    def refuse(self, name, **changes):
+        offer = admission.Offer(
+            NOW, NOW + clock.milliseconds(1_000), 1, 100.0, 0.0, 10.0, 0, 100
+        )
+        return admission.policies.get(name)().refuse(offer._replace(**changes))
+
+    def test_meets_deadline(self):
+        late = outcomes.Reason.WOULD_MISS_DEADLINE
+        self.assertIsNone(self.refuse("meets_deadline"))
+        self.assertIsNone(self.refuse("meets_deadline", ahead_ms=8_000.0))
+        self.assertEqual(late, self.refuse("meets_deadline", ahead_ms=9_500.0))
+        self.assertEqual(
+            outcomes.Reason.DEADLINE, self.refuse("meets_deadline", deadline=NOW)
+        )
+
+    def test_idle_system_takes_what_it_cannot_judge(self):
+        self.assertIsNone(self.refuse("meets_deadline", expected_ms=5_000.0))
+
+    def test_accept_all_knows_only_the_queue(self):
+        self.assertIsNone(self.refuse("accept_all", ahead_ms=1e9))
+        full = outcomes.Reason.QUEUE_FULL
+        self.assertEqual(full, self.refuse("accept_all", queued=100))
+
+
+class TestRunTimes(testtools.TestCase):
+    """Learned run times."""
+
+    def test_declared_ones_are_left_when_enough_was_seen(self):
+        learned = runtimes.RunTimes()
+        key = runtimes.Key("s", "k")
+        declared = clock.milliseconds(5_000)
+        self.assertEqual(5_000.0, learned.expected_ms(key, declared))
+        for _ in range(20):
+            learned.learn(key, 80.0, 1.0)
+        self.assertAlmostEqual(80.0, learned.expected_ms(key, declared), delta=1.0)
+
+    def test_slow_target_does_not_spoil_the_mean(self):
+        learned = runtimes.RunTimes()
+        key = runtimes.Key("s", "k")
+        for _ in range(50):
+            learned.learn(key, 100.0, 1.0)
+            learned.learn(key, 400.0, 4.0)
+        self.assertAlmostEqual(100.0, learned.expected_ms(key, None), delta=5.0)
+        self.assertIsNotNone(learned.high_ms(key))
+
+    def test_cold(self):
+        learned = runtimes.RunTimes()
+        key = runtimes.Key("s", "k")
+        self.assertEqual(runtimes.COLD_MS, learned.expected_ms(key, None))
+        self.assertIsNone(learned.high_ms(key))
+
+
+class TestRetries(testtools.TestCase):
+    """Budget and backoff."""
+
+    def test_budget_is_a_share_of_first_starts(self):
+        budget = retries.Budget(0.1)
+        taken = 0
+        for _ in range(1_000):
+            budget.started()
+            taken += budget.take()
+        self.assertLessEqual(taken, 110)
+
+    def test_backoff_is_bounded(self):
+        rng = random.Random(1)
+        waits = [retries.backoff(n, rng) for n in range(1, 30) for _ in range(20)]
+        longest = clock.milliseconds(retries.LONGEST_MS)
+        self.assertTrue(all(datetime.timedelta() <= x <= longest for x in waits))
+
+
+class TestHealth(testtools.TestCase):
+    """Ejection doubles and recovery is step by step."""
+
+    def test_cycle(self):
+        state = health.Health()
+        self.assertEqual([False, False, True], [state.failed(NOW) for _ in range(3)])
+        first = state.eject(NOW) - NOW
+        second = state.eject(NOW) - NOW
+        self.assertEqual(2 * first, second)
+        limits = []
+        for _ in range(4):
+            state.succeeded()
+            limits.append(state.limit)
+        self.assertEqual([2, 4, 8, None], limits)
+        self.assertFalse(state.is_ejected(NOW))
--- /dev/null
+++ b/libs/carawaysail_entry/tests/test_front.py
@@ -0,0 +1,291 @@
+"""The front end: decoding, encoding, routes, inboxes and effective settings."""
+
+import asyncio
+import json
+import threading
+
+import hypothesis
+import hypothesis.strategies
+import testtools
+
+from carawaysail_bench import testing
+from carawaysail_decisions import standing
+from carawaysail_entry import effective, inbox, replies, traces
+from carawaysail_entry.front import decode, encode, routes, server
+from carawaysail_settings import errors as settings_errors
+from carawaysail_settings import tree
+from carawaysail_types import clock, errors, outcomes
+
+FUZZ = hypothesis.settings(
+    max_examples=200, derandomize=True, deadline=None, database=None
+)
+OWNER = testing.OWNER
+
+
+def make_context():
+    """Return what decoding needs, with one service."""
+    services = {"pedidos": {"settings": {"max_payload_bytes": 100}}}
+    cfg = tree.check_tree({"teams": {"ventas": {"services": services}}})
+    settings = effective.derive(cfg, "e1", "rosario")
+    now = clock.ManualClock().now()
+    return decode.Context(now, OWNER, lambda: "minted", settings, "")
+
+
+class TestDecode(testtools.TestCase):
+    """From callers' JSON to submissions."""
+
+    def decode(self, **body):
+        content = json.dumps(body).encode()
+        return decode.request("pedidos", content, make_context())
+
+    def decode_job(self, **body):
+        content = json.dumps(body).encode()
+        return decode.job("pedidos", content, make_context())
+
+    def test_request(self):
+        made = self.decode(
+            id=f"{OWNER}~a", attempt=2, payload={"x": [1]}, deadline_ms=50
+        )
+        self.assertEqual("a", made.submission_id.own)
+        self.assertEqual(
+            (2, False, False), (made.attempt, made.idempotent, made.is_job)
+        )
+        self.assertEqual({"x": [1]}, json.loads(made.tasks[0].payload))
+        left = made.deadline - make_context().now
+        self.assertEqual(50.0, clock.to_milliseconds(left))
+
+    def test_minted_identifier(self):
+        self.assertEqual("minted", self.decode().submission_id.own)
+
+    def test_digest_follows_the_body_only(self):
+        first = self.decode(payload=1, attempt=1, deadline_ms=5)
+        second = self.decode(payload=1, attempt=2, deadline_ms=9)
+        other = self.decode(payload=2)
+        self.assertEqual(first.digest, second.digest)
+        self.assertNotEqual(first.digest, other.digest)
+
+    def test_job(self):
+        task = {"payload": 1, "run_time_ms": 50, "processors": 2, "memory_mb": 10}
+        made = self.decode_job(kind="cierre", tasks=[task] * 340)
+        self.assertEqual(
+            (340, True, "cierre"), (len(made.tasks), made.is_job, made.kind)
+        )
+        self.assertEqual(2.0, made.tasks[0].needs.processors)
+
+    def assert_refused(self, word, call, *args, **body):
+        exc = self.assertRaises(errors.BadInputError, call, *args, **body)
+        self.assertIn(word, str(exc))
+
+    def test_refusals_name_field_value_and_accepted(self):
+        self.assert_refused("deadline_ms is 0", self.decode, deadline_ms=0)
+        self.assert_refused('"soon"', self.decode, deadline_ms="soon")
+        self.assert_refused("'dedline_ms'", self.decode, dedline_ms=1)
+        self.assert_refused("at most 100 bytes", self.decode, payload="x" * 200)
+        self.assert_refused("a token from", self.decode, id="x~y")
+        self.assert_refused("1 to 340 tasks", self.decode_job, tasks=[])
+        self.assert_refused("1 to 340 tasks", self.decode_job, tasks=[{}] * 341)
+        self.assert_refused("tasks[0]", self.decode_job, tasks=[3])
+        self.assert_refused("processors", self.decode_job, tasks=[{"processors": -1}])
+        self.assert_refused("kind", self.decode_job, kind="No!", tasks=[{}])
+
+    def test_unknown_service(self):
+        self.assertRaises(
+            settings_errors.NoSuchPathError,
+            decode.request,
+            "otro",
+            b"{}",
+            make_context(),
+        )
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.binary(max_size=300))
+    def test_any_body_is_read_or_refused(self, body):
+        for call in (decode.request, decode.job):
+            try:
+                call("pedidos", body, make_context())
+            except errors.BadInputError:
+                continue
+
+    @FUZZ
+    @hypothesis.given(
+        hypothesis.strategies.dictionaries(
+            hypothesis.strategies.sampled_from(
+                ["id", "attempt", "payload", "deadline_ms", "idempotent", "tasks"]
+            ),
+            hypothesis.strategies.one_of(
+                hypothesis.strategies.integers(),
+                hypothesis.strategies.floats(),
+                hypothesis.strategies.text(max_size=5),
+                hypothesis.strategies.lists(hypothesis.strategies.integers()),
+            ),
+        )
+    )
+    def test_any_fields_are_read_or_refused(self, body):
+        content = json.dumps(body).encode()
+        for call in (
+            decode.request,
+            decode.job,
+        ):
+            try:
+                call("pedidos", content, make_context())
+            except errors.BadInputError:
+                continue
+
+    def test_cancellation(self):
+        name = f"{OWNER}~a"
+        body = json.dumps({"ids": [name, name]}).encode()
+        self.assertEqual((name, name), decode.cancelled(body))
+        self.assert_refused("1 to 10000", decode.cancelled, b'{"ids": []}')
+
+
+class TestEncode(testtools.TestCase):
+    """From outcomes to HTTP."""
+
+    def answer(self, outcome, is_job=False):
+        response = encode.answer("a~b", standing.ended(outcome), is_job)
+        return response.status, json.loads(response.body)
+
+    def test_each_outcome_has_its_status(self):
+        for outcome, status in (
+            (outcomes.Completed((b"1",)), 200),
+            (outcomes.Failed(outcomes.Reason.TARGET_FAILED), 502),
+            (outcomes.NotRun(outcomes.Reason.QUEUE_FULL), 503),
+            (outcomes.NotRun(outcomes.Reason.INFEASIBLE), 422),
+            (outcomes.Unknown(outcomes.Reason.DEADLINE), 504),
+        ):
+            found, body = self.answer(outcome)
+            self.assertEqual((status, outcome.tag), (found, body["outcome"]))
+            self.assertIn(body["resubmit"], list(outcomes.Resubmit))
+
+    def test_answers(self):
+        self.assertEqual(1, self.answer(outcomes.Completed((b"1",)))[1]["answer"])
+        many = outcomes.Completed((b"1", b'"x"'))
+        self.assertEqual([1, "x"], self.answer(many, is_job=True)[1]["answers"])
+
+    def test_states_without_an_outcome(self):
+        for state, status in (
+            (standing.State.UNDER_WAY, 202),
+            (standing.State.CONFLICT, 409),
+            (standing.State.NEVER_CAME, 404),
+        ):
+            response = encode.answer("a~b", standing.Standing(state), False)
+            self.assertEqual(status, response.status)
+
+
+class TestRoutes(testtools.TestCase):
+    """The registry of routes."""
+
+    def test_found_missing_and_wrong_method(self):
+        self.assertTrue(server.ROUTE_MODULES)
+        found = routes.find("POST", "/v1/services/pedidos/requests")
+        self.assertEqual({"service": "pedidos"}, found.parts)
+        self.assertEqual(404, routes.find("GET", "/v2"))
+        self.assertEqual(405, routes.find("GET", "/v1/cancellations"))
+
+    def test_whole_numbers_of_the_query(self):
+        call = routes.Call("GET", "/", {}, {"wait_ms": "9"}, b"", "")
+        self.assertEqual(9, routes.integer(call, "wait_ms", 1, 10))
+        self.assertEqual(1, routes.integer(call, "other", 1, 10))
+        bad = call._replace(query={"wait_ms": "-1"})
+        self.assertRaises(errors.BadInputError, routes.integer, bad, "wait_ms", 1, 10)
+
+
+class TestInbox(testtools.TestCase):
+    """Messages from threads to a task."""
+
+    def test_order_bound_and_many_threads(self):
+        async def main():
+            box = inbox.Inbox(asyncio.get_running_loop(), 1_000)
+            threads = [
+                threading.Thread(target=lambda: [box.put(1) for _ in range(200)])
+                for _ in range(4)
+            ]
+            for thread in threads:
+                thread.start()
+            seen = 0
+            while seen < 800:
+                seen += len(await box.drain())
+            return seen
+
+        self.assertEqual(800, asyncio.run(main()))
+
+    def test_full_inbox_takes_no_offer_but_keeps_what_must_not_be_lost(self):
+        async def main():
+            box = inbox.Inbox(asyncio.get_running_loop(), 1)
+            told = [box.offer(1), box.offer(2)]
+            box.put(3)
+            return told, await box.drain()
+
+        self.assertEqual(([True, False], [1, 3]), asyncio.run(main()))
+
+    def test_reply_keeps_the_first_value(self):
+        reply = replies.Reply()
+        self.assertIsNone(reply.wait(0))
+        reply.give(1)
+        reply.give(2)
+        self.assertEqual(1, reply.wait(1))
+
+
+class TestTraces(testtools.TestCase):
+    """Spans with W3C context in a file."""
+
+    def test_child_of_the_callers_span(self):
+        folder = testing.make_folder(self)
+        tracer = traces.Tracer("e1", str(folder / "spans"), 1.0)
+        parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+        with tracer.span("hop", parent) as span:
+            span.set("tasks", 3)
+            self.assertIn("0af7651916cd43dd8448eb211c80319c", span.traceparent)
+        line = json.loads((folder / "spans").read_text())
+        self.assertEqual("0xb7ad6b7169203331", line["parent_id"])
+        self.assertEqual(3, line["attributes"]["tasks"])
+
+    def test_without_a_file_the_context_goes_through(self):
+        tracer = traces.Tracer("e1", "", 1.0)
+        with tracer.span("hop", "00-x") as span:
+            self.assertEqual("00-x", span.traceparent)
+
+
+class TestEffective(testtools.TestCase):
+    """What follows from the tree for one daemon."""
+
+    def test_targets_parts_and_limits(self):
+        cfg = tree.check_tree(
+            {
+                "settings": {"long_share": 0.5},
+                "teams": {
+                    "ventas": {
+                        "settings": {"max_running": 10},
+                        "services": {
+                            "pedidos": {
+                                "settings": {"short_ms": 100},
+                                "jobs": {"cierre": {"settings": {"weight": 3}}},
+                            }
+                        },
+                    }
+                },
+                "places": {
+                    "rosario": {
+                        "entries": {"e1": {}, "e2": {}, "e3": {}},
+                        "racks": {
+                            "r1": {
+                                "settings": {"slots": 4},
+                                "targets": {
+                                    "a": {"kind": "runner", "url": "http://h:1"},
+                                    "b": {"kind": "worker", "url": "http://h:2"},
+                                },
+                            }
+                        },
+                    }
+                },
+            }
+        )
+        found = effective.derive(cfg, "e1", "rosario")
+        self.assertEqual([4.0, 32.0], [x.capacity.processors for x in found.specs])
+        self.assertEqual({"ventas": 4}, found.parts)
+        self.assertEqual(0.5, found.rules.long_share)
+        limits = found.service("pedidos", "cierre").limits
+        self.assertEqual(
+            ("ventas", 3, 100.0), (limits.team, limits.weight, limits.short_ms)
+        )
+        self.assertEqual((), effective.derive(cfg, "e1", "cordoba").specs)
--- /dev/null
+++ b/libs/carawaysail_platform/tests/test_platform.py
@@ -0,0 +1,215 @@
+"""Clients of the platform against stand-ins on loopback, faults included."""
+
+import threading
+import time
+
+import hypothesis
+import hypothesis.strategies
+import testtools
+
+from carawaysail_bench import fleet
+from carawaysail_platform import errors, keyvalue, runners, targets, vmlist, workers
+from carawaysail_standins import runner, store, worker
+from carawaysail_standins import vmlist as standin_list
+from carawaysail_types import identifiers, outcomes, work
+
+FUZZ = hypothesis.settings(
+    max_examples=200, derandomize=True, deadline=None, database=None
+)
+
+
+def make_order(own="a", payload=b'{"run_ms": 1, "echo": 7}'):
+    """Return one task for a target."""
+    task = identifiers.TaskId(f"d.v.{'0' * 16}.0~{own}", 0)
+    return targets.Order(task, "pedidos", payload, work.Needs(), "")
+
+
+class TestKeyValue(testtools.TestCase):
+    """Compare-and-swap, watches, leases and outages."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = store.Store(0)
+        self.store.server.start()
+        self.addCleanup(self.store.server.stop)
+        self.client = keyvalue.HttpKeyValue(self.store.server.url)
+
+    def test_compare_and_swap(self):
+        first = self.client.compare_and_swap("k/a", 0, "one")
+        second = self.client.compare_and_swap("k/a", first, "two")
+        self.assertGreater(second, first)
+        exc = self.assertRaises(
+            errors.WriteConflictError, self.client.compare_and_swap, "k/a", first, "x"
+        )
+        self.assertEqual(second, exc.found)
+        snapshot = self.client.read("k/")
+        self.assertEqual((keyvalue.Item("k/a", "two", second),), snapshot.items)
+
+    def test_delete_and_watch(self):
+        first = self.client.compare_and_swap("k/a", 0, "one")
+        changes = self.client.watch("k/", first)
+        self.client.compare_and_swap("k/a", first, "")
+        (item,) = next(changes)
+        self.assertEqual(("k/a", ""), (item.key, item.value))
+        self.assertEqual((), self.client.read("k/").items)
+
+    def test_watch_is_one_call(self):
+        changes = self.client.watch("k/", 1)
+        self.client.compare_and_swap("k/a", 0, "one")
+        next(changes)
+        self.assertEqual(1, self.store.calls["/v3/watch"])
+
+    def test_outage(self):
+        self.store.faults.set({"down": 1})
+        self.assertRaises(errors.StoreUnavailableError, self.client.read, "k/")
+
+    def test_nobody_listens(self):
+        (port,) = fleet.free_ports(1)
+        client = keyvalue.HttpKeyValue(f"http://127.0.0.1:{port}")
+        self.assertRaises(errors.StoreUnavailableError, client.read, "k/")
+
+    def test_lost_answer_is_uncertain(self):
+        self.store.faults.set({"lost_answers": 1})
+        self.assertRaises(
+            errors.WriteUncertainError, self.client.compare_and_swap, "k/a", 0, "one"
+        )
+        self.assertEqual(1, len(self.client.read("k/").items))
+
+    def test_leases(self):
+        lease = self.client.grant_lease(10)
+        self.assertTrue(self.client.keep_lease(lease))
+        self.assertFalse(self.client.keep_lease("no-such-lease"))
+
+
+class TestVmList(testtools.TestCase):
+    """The lagging list."""
+
+    def test_reads_and_refuses_nonsense(self):
+        listed = standin_list.VmList(0, lag_s=0.0)
+        listed.server.start()
+        self.addCleanup(listed.server.stop)
+        client = vmlist.HttpVmList(listed.server.url)
+        self.assertEqual((), client.read())
+        (port,) = fleet.free_ports(1)
+        gone = vmlist.HttpVmList(f"http://127.0.0.1:{port}")
+        self.assertRaises(errors.BadAnswerError, gone.read)
+
+
+class TestRunner(testtools.TestCase):
+    """One request on a runner, and what its faults look like."""
+
+    def setUp(self):
+        super().setUp()
+        self.target = runner.Runner("r1", 0, 2, 1.0)
+        self.target.server.start()
+        self.addCleanup(self.target.server.stop)
+        self.client = runners.Runner(self.target.server.url, 1.0, 4)
+
+    def run_one(self, **faults):
+        self.target.faults.set(faults)
+        return list(self.client.run((make_order(),), 5.0))
+
+    def assert_end(self, fate, reason, found):
+        self.assertEqual((fate, reason), found[-1][:2])
+
+    def test_answer(self):
+        result, end = self.run_one()
+        self.assertTrue(result.ok)
+        self.assertIn(b'"echo": 7', result.answer)
+        self.assertIsNotNone(result.ran_ms)
+        self.assertEqual(targets.Fate.ANSWERED, end.fate)
+
+    def test_failure_refusal_and_nonsense(self):
+        for fault, reason in (
+            ("fail_all", outcomes.Reason.TARGET_FAILED),
+            ("refuse", outcomes.Reason.TARGET_REFUSED),
+            ("nonsense", outcomes.Reason.TARGET_FAILED),
+        ):
+            result, _ = self.run_one(**{fault: 1})
+            self.assertEqual((False, reason), (result.ok, result.reason))
+
+    def test_crossed_answer_is_not_taken(self):
+        found = self.run_one(crossed=1)
+        reason = outcomes.Reason.BAD_ANSWER
+        self.assert_end(targets.Fate.MAY_HAVE_STARTED, reason, found)
+        self.assertEqual(1, len(found))
+
+    def test_answer_cut_short_is_not_taken(self):
+        found = self.run_one(cut_short=1)
+        reason = outcomes.Reason.CONNECTION_LOST
+        self.assert_end(targets.Fate.MAY_HAVE_STARTED, reason, found)
+
+    def test_leaving_is_told(self):
+        self.assertTrue(self.run_one(leaving=1)[-1].is_leaving)
+
+    def test_nobody_listens_means_not_started(self):
+        (port,) = fleet.free_ports(1)
+        client = runners.Runner(f"http://127.0.0.1:{port}", 1.0, 4)
+        found = list(client.run((make_order(),), 5.0))
+        reason = outcomes.Reason.CONNECTION_LOST
+        self.assert_end(targets.Fate.NOT_STARTED, reason, found)
+
+
+class TestWorker(testtools.TestCase):
+    """Batches on a worker."""
+
+    def setUp(self):
+        super().setUp()
+        self.target = worker.Worker("w1", 0, 4, 1.0)
+        self.target.server.start()
+        self.addCleanup(self.target.server.stop)
+        self.client = workers.Worker(self.target.server.url, 1.0, 4, 10_000)
+
+    def make_orders(self, count, run_ms=1):
+        payload = f'{{"run_ms": {run_ms}, "echo": 1}}'.encode()
+        return tuple(make_order(f"t{n}", payload) for n in range(count))
+
+    def test_results_come_as_they_end(self):
+        orders = self.make_orders(10)
+        *results, end = self.client.run(orders, 5.0)
+        self.assertEqual({x.task for x in orders}, {x.task for x in results})
+        self.assertTrue(all(x.ok for x in results))
+        self.assertEqual(targets.Fate.ANSWERED, end.fate)
+        self.assertEqual(1, self.target.records.totals()["messages"])
+
+    def test_stopped_tasks_are_told(self):
+        orders = self.make_orders(2, run_ms=60_000)
+        found = []
+        run = threading.Thread(
+            target=lambda: found.extend(self.client.run(orders, 30.0)), daemon=True
+        )
+        run.start()
+        while self.target.records.totals()["starts"] < len(orders):
+            time.sleep(0.01)
+        self.client.stop(tuple(x.task for x in orders))
+        run.join(20.0)
+        reasons = [x.reason for x in found if isinstance(x, targets.Result)]
+        self.assertEqual([outcomes.Reason.TASK_STOPPED] * 2, reasons)
+
+    def test_lapsed_lease_stops_a_task(self):
+        client = workers.Worker(self.target.server.url, 1.0, 4, 50)
+        result, _ = client.run(self.make_orders(1, run_ms=60_000), 5.0)
+        self.assertEqual(outcomes.Reason.TASK_STOPPED, result.reason)
+
+    def test_refusal_starts_nothing(self):
+        self.target.faults.set({"refuse": 1})
+        (end,) = self.client.run(self.make_orders(3), 5.0)
+        self.assertEqual(targets.Fate.NOT_STARTED, end.fate)
+        self.assertEqual(0, self.target.records.totals()["starts"])
+
+    def test_usage_and_control(self):
+        self.assertIsNotNone(self.client.usage())
+        tasks = (make_order().task,)
+        self.assertTrue(self.client.renew(tasks))
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.binary())
+    def test_any_line_is_read_or_passed_over(self, line):
+        found = workers.parse_line(line)
+        self.assertTrue(found is None or isinstance(found, targets.Result))
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.text())
+    def test_any_task_name_is_read_or_refused(self, text):
+        task = targets.parse_task(text)
+        self.assertTrue(task is None or task.position >= 0)
--- /dev/null
+++ b/libs/carawaysail_settings/tests/test_settings.py
@@ -0,0 +1,249 @@
+"""The tree of settings: checks, inheritance, edits, sections, texts."""
+
+import hypothesis
+import hypothesis.strategies
+import testtools
+
+from carawaysail_decisions import admission, queues, routing
+from carawaysail_settings import (
+    daemon,
+    edits,
+    errors,
+    inheritance,
+    keys,
+    sections,
+    text,
+    tree,
+)
+from carawaysail_types import errors as type_errors
+
+FUZZ = hypothesis.settings(
+    max_examples=150, derandomize=True, deadline=None, database=None
+)
+
+JSON = hypothesis.strategies.recursive(
+    hypothesis.strategies.none()
+    | hypothesis.strategies.booleans()
+    | hypothesis.strategies.integers()
+    | hypothesis.strategies.text(max_size=8),
+    lambda inner: (
+        hypothesis.strategies.lists(inner, max_size=3)
+        | hypothesis.strategies.dictionaries(
+            hypothesis.strategies.sampled_from(
+                ["settings", "teams", "places", "services", "racks", "weight", "x"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def make_tree():
+    """Return a small tree."""
+    return {
+        "settings": {"weight": 2.0},
+        "teams": {
+            "ventas": {
+                "settings": {"deadline_ms": 5000},
+                "services": {"pedidos": {"jobs": {"cierre": {}}}},
+            }
+        },
+        "places": {
+            "rosario": {
+                "racks": {
+                    "r1": {
+                        "settings": {"slots": 4},
+                        "targets": {"a": {"kind": "runner", "url": "http://h:1"}},
+                    }
+                }
+            }
+        },
+    }
+
+
+class TestChecks(testtools.TestCase):
+    """Whole trees and their values."""
+
+    def test_accepts_a_sound_tree(self):
+        self.assertEqual(make_tree(), tree.check_tree(make_tree()))
+
+    def assert_refused(self, change, *words):
+        cfg = make_tree()
+        change(cfg)
+        exc = self.assertRaises(type_errors.CarawaysailError, tree.check_tree, cfg)
+        for word in words:
+            self.assertIn(word, str(exc))
+
+    def test_unknown_key_names_a_near_match(self):
+        self.assert_refused(
+            lambda cfg: cfg["settings"].update(wieght=1), "wieght", "'weight'"
+        )
+
+    def test_range_is_shown(self):
+        self.assert_refused(
+            lambda cfg: cfg["teams"]["ventas"]["settings"].update(deadline_ms=0),
+            "teams/ventas/settings/deadline_ms is 0",
+            "from 1 to 3600000",
+        )
+
+    def test_wrong_type(self):
+        self.assert_refused(
+            lambda cfg: cfg["settings"].update(weight=True), "settings/weight is True"
+        )
+
+    def test_choice(self):
+        self.assert_refused(
+            lambda cfg: cfg["settings"].update(routing="best"), "expected_finish"
+        )
+
+    def test_key_at_a_wrong_level(self):
+        self.assert_refused(
+            lambda cfg: cfg["teams"]["ventas"]["settings"].update(slots=3), "'slots'"
+        )
+
+    def test_service_of_two_teams(self):
+        def change(cfg):
+            cfg["teams"]["otros"] = {"services": {"pedidos": {}}}
+
+        self.assert_refused(change, "teams/otros/services/pedidos")
+
+    def test_target_in_two_racks(self):
+        def change(cfg):
+            racks = cfg["places"]["rosario"]["racks"]
+            racks["r2"] = {"targets": {"a": {"kind": "runner", "url": "http://h:2"}}}
+
+        self.assert_refused(change, "r2/targets/a")
+
+    def test_bad_names_and_addresses(self):
+        self.assert_refused(
+            lambda cfg: cfg["teams"].update({"Más": {}}), "a name of a-z"
+        )
+        self.assert_refused(
+            lambda cfg: cfg["places"]["rosario"].update(entries={"e": {"peer": "x"}}),
+            "host:port",
+        )
+
+    def test_policies_are_those_registered(self):
+        self.assertEqual(keys.ROUTING_POLICIES, routing.policies.names())
+        self.assertEqual(keys.QUEUE_POLICIES, queues.policies.names())
+        self.assertEqual(keys.ADMISSION_POLICIES, admission.policies.names())
+
+    @FUZZ
+    @hypothesis.given(JSON)
+    def test_any_value_is_accepted_or_refused(self, value):
+        try:
+            tree.check_tree(value)
+        except type_errors.CarawaysailError:
+            return
+        self.assertIsInstance(value, dict)
+
+
+class TestInheritance(testtools.TestCase):
+    """Effective values and origins."""
+
+    def test_nearest_wins_and_the_rest_is_told(self):
+        cfg = make_tree()
+        path = "teams/ventas/services/pedidos"
+        cfg["teams"]["ventas"]["settings"]["weight"] = 3.0
+        origin = inheritance.explain(cfg, path, "weight")
+        self.assertEqual(3.0, origin.value)
+        self.assertEqual("teams/ventas/settings/weight", origin.path)
+        self.assertEqual((("settings/weight", 2.0),), origin.overridden)
+
+    def test_default(self):
+        self.assertEqual(
+            "default", inheritance.explain(make_tree(), "", "idempotent").path
+        )
+
+    def test_place_inherits_from_its_rack(self):
+        path = "places/rosario/racks/r1/targets/a"
+        self.assertEqual(4, inheritance.integer(make_tree(), path, "slots"))
+
+    def test_unlisted_kind_inherits_as_its_service(self):
+        path = inheritance.service_path(make_tree(), "pedidos", "otro")
+        self.assertEqual("teams/ventas/services/pedidos", path)
+        path = inheritance.service_path(make_tree(), "pedidos", "cierre")
+        self.assertEqual("teams/ventas/services/pedidos/jobs/cierre", path)
+
+    def test_unknown_paths_and_services(self):
+        cfg = make_tree()
+        exc = self.assertRaises(
+            errors.NoSuchPathError, inheritance.explain, cfg, "teams/ventos", "weight"
+        )
+        self.assertIn("did you mean 'ventas'", str(exc))
+        self.assertRaises(errors.NoSuchPathError, inheritance.service_path, cfg, "nada")
+
+
+class TestEdits(testtools.TestCase):
+    """Changes by path."""
+
+    def test_put_creates_and_leaves_the_old_tree_alone(self):
+        cfg = make_tree()
+        changed = edits.put(cfg, "teams/nuevo/services/facturas/settings/weight", 1)
+        self.assertNotIn("nuevo", cfg["teams"])
+        changes = edits.diff(cfg, changed)
+        self.assertEqual(["teams/nuevo"], [change.path for change in changes])
+
+    def test_drop_and_look(self):
+        cfg = edits.drop(make_tree(), "settings/weight")
+        self.assertEqual({}, edits.look(cfg, "settings"))
+        self.assertRaises(errors.NoSuchPathError, edits.drop, cfg, "settings/weight")
+        self.assertRaises(errors.NoSuchPathError, edits.look, cfg, "teams/x/y")
+
+    def test_bad_edit_is_refused_whole(self):
+        self.assertRaises(
+            errors.SettingRejectedError, edits.put, make_tree(), "settings/weight", 0
+        )
+
+
+class TestSections(testtools.TestCase):
+    """Splitting and joining."""
+
+    def test_round_trip(self):
+        parts = sections.split(make_tree())
+        self.assertEqual(["places/rosario", "root", "teams/ventas"], sorted(parts))
+        self.assertEqual(make_tree(), sections.join(parts))
+
+    def test_name_of(self):
+        self.assertEqual("teams/a", sections.name_of("teams/a/services/b"))
+        self.assertEqual("root", sections.name_of("settings/weight"))
+
+
+class TestText(testtools.TestCase):
+    """JSON with comments."""
+
+    def test_comments(self):
+        value = text.parse("f", '{"a": 1, // one\n /* two */ "b": [1, 2,],}')
+        self.assertEqual({"a": 1, "b": [1, 2]}, value)
+
+    def test_errors_name_the_source(self):
+        exc = self.assertRaises(errors.BadTextError, text.parse, "f.json", "{,}")
+        self.assertIn("f.json", str(exc))
+
+    def test_depth_and_size(self):
+        deep = "[" * 200_000
+        self.assertRaises(errors.BadTextError, text.parse, "f", deep)
+        large = " " * (text.MAX_TEXT_BYTES + 1)
+        self.assertRaises(errors.BadTextError, text.parse, "f", large)
+
+
+class TestDaemonFile(testtools.TestCase):
+    """The file of one daemon."""
+
+    def test_defaults_and_refusals(self):
+        cfg = daemon.load("f", '{"vm": "e1", "data_centre": "rosario"} // me')
+        self.assertEqual(64, cfg["threads"])
+        for content, word in (
+            ('{"vm": "e1"}', "data_centre"),
+            ('{"vm": "e1", "data_centre": "d", "thread": 1}', "'threads'"),
+            ('{"vm": "e1", "data_centre": "d", "threads": 1}', "from 4 to 1024"),
+            ('{"vm": 1, "data_centre": "d"}', "a str"),
+            ('{"vm": "e1", "data_centre": "d", "peer": "x"}', "host:port"),
+            ("[]", "an object"),
+        ):
+            exc = self.assertRaises(
+                type_errors.CarawaysailError, daemon.load, "f", content
+            )
+            self.assertIn(word, str(exc))
--- a/libs/carawaysail_standins/src/carawaysail_standins/web.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/web.py
@@ -98,8 +98,8 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop to answer."""
-        self._server.stop()
+        """Stop to answer, without waiting for answers that are under way."""
+        threading.Thread(target=self._server.stop, daemon=True).start()
 
     def _application(
         self, environ: dict[str, typing.Any], start_response: typing.Any
--- /dev/null
+++ b/libs/carawaysail_types/tests/test_types.py
@@ -0,0 +1,92 @@
+"""Identifiers, registries, outcomes and clocks."""
+
+import hypothesis
+import hypothesis.strategies
+import testtools
+
+from carawaysail_types import clock, errors, identifiers, outcomes, registry
+
+FUZZ = hypothesis.settings(
+    max_examples=200, derandomize=True, deadline=None, database=None
+)
+
+
+class TestIdentifiers(testtools.TestCase):
+    """Texts of owners and submissions."""
+
+    def test_round_trip(self):
+        owner = identifiers.Owner("rosario", "e1", "0123456789abcdef", 7)
+        sid = identifiers.SubmissionId(owner, "order:1")
+        self.assertEqual(sid, identifiers.parse_submission(str(sid)))
+
+    def test_refuses_with_value_and_accepted(self):
+        exc = self.assertRaises(
+            errors.BadInputError, identifiers.parse_submission, "order-1"
+        )
+        self.assertIn("'order-1'", str(exc))
+        self.assertIn("<owner>~<own>", str(exc))
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.text())
+    def test_any_text_parses_or_is_refused(self, text):
+        try:
+            parsed = identifiers.parse_submission(text)
+        except errors.BadInputError:
+            return
+        self.assertEqual(text, str(parsed))
+
+
+class TestRegistry(testtools.TestCase):
+    """Registries that decorators fill."""
+
+    def test_unknown_name_shows_registered_ones(self):
+        shapes = registry.Registry("shapes")
+        shapes.register("square")(1)
+        exc = self.assertRaises(errors.UnknownNameError, shapes.get, "circle")
+        self.assertEqual("shapes has no 'circle'; registered: square", str(exc))
+
+    def test_refuses_a_name_twice(self):
+        shapes = registry.Registry("shapes")
+        shapes.register("square")(1)
+        add = shapes.register("square")
+        self.assertRaises(errors.DuplicateNameError, add, 2)
+
+
+class TestOutcomes(testtools.TestCase):
+    """The closed set of outcomes."""
+
+    def test_plain_round_trip(self):
+        for outcome in (
+            outcomes.Completed((b"1", b"2")),
+            outcomes.Failed(outcomes.Reason.TARGET_FAILED),
+            outcomes.NotRun(outcomes.Reason.QUOTA, "why"),
+            outcomes.Unknown(outcomes.Reason.DEADLINE),
+        ):
+            plain = outcomes.to_plain(outcome)
+            self.assertEqual(outcome, outcomes.from_plain(plain))
+
+    def test_unknown_tag_is_refused(self):
+        plain = outcomes.Plain("perhaps", outcomes.Reason.NONE)
+        self.assertRaises(errors.BadInputError, outcomes.from_plain, plain)
+
+    def test_resubmission_of_a_lost_owner_is_unsafe(self):
+        lost = outcomes.Unknown(outcomes.Reason.OWNER_LOST)
+        self.assertEqual(outcomes.Resubmit.UNSAFE, lost.resubmit)
+        late = outcomes.Unknown(outcomes.Reason.DEADLINE)
+        self.assertEqual(outcomes.Resubmit.SAME_ID, late.resubmit)
+
+
+class TestClocks(testtools.TestCase):
+    """The system's clock and the manual one."""
+
+    def test_system_clock_is_aware_and_goes_on(self):
+        source = clock.SystemClock()
+        first = source.now()
+        self.assertIsNotNone(first.tzinfo)
+        self.assertGreaterEqual(source.now(), first)
+
+    def test_manual_clock_moves_when_told(self):
+        source = clock.ManualClock()
+        before = source.now()
+        source.advance(clock.milliseconds(5))
+        self.assertEqual(5.0, clock.to_milliseconds(source.now() - before))
