--- a/libs/carawaysail_bench/src/carawaysail_bench/fleet.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -52,15 +53,31 @@
         return f"http://127.0.0.1:{self.caller}"
 
 
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+"""Below the range from which the kernel takes ports of outgoing connections."""
+
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nobody listens on."""
-    held = [socket.socket() for _ in range(count)]
-    for sock in held:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+    """Return ports on loopback that nobody listens on, each given out once."""
+    found: list[int] = []
+    while len(found) < count:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def plan_entries(places: dict[str, int]) -> list[EntrySpec]:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
@@ -137,7 +137,14 @@
             bound = max(needs.processors, share.processors * long_share)
             if self.long_in_flight + needs.processors > bound:
                 return False
-        return self.processors + needs.processors <= share.processors * stretch
+        return self.processors + needs.processors <= self.room_at(stretch)
+
+    def room_at(self, stretch: float) -> float:
+        """Return the processors that may be filled, with a backlog if stretched.
+
+        A slow target gets a smaller backlog, so that it ends with the others.
+        """
+        return self.share.processors * (1.0 + (stretch - 1.0) / max(self.speed, 0.1))
 
     def hold(self, needs: work.Needs, is_long: bool) -> None:
         """Count a task that is being sent."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
@@ -15,6 +15,9 @@
 )
 from carawaysail_types import identifiers, work
 
+REFILL_SHARE = 0.5
+"""A worker's backlog is filled again once it is down to this share of it."""
+
 RUNNER_NEEDS = work.Needs(1.0, 0.0, 0)
 
 
@@ -173,6 +176,7 @@
         if pool is None:
             return None
         ask = pools.Ask(needs, flow.is_long, rules.long_share, 1.0)
+        last = None
         if flow.target_kind == "worker":
             last = out.last_for(flow.key.service)
             if last is not None and last in pool and ask.fits(last):
@@ -180,8 +184,11 @@
         state = pool.find(ask, policy, now)
         if state is not None or flow.target_kind == "runner":
             return state
-        stretch = 1.0 + rules.batch_ms / max(expected_ms, 1.0)
-        ask = pools.Ask(needs, flow.is_long, rules.long_share, stretch)
+        backlog_share = rules.batch_ms / max(expected_ms, 1.0)
+        ask = ask._replace(stretch=1.0 + backlog_share)
+        if last is not None and last in pool and ask.fits(last):
+            return last
+        ask = ask._replace(stretch=1.0 + backlog_share * REFILL_SHARE)
         return pool.find_with_backlog(ask, now)
 
     def send(
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -156,4 +156,4 @@
     limit = state.health.limit
     if limit is not None and state.in_flight >= limit:
         return True
-    return state.processors >= state.share.processors * stretch
+    return state.processors >= state.room_at(stretch)
