--- /dev/null
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/main.py
@@ -0,0 +1,77 @@
+"""Measure carawaysail on this machine, over loopback.
+
+Usage:
+  measure [FIGURE...] [--out FILE] [--plot FILE]
+  measure --list
+  measure (-h | --help)
+
+Options:
+  --out FILE   Write the rows as JSON.
+  --plot FILE  Draw the rows that have a target; needs matplotlib.
+  --list       List the figures.
+  -h --help    Show this text.
+"""
+
+import json
+import pathlib
+import sys
+
+import docopt
+
+from carawaysail_bench.measure import figures, served, slopes
+from carawaysail_types import errors
+
+FIGURE_MODULES = (slopes, served)
+"""Modules whose import fills the registry of figures."""
+
+
+def render(rows: list[figures.Row]) -> str:
+    """Return rows as a table."""
+    width = max(len(row.figure) for row in rows)
+    lines = []
+    for row in rows:
+        mark = {True: "reached", False: "MISSED", None: ""}[row.holds]
+        value = f"{row.value:10.3f} {row.unit:<12}"
+        lines.append(f"{row.figure:{width}} {value} {row.target:<14} {mark}".rstrip())
+    return "\n".join(lines)
+
+
+def plot(rows: list[figures.Row], path: str) -> None:
+    """Draw each row with a target as a share of it."""
+    import matplotlib.pyplot
+
+    kept = [row for row in rows if row.target]
+    bounds = [float(row.target.split()[-1]) for row in kept]
+    shares = [x.value / b if b else 0.0 for x, b in zip(kept, bounds, strict=True)]
+    colours = ["tab:green" if row.holds else "tab:red" for row in kept]
+    figure, axes = matplotlib.pyplot.subplots(figsize=(9, 0.35 * len(kept) + 1))
+    axes.barh([row.figure for row in kept], shares, color=colours)
+    axes.axvline(1.0, color="black")
+    axes.set_xlabel("value over target")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> None:
+    """Run the figures that the arguments name, or all."""
+    args = docopt.docopt(__doc__)
+    if args["--list"]:
+        print("\n".join(figures.figures.names()))
+        return
+    rows: list[figures.Row] = []
+    try:
+        for name in args["FIGURE"] or [name for name, _ in figures.figures.items()]:
+            found = figures.figures.get(name)()
+            print(render(found), flush=True)
+            rows += found
+    except errors.UnknownNameError as exc:
+        sys.exit(f"measure: {exc}")
+    if args["--out"]:
+        value = [row._asdict() for row in rows]
+        pathlib.Path(args["--out"]).write_text(json.dumps(value, indent=1))
+    if args["--plot"]:
+        plot(rows, args["--plot"])
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/carawaysail_bench/src/carawaysail_bench/testing.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/testing.py
@@ -7,7 +7,9 @@
 
 import testtools
 
+from carawaysail_bench import fleet
 from carawaysail_decisions import capacity, dispatcher, events, ownership
+from carawaysail_standins import main as standins
 from carawaysail_types import clock, identifiers, outcomes, work
 
 OWNER = identifiers.Owner("rosario", "e1", "0123456789abcdef", 0)
@@ -55,6 +57,23 @@
     return pathlib.Path(folder.name)
 
 
+def make_targets(place: str, runners: int = 2, workers: int = 2) -> list[standins.Spec]:
+    """Return the specs of a data centre's stand-in targets."""
+    kinds = ["runner"] * runners + ["worker"] * workers
+    return [
+        {
+            "name": f"{place}-{kind}-{number}",
+            "kind": kind,
+            "port": port,
+            "slots": 8,
+            "slowness": 1.0,
+        }
+        for number, (kind, port) in enumerate(
+            zip(kinds, fleet.free_ports(len(kinds)), strict=True)
+        )
+    ]
+
+
 class DispatcherCase(testtools.TestCase):
     """A dispatcher with a clock, some targets and a large quota."""
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/admission.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/admission.py
@@ -17,10 +17,12 @@
         Tasks of the submission.
     expected_ms : float
         Expected run time of one task.
+    high_ms : float
+        Run time that nine of ten tasks do not exceed, on a slow target.
     ahead_ms : float
         Expected work of its lane that is queued or running already, in slot-ms.
     slots : float
-        Slots that this daemon may use for it.
+        Slots that this daemon may use for it, as if all targets were average.
     queued : int
         Tasks that wait.
     max_queued : int
@@ -31,6 +33,7 @@
     deadline: datetime.datetime
     tasks: int
     expected_ms: float
+    high_ms: float
     ahead_ms: float
     slots: float
     queued: int
@@ -60,7 +63,10 @@
 
 @policies.register("meets_deadline")
 class MeetsDeadline:
-    """Refuses what cannot be answered by its deadline, as far as can be told."""
+    """Refuses what cannot be answered by its deadline, as far as can be told.
+
+    A longer queue would finish no more work; it would only make accepted work late.
+    """
 
     def refuse(self, offer: Offer) -> outcomes.Reason | None:
         """Return ``would_miss_deadline`` or ``queue_full``, or ``None``."""
@@ -72,7 +78,18 @@
         if offer.slots <= 0.0 or offer.ahead_ms <= 0.0:
             return None
         wait_ms = offer.ahead_ms / offer.slots
-        waves = max(1.0, offer.tasks / offer.slots)
-        if wait_ms + waves * offer.expected_ms > left_ms:
+        more_waves = max(0.0, offer.tasks / offer.slots - 1.0)
+        run_ms = more_waves * offer.expected_ms + offer.high_ms
+        if wait_ms + run_ms > left_ms:
+            return outcomes.Reason.WOULD_MISS_DEADLINE
+        longest_ms = max(MAX_WAIT_SHARE * left_ms, WAVES * offer.expected_ms)
+        if wait_ms > longest_ms:
             return outcomes.Reason.WOULD_MISS_DEADLINE
         return None
+
+
+WAVES = 2.0
+"""Waves of work ahead that are always let in: those running, and as many waiting."""
+
+MAX_WAIT_SHARE = 0.15
+"""Share of the time left that may go into waiting; the rest is for stragglers."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -164,9 +164,12 @@
             return outcomes.Reason.INFEASIBLE
         is_long = expected_ms > limits.short_ms
         ahead_ms = self.backlog.work_ahead_ms(submission.service, is_long)
+        key = runtimes.Key(submission.service, submission.kind)
+        high_ms = self.run_times.high_ms(key) or expected_ms
+        high_ms *= pool.slowest()
         offer = admission.Offer(
-            now, submission.deadline, len(submission.tasks), expected_ms, ahead_ms,
-            pool.slots, self.backlog.queued, limits.max_queued,
+            now, submission.deadline, len(submission.tasks), expected_ms, high_ms,
+            ahead_ms, pool.slots(), self.backlog.queued, limits.max_queued,
         )  # fmt: skip
         return self._admission.refuse(offer)
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/health.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/health.py
@@ -7,6 +7,7 @@
 FIRST_EJECTION = datetime.timedelta(seconds=1)
 LONGEST_EJECTION = datetime.timedelta(seconds=60)
 MAX_EJECTED_SHARE = 0.5
+DOUBT = datetime.timedelta(seconds=3)
 NOTICE_KEPT = datetime.timedelta(seconds=60)
 
 
@@ -17,13 +18,14 @@
     target that fails everything at once, and looks idle, draws no work.
     """
 
-    __slots__ = ("ejected_until", "failures", "limit", "period")
+    __slots__ = ("ejected_until", "failed_at", "failures", "limit", "period")
 
     def __init__(self) -> None:
         self.failures = 0
         self.limit: int | None = None
         self.period = FIRST_EJECTION
         self.ejected_until: datetime.datetime | None = None
+        self.failed_at: datetime.datetime | None = None
 
     def succeeded(self) -> None:
         """Record a good answer: the limit doubles and then goes."""
@@ -45,9 +47,16 @@
             Whether the target should be ejected, if the floor allows it.
         """
         self.failures += 1
+        self.failed_at = now
         self.limit = 1
         return self.failures >= EJECT_AFTER_FAILURES and not self.is_ejected(now)
 
+    def is_doubtful(self, now: datetime.datetime) -> bool:
+        """Tell whether others are preferred, since its last answer was a failure."""
+        if not self.failures or self.failed_at is None:
+            return False
+        return now - self.failed_at < DOUBT
+
     def suspect(self) -> None:
         """Leave the target one task at a time, as others have seen it fail."""
         if self.limit is None:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
@@ -14,7 +14,7 @@
 from carawaysail_types import errors, identifiers
 
 SHORTEST_PERIOD = datetime.timedelta(milliseconds=250)
-PERIOD_PER_MEMBER = datetime.timedelta(milliseconds=25)
+PERIOD_PER_MEMBER = datetime.timedelta(milliseconds=40)
 SUSPECT_PERIODS = 6
 FORGET_AFTER = datetime.timedelta(minutes=15)
 FAR_EVERY = 4
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -97,7 +97,9 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.states: list[capacity.TargetState] = []
-        self.slots = 0.0
+        self._slots = 0.0
+        self._slowest = 1.0
+        self._seen = 0
         self._names: set[str] = set()
         self._free = _Open(rng)
         self._backlog = _Open(rng)
@@ -114,18 +116,38 @@
         self._backlog.clear()
         for state in self.states:
             self.reopen(state)
-        self.slots = sum(state.share.processors for state in self.states)
+        self._weigh()
+
+    def slots(self) -> float:
+        """Return the slots of this daemon, as if all targets were of average speed."""
+        return self._slots
+
+    def slowest(self) -> float:
+        """Return the slowness of the slowest target, at least 1."""
+        return self._slowest
+
+    def _weigh(self) -> None:
+        usable = [state for state in self.states if state.share.processors > 0.0]
+        self._slots = sum(x.share.processors / max(x.speed, 0.1) for x in usable)
+        self._slowest = max((x.speed for x in usable), default=1.0)
+        self._slowest = max(1.0, self._slowest)
 
     def reopen(self, state: capacity.TargetState) -> None:
         """Count a target as one that may have room."""
         self._free.add(state)
         self._backlog.add(state)
+        self._seen += 1
+        if self._seen >= WEIGH_EVERY:
+            self._seen = 0
+            self._weigh()
 
     def find(
         self, ask: Ask, policy: routing.Policy, now: datetime.datetime
     ) -> capacity.TargetState | None:
         """Return the target for a task, or ``None`` where none has room now."""
         candidates = self._free.sample(ask, policy.sample, now)
+        trusted = [x for x in candidates if not x.health.is_doubtful(now)]
+        candidates = trusted or candidates
         return policy.choose(candidates) if candidates else None
 
     def find_with_backlog(
@@ -148,6 +170,10 @@
         return any(state.spec.capacity.holds(needs) for state in self.states)
 
 
+WEIGH_EVERY = 500
+"""Ends of tasks after which learned speeds are summed up again."""
+
+
 def _processors(state: capacity.TargetState) -> float:
     return state.processors
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
@@ -46,6 +46,9 @@
     async def run(self) -> None:
         """Run until told to end, then end gracefully."""
         self._wire()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
         await self._peers.server.start(self._cfg["peer"])
         work = [self._dispatch.run(), self._settings.run(), self._peers.run()]
         tasks = [asyncio.create_task(x) for x in work]
@@ -54,9 +57,6 @@
         if self._vm_watch is not None:
             self._vm_watch.start()
         await asyncio.to_thread(self._http.start)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
         logs.tell("daemon", "Started.", owner=str(self._desk.owner()))
         waiter = asyncio.create_task(asyncio.to_thread(self._desk.drain_asked.wait))
         stop = asyncio.create_task(self._stopping.wait())
