Split grown modules; one place for what a failed call means; steadier speeds

Change: counters, parts, process, specs, control; http.is_unsent and targets.lost; a run counts for 1/(n+5), at least 2%. A book copies its dicts once a minute.

--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
@@ -8,7 +8,10 @@
 
 from carawaysail_bench import fleet
 from carawaysail_bench.measure import figures, load, sites
-from carawaysail_settings import keys, tree
+from carawaysail_cli import confirm, daemons, stored
+from carawaysail_platform import keyvalue
+from carawaysail_settings import edits, keys, tree
+from carawaysail_types import clock
 
 SEED = 7
 LIGHT_CALLS = 60
@@ -230,3 +233,38 @@
     samples = load.run(small, first)
     small.set_faults(name, {"fail_all": 1})
     return samples + load.run(small, rest)
+
+
+CHANGES = 15
+LAG_S = 3.0
+
+
+@figures.figures.register("in_force")
+def in_force() -> list[figures.Row]:
+    """Measure the time from an accepted change to its being in force everywhere."""
+    places = dict.fromkeys(("rosario", "cordoba", "salta", "viedma"), 2)
+    teams: dict[str, tree.Team] = {"ventas": {"services": {"pedidos": {}}}}
+    entries = fleet.plan_entries(places)
+    with fleet.Fleet(entries, {}, teams, {}) as small:
+        time.sleep(3.0)
+        quick = [_change_s(small, number) for number in range(CHANGES)]
+        small.set_faults("store", {"lagging_watch": LAG_S})
+        lagging = [_change_s(small, 100 + number) for number in range(3)]
+    return [
+        figures.at_most("setting in force on the last of 8, worst", max(quick), "s", 2),
+        figures.Row("setting in force on the last of 8, median",
+                    statistics.median(quick), "s"),
+        figures.at_most("the same, watches lagging 3 s", max(lagging), "s", 6.0),
+    ]  # fmt: skip
+
+
+def _change_s(small: fleet.Fleet, number: int) -> float:
+    """Change one value, and return the seconds until every daemon has it."""
+    store = stored.SettingsStore(keyvalue.HttpKeyValue(small.store_url))
+    before = store.read()
+    after = edits.put(before.cfg, "settings/weight", 1.0 + number)
+    written = store.write(before, after)
+    began = time.monotonic()
+    found = confirm.wait(daemons.Daemons(""), after, written, clock.SystemClock())
+    took = time.monotonic() - began
+    return took if len(found.in_force) == len(small.entries) else confirm.CONFIRM_S
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/cells.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/cells.py
@@ -4,7 +4,8 @@
 import itertools
 import typing
 
-from carawaysail_bench.proof import faultkinds, history, nodes, rules, scenario, world
+from carawaysail_bench.proof import faultkinds, history, rules, scenario, world
+from carawaysail_bench.proof import parts as parts_module
 from carawaysail_types import clock
 
 WORK_STEPS = (
@@ -81,14 +82,14 @@
     return ""
 
 
-def run(cell: Cell, parts: nodes.Parts | None = None) -> Verdict:
+def run(cell: Cell, parts: parts_module.Parts | None = None) -> Verdict:
     """Run one cell and check its history.
 
     Parameters
     ----------
     cell : Cell
         The cell.
-    parts : nodes.Parts, optional
+    parts : parts_module.Parts, optional
         What nodes are made of; broken variants show that the check can fail.
     """
     why = why_not(cell)
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -1,14 +1,12 @@
 """Nodes: one entry daemon's decisions, joined by fakes instead of sockets."""
 
-import collections
 import datetime
 import typing
 
-from carawaysail_bench.proof import fakes, history, world
+from carawaysail_bench.proof import fakes, history, process, specs, world
+from carawaysail_bench.proof import parts as parts_module
 from carawaysail_decisions import (
-    capacity,
     desk,
-    dispatcher,
     events,
     membership,
     ownership,
@@ -31,29 +29,6 @@
 PREFIX = "carawaysail/settings/"
 
 
-class Parts(typing.NamedTuple):
-    """The decisions that a node is made of; broken variants replace one.
-
-    Parameters
-    ----------
-    register, dispatcher, versions : type
-        Classes of the decisions.
-    relaying : module
-        Steps of relaying.
-    limits : events.Limits
-        Limits of every submission.
-    waits_until_idle : bool
-        Whether a graceful end waits for what is under way.
-    """
-
-    register: typing.Any = ownership.Register
-    dispatcher: typing.Any = dispatcher.Dispatcher
-    versions: typing.Any = versions.Versions
-    relaying: typing.Any = relaying
-    limits: events.Limits = events.Limits()
-    waits_until_idle: bool = True
-
-
 class Fleet(typing.TypedDict):
     """Who there is: nodes, targets by name, the store and the VM list."""
 
@@ -64,7 +39,7 @@
     list_is_out: bool
 
 
-class Node:
+class Node(process.Process):
     """One entry daemon.
 
     Parameters
@@ -75,22 +50,22 @@
         Who there is.
     name, place : str
         Its name and data centre.
-    parts : Parts
+    parts : parts.Parts
         What it is made of.
     """
 
     def __init__(
-        self, earth: world.World, fleet: Fleet, name: str, place: str, parts: Parts
+        self,
+        earth: world.World,
+        fleet: Fleet,
+        name: str,
+        place: str,
+        parts: parts_module.Parts,
     ) -> None:
-        self.name = name
-        self.place = place
-        self.life = 0
-        self.is_alive = False
+        super().__init__(earth, name, place)
         self.is_leaving = False
-        self.earth = earth
         self._fleet = fleet
         self._parts = parts
-        self._kept: collections.deque[world.Call] | None = None
         self._relays = 0
         self._waiting: dict[str, list[typing.Any]] = {}
         self._applied: typing.Any = None
@@ -99,10 +74,8 @@
     def start(self) -> None:
         """Start a new incarnation, without memory."""
         now = self.earth.now()
-        self.life += 1
-        self.is_alive = True
+        self.begin_life()
         self.is_leaving = False
-        self._kept = None
         seed = f"{self.name}/{self.life}".encode()
         incarnation = ownership.digest_of(seed).hex()[:16]
         register = self._parts.register(self.place, self.name, incarnation, now, WINDOW)
@@ -121,51 +94,15 @@
         quotas = events.QuotasChanged({self._parts.limits.team: 1_000})
         self._apply(quotas)
         life = self.life
-        self.earth.later(READ, lambda: self._in_life(life, self._read_store))
+        self.earth.later(READ, lambda: self.in_life(life, self._read_store))
         self._round(life)
         self._poll(life)
 
-    # Life
-
-    @property
-    def is_paused(self) -> bool:
-        """Whether the process is stopped for now."""
-        return self._kept is not None
-
-    def post(self, call: world.Call) -> None:
-        """Run a call, or keep it while the process is paused."""
-        if self._kept is not None:
-            self._kept.append(call)
-        elif self.is_alive:
-            call()
-
-    def _in_life(self, life: int, call: world.Call) -> None:
-        if self.is_alive and self.life == life:
-            self.post(call)
-
-    def kill(self) -> None:
-        """End at once."""
-        self.is_alive = False
-
     def restart(self) -> None:
         """End at once and start again at the same address, without memory."""
         self.kill()
         self.start()
 
-    def pause(self, duration: datetime.timedelta) -> None:
-        """Stop the process; what comes meanwhile waits until it goes on."""
-        self._kept = collections.deque()
-        life = self.life
-
-        def go_on() -> None:
-            if self.life != life or self._kept is None:
-                return
-            kept, self._kept = self._kept, None
-            for call in kept:
-                self.post(call)
-
-        self.earth.later(duration, go_on)
-
     # Callers
 
     def take(
@@ -198,7 +135,7 @@
         if taken.actions:
             self.earth.step("bound", name, self)
             self.earth.step("queued", name, self)
-        self._in_life(life, lambda: self._do(taken.actions))
+        self.in_life(life, lambda: self._do(taken.actions))
 
     def _relay(self, submission: work.Submission, give: typing.Any) -> None:
         self._relays += 1
@@ -268,7 +205,7 @@
         if taken.actions:
             self.earth.step("bound", name, self)
             self.earth.step("queued", name, self)
-        self._in_life(life, lambda: self._do(taken.actions))
+        self.in_life(life, lambda: self._do(taken.actions))
 
     def cancel(self, names: tuple[str, ...]) -> None:
         """Cancel submissions."""
@@ -307,7 +244,7 @@
             target.take(self, action, self.tell)
             self.earth.step("sent", name, self)
 
-        self._in_life(life, send)
+        self.in_life(life, send)
 
     def _answer(self, action: events.Answer) -> None:
         name = str(action.submission)
@@ -319,14 +256,14 @@
             def call(give: typing.Any = give) -> None:
                 give(action.outcome)
 
-            self._in_life(life, call)
+            self.in_life(life, call)
         self.earth.step("remembered", name, self)
 
     def _wake_at(self, at: datetime.datetime) -> None:
         life = self.life
         wait = max(datetime.timedelta(), at - self.earth.now())
         tick = lambda: self._apply(events.Ticked())  # noqa: E731
-        self.earth.later(wait, lambda: self._in_life(life, tick))
+        self.earth.later(wait, lambda: self.in_life(life, tick))
 
     # Gossip
 
@@ -392,13 +329,13 @@
         if key == self._applied:
             return
         self._applied = key
-        specs = tuple(
-            make_spec(target, target.name in leaving)
+        described = tuple(
+            specs.make_spec(target, target.name in leaving)
             for target in self._fleet["targets"].values()
             if target.place == self.place
         )
-        found = shares.shares_of(self.name, specs, demands)
-        self._apply(events.TargetsChanged(specs, found))
+        found = shares.shares_of(self.name, described, demands)
+        self._apply(events.TargetsChanged(described, found))
 
     # Settings and the VM list
 
@@ -408,8 +345,8 @@
             for section in self.versions.sections()
         }
         cfg = sections.join(parts)
-        specs = effective.target_specs(cfg, self.place)
-        return {spec.target_id for spec in specs if spec.leaving}
+        found = effective.target_specs(cfg, self.place)
+        return {spec.target_id for spec in found if spec.leaving}
 
     def accept(self, given: tuple[versions.Section, ...]) -> None:
         """Take over newer sections."""
@@ -436,7 +373,7 @@
             given = tuple(_section(item) for item in items)
             for section in given:
                 self.earth.step("watched", section.name, self)
-            self._in_life(life, lambda: self._spread(given))
+            self.in_life(life, lambda: self._spread(given))
 
         return hear
 
@@ -470,7 +407,7 @@
                     store.watchers.append(self)
             except errors.StoreUnavailableError:
                 pass
-        self.earth.later(POLL, lambda: self._in_life(life, self._read_store))
+        self.earth.later(POLL, lambda: self.in_life(life, self._read_store))
 
     def _poll(self, life: int) -> None:
         def act() -> None:
@@ -491,7 +428,7 @@
         self.members.update(state=membership.LEAVING)
         self._announce()
         life = self.life
-        self.earth.later(DRAIN, lambda: self._in_life(life, self._drain))
+        self.earth.later(DRAIN, lambda: self.in_life(life, self._drain))
 
     def _announce(self) -> None:
         for record, _ in self.members.all(self.earth.now()):
@@ -506,7 +443,7 @@
         life = self.life
         is_busy = self._relays or self.desk.dispatcher.unfinished()
         if self._parts.waits_until_idle and is_busy:
-            again = lambda: self._in_life(life, self._until_idle)  # noqa: E731
+            again = lambda: self.in_life(life, self._until_idle)  # noqa: E731
             self.earth.later(clock.milliseconds(50), again)
             return
         heir = self.members.choose_heir(self.earth.now())
@@ -548,16 +485,7 @@
             self.is_alive = False
 
         wait = clock.milliseconds(50)
-        self.earth.later(wait, lambda: self._in_life(life, last))
-
-
-def make_spec(target: fakes.Target, is_leaving: bool) -> capacity.TargetSpec:
-    """Return the description of a fake target."""
-    held = capacity.Capacity(4.0)
-    if target.kind == "worker":
-        held = capacity.Capacity(4.0, 16_000.0, 1.0)
-    services = frozenset({"pedidos"})
-    return capacity.TargetSpec(target.name, target.kind, "", services, held, is_leaving)
+        self.earth.later(wait, lambda: self.in_life(life, last))
 
 
 def _section(item: typing.Any) -> versions.Section:
--- /dev/null
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/parts.py
@@ -0,0 +1,28 @@
+"""The decisions that a node is made of; broken variants replace one."""
+
+import typing
+
+from carawaysail_decisions import dispatcher, events, ownership, relaying, versions
+
+
+class Parts(typing.NamedTuple):
+    """The decisions that a node is made of; broken variants replace one.
+
+    Parameters
+    ----------
+    register, dispatcher, versions : type
+        Classes of the decisions.
+    relaying : module
+        Steps of relaying.
+    limits : events.Limits
+        Limits of every submission.
+    waits_until_idle : bool
+        Whether a graceful end waits for what is under way.
+    """
+
+    register: typing.Any = ownership.Register
+    dispatcher: typing.Any = dispatcher.Dispatcher
+    versions: typing.Any = versions.Versions
+    relaying: typing.Any = relaying
+    limits: events.Limits = events.Limits()
+    waits_until_idle: bool = True
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
@@ -4,6 +4,7 @@
 import typing
 
 from carawaysail_bench.proof import fakes, history, nodes, rules, world
+from carawaysail_bench.proof import parts as parts_module
 from carawaysail_cli import stored
 from carawaysail_decisions import ownership
 from carawaysail_platform import errors
@@ -25,13 +26,13 @@
 
     Parameters
     ----------
-    parts : nodes.Parts
+    parts : parts_module.Parts
         What each node is made of; broken variants replace a part.
     """
 
-    def __init__(self, parts: nodes.Parts | None = None) -> None:
+    def __init__(self, parts: parts_module.Parts | None = None) -> None:
         self.earth = world.World()
-        self.parts = parts or nodes.Parts()
+        self.parts = parts or parts_module.Parts()
         store = fakes.Store(self.earth)
         self.fleet = nodes.Fleet(
             nodes={}, targets={}, store=store, leaving_vms=set(), list_is_out=False
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
@@ -93,6 +93,7 @@
         "long_in_flight",
         "memory_mb",
         "processors",
+        "runs",
         "share",
         "spec",
         "speed",
@@ -107,6 +108,7 @@
         self.in_flight = 0
         self.long_in_flight = 0.0
         self.speed = 1.0
+        self.runs = 0
         self.health = health.Health()
 
     def fits(
@@ -173,9 +175,13 @@
             Over 1 for a target slower than the average.
         """
         bounded = min(max(ratio, MIN_RATIO), MAX_RATIO)
-        self.speed += SPEED_GAIN * (bounded - self.speed)
+        self.runs += 1
+        gain = max(LEAST_GAIN, 1.0 / (self.runs + PRIOR_RUNS))
+        self.speed += gain * (bounded - self.speed)
 
 
 MIN_RATIO = 0.1
 MAX_RATIO = 10.0
-SPEED_GAIN = 0.1
+LEAST_GAIN = 0.02
+PRIOR_RUNS = 5
+"""How many runs the assumption of average speed counts for."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -13,6 +13,7 @@
     admission,
     backlog,
     capacity,
+    counters,
     events,
     health,
     placing,
@@ -27,19 +28,6 @@
 )
 from carawaysail_types import identifiers, outcomes, registry, work
 
-
-class Counters(typing.TypedDict):
-    """Totals since the start, for metrics."""
-
-    submitted: int
-    refused: int
-    tasks_sent: int
-    batches_sent: int
-    retries: int
-    unmatched_answers: int
-    ejections: int
-
-
 Handler = collections.abc.Callable[
     ["Dispatcher", typing.Any, datetime.datetime], "list[events.Action]"
 ]
@@ -64,10 +52,7 @@
         self.quotas = quotas.Ledger()
         self.draining = False
         self.noticed: dict[str, datetime.datetime] = {}
-        self.counters = Counters(
-            submitted=0, refused=0, tasks_sent=0, batches_sent=0, retries=0,
-            unmatched_answers=0, ejections=0,
-        )  # fmt: skip
+        self.counters = counters.zero()
         self._rng = random.Random(random_state)
         self.placing = placing.Placing(self._rng)
         self.backlog = backlog.Backlog(queues.policies.get(self.rules.queue)())
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
@@ -304,6 +304,9 @@
         for key in [key for key in self._ended if key[0] < oldest]:
             del self._ended[key]
             self._kept_bytes -= self._records.pop(key).size
+        # A dict keeps the room of what it once held; a copy takes only what it needs.
+        self._records = dict(self._records)
+        self._ended = collections.OrderedDict(self._ended)
 
 
 class Register:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
@@ -7,12 +7,14 @@
 """
 
 import collections.abc
+import functools
 import hashlib
 import typing
 
 from carawaysail_decisions import capacity
 
 MIN_DEMAND = 1.0
+SCORES_KEPT = 65_536
 
 
 class Demand(typing.NamedTuple):
@@ -125,6 +127,7 @@
     return found
 
 
+@functools.lru_cache(maxsize=SCORES_KEPT)
 def _score(target_id: str, vm: str) -> int:
     raw = hashlib.blake2b(f"{target_id}/{vm}".encode(), digest_size=8).digest()
     return int.from_bytes(raw, "big")
--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -10,6 +10,7 @@
 
 from carawaysail_decisions import (
     capacity,
+    counters,
     desk,
     dispatcher,
     events,
@@ -122,7 +123,7 @@
         Targets that get nothing for their failures.
     leaving : tuple of str
         Targets that lately told that they are leaving.
-    counters : dispatcher.Counters
+    counters : counters.Counters
         Totals.
     targets : dict of str to dict
         State of each target.
@@ -135,7 +136,7 @@
     remembered: int
     ejected: tuple[str, ...]
     leaving: tuple[str, ...]
-    counters: dispatcher.Counters
+    counters: counters.Counters
     targets: dict[str, dict[str, object]]
 
 
--- a/libs/carawaysail_platform/src/carawaysail_platform/http.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/http.py
@@ -11,6 +11,7 @@
 
 import urllib3
 import urllib3.connection
+import urllib3.exceptions
 
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
@@ -61,3 +62,12 @@
         timeout=urllib3.Timeout(connect=connect_s, read=read_s),
         socket_options=socket_options(),
     )
+
+
+def is_unsent(exc: urllib3.exceptions.HTTPError) -> bool:
+    """Tell whether a call failed before any of it was sent: no connection was had."""
+    unsent = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    return isinstance(exc, unsent)
--- a/libs/carawaysail_platform/src/carawaysail_platform/keyvalue.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/keyvalue.py
@@ -180,12 +180,10 @@
     def _call(self, path: str, body: object) -> dict[str, typing.Any]:
         try:
             answer = self._pool.request("POST", path, body=json.dumps(body))
-        except urllib3.exceptions.NewConnectionError as exc:
-            raise errors.StoreUnavailableError(self.url, str(exc)) from exc
-        except urllib3.exceptions.ConnectTimeoutError as exc:
-            raise errors.StoreUnavailableError(self.url, str(exc)) from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise _LostError(self.url, str(exc)) from exc
+            unsent = http.is_unsent(exc)
+            kind = errors.StoreUnavailableError if unsent else _LostError
+            raise kind(self.url, str(exc)) from exc
         if answer.status == 503:
             raise errors.StoreUnavailableError(self.url, "status 503")
         return _parse(answer.data, answer.status, self.url)
--- a/libs/carawaysail_platform/src/carawaysail_platform/runners.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/runners.py
@@ -55,12 +55,8 @@
         (order,) = orders
         try:
             answer = self._post(order, wait_s)
-        except urllib3.exceptions.NewConnectionError:
-            yield targets.End(targets.Fate.NOT_STARTED, _LOST)
-        except urllib3.exceptions.ConnectTimeoutError:
-            yield targets.End(targets.Fate.NOT_STARTED, _LOST)
-        except urllib3.exceptions.HTTPError:
-            yield targets.End(targets.Fate.MAY_HAVE_STARTED, _LOST)
+        except urllib3.exceptions.HTTPError as exc:
+            yield targets.lost(exc)
         else:
             yield from _read(order, answer)
 
@@ -80,9 +76,6 @@
         )
 
 
-_LOST = outcomes.Reason.CONNECTION_LOST
-
-
 def _read(
     order: targets.Order, answer: urllib3.BaseHTTPResponse
 ) -> collections.abc.Iterator[targets.Result | targets.End]:
--- a/libs/carawaysail_platform/src/carawaysail_platform/targets.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/targets.py
@@ -4,6 +4,9 @@
 import enum
 import typing
 
+import urllib3.exceptions
+
+from carawaysail_platform import http
 from carawaysail_types import identifiers, outcomes, work
 
 
@@ -81,6 +84,12 @@
     is_leaving: bool = False
 
 
+def lost(exc: urllib3.exceptions.HTTPError) -> End:
+    """Return the end of an exchange whose connection failed."""
+    fate = Fate.NOT_STARTED if http.is_unsent(exc) else Fate.MAY_HAVE_STARTED
+    return End(fate, outcomes.Reason.CONNECTION_LOST)
+
+
 class Client(typing.Protocol):
     """One target as the system uses it."""
 
--- a/libs/carawaysail_platform/src/carawaysail_platform/workers.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/workers.py
@@ -89,12 +89,8 @@
                 "POST", "/batches", body=json.dumps(body), timeout=timeout,
                 preload_content=False,
             )  # fmt: skip
-        except urllib3.exceptions.NewConnectionError:
-            yield targets.End(targets.Fate.NOT_STARTED, _LOST)
-        except urllib3.exceptions.ConnectTimeoutError:
-            yield targets.End(targets.Fate.NOT_STARTED, _LOST)
-        except urllib3.exceptions.HTTPError:
-            yield targets.End(targets.Fate.MAY_HAVE_STARTED, _LOST)
+        except urllib3.exceptions.HTTPError as exc:
+            yield targets.lost(exc)
         else:
             yield from _results(answer, {order.task for order in orders})
 
@@ -136,9 +132,6 @@
             return False
 
 
-_LOST = outcomes.Reason.CONNECTION_LOST
-
-
 def _order(order: targets.Order) -> dict[str, object]:
     return {
         "task": str(order.task),
@@ -170,8 +163,8 @@
                 if result is not None and result.task in waiting:
                     waiting.discard(result.task)
                     yield result
-    except urllib3.exceptions.HTTPError:
-        yield targets.End(targets.Fate.MAY_HAVE_STARTED, _LOST)
+    except urllib3.exceptions.HTTPError as exc:
+        yield targets.lost(exc)
         return
     answer.release_conn()
     if waiting:
--- a/libs/carawaysail_standins/src/carawaysail_standins/runner.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/runner.py
@@ -9,7 +9,7 @@
 import typing
 
 from carawaysail_platform import runners
-from carawaysail_standins import faults, records, web
+from carawaysail_standins import control, faults, records, web
 from carawaysail_types import clock
 
 FOREVER_S = 60.0
@@ -43,12 +43,7 @@
     def _handle(self, request: web.Request) -> web.Answer:
         if request.path.startswith("/run/"):
             return self._run(request)
-        if request.path == "/faults":
-            self.faults.set(request.json())
-            return web.answer_json({})
-        if request.path == "/starts":
-            return web.answer_json(self.records.starts())
-        return web.answer_json(self.records.totals())
+        return control.answer(request, self.faults, self.records)
 
     def _run(self, request: web.Request) -> web.Answer:
         task = request.header(runners.TASK_HEADER)
--- a/libs/carawaysail_standins/src/carawaysail_standins/worker.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/worker.py
@@ -13,7 +13,7 @@
 import typing
 
 from carawaysail_platform import runners
-from carawaysail_standins import faults, records, web
+from carawaysail_standins import control, faults, records, web
 from carawaysail_types import clock
 
 THREADS = 32
@@ -212,12 +212,7 @@
         if request.path == "/usage":
             usage = {"processors": self._engine.used()}
             return web.answer_json({**usage, "memory_mb": 0.0, "accelerators": 0})
-        if request.path == "/faults":
-            self.faults.set(request.json())
-            return web.answer_json({})
-        if request.path == "/starts":
-            return web.answer_json(self.records.starts())
-        return web.answer_json(self.records.totals())
+        return control.answer(request, self.faults, self.records)
 
     def _batch(self, request: web.Request) -> web.Answer:
         self.records.message()
