--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/load.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/load.py
@@ -55,12 +55,15 @@
         From the actual start to the answer.
     outcome : str
         Its outcome, or the kind of error.
+    target : str
+        The target that answered; empty for none.
     """
 
     due: Due
     took_ms: float
     held_ms: float
     outcome: str
+    target: str = ""
 
 
 def arrivals(
@@ -109,13 +112,17 @@
     body = json.dumps({"payload": payload, "deadline_ms": due.deadline_ms})
     path = PATH.replace("pedidos", due.service)
     began = time.monotonic()
+    target = ""
     try:
         answer = http.request("POST", url + path, body=body, timeout=60.0)
-        outcome = str(json.loads(answer.data).get("outcome"))
+        told = json.loads(answer.data)
+        outcome = str(told.get("outcome"))
+        target = str((told.get("answer") or {}).get("target", ""))
     except (urllib3.exceptions.HTTPError, ValueError) as exc:
         outcome = type(exc).__name__
     ended = time.monotonic()
-    return Sample(due, 1000 * (ended - intended), 1000 * (ended - began), outcome)
+    took_ms, held_ms = 1000 * (ended - intended), 1000 * (ended - began)
+    return Sample(due, took_ms, held_ms, outcome, target)
 
 
 def percentile(values: typing.Iterable[float], share: float) -> float:
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
@@ -186,25 +186,27 @@
 
 
 SHORT_MS, LONG_MS = 60.0, 2_500.0
+SHORT_LOAD, LONG_LOAD = 0.25, 0.5
+"""Shares of the capacity: long work alone would hold half of the slots."""
 
 
 def _short_wait(settings: tree.Settings, with_long: bool) -> float:
     teams: dict[str, tree.Team] = {
         "ventas": {"services": {"pedidos": {}, "cierres": {}}}
     }
-    full = sites.SLOTS * 6
+    rate = SHORT_LOAD * sites.capacity_per_s(SHORT_MS)
     dues = [
         load.Due(at, SHORT_MS, 20_000)
-        for at in load.arrivals(0.35 * full * 1000 / SHORT_MS, STEADY_S, SEED, 3.0)
+        for at in load.arrivals(rate, STEADY_S, SEED, 3.0)
     ]
     if with_long:
-        rate = 0.6 * full * 1000 / LONG_MS
+        rate = LONG_LOAD * sites.capacity_per_s(LONG_MS)
         times = load.arrivals(rate, STEADY_S + 3.0, SEED + 1)
         dues += [load.Due(at, LONG_MS, 60_000, "cierres") for at in times]
     with sites.make(sites.runners(), settings=settings, teams=teams) as small:
         samples = load.run(small, sorted(dues))
     waits = [
-        x.took_ms - SHORT_MS
+        x.took_ms - SHORT_MS * sites.slowness_of(x.target)
         for x in samples
         if x.due.service == "pedidos" and x.outcome == "completed"
     ]
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
@@ -40,6 +40,11 @@
     ]
 
 
+def slowness_of(name: str) -> float:
+    """Return the slowness of a runner, by its name."""
+    return SLOWNESS[int(name.rpartition("r")[2]) % len(SLOWNESS)]
+
+
 def capacity_per_s(mean_run_ms: float, count: int = 6) -> float:
     """Return the requests a second that the runners can finish."""
     speeds = sum(1.0 / SLOWNESS[n % len(SLOWNESS)] for n in range(count))
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/backlog.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/backlog.py
@@ -23,6 +23,7 @@
         self._flows: dict[tuple[runtimes.Key, str, bool], queues.Flow] = {}
         self._parked: dict[PoolKey, list[queues.Flow]] = {}
         self._ahead_ms: dict[tuple[str, bool], float] = {}
+        self._ahead_tasks: dict[tuple[str, bool], int] = {}
 
     def set_policy(self, policy: queues.Policy) -> None:
         """Order the flows by another policy."""
@@ -48,7 +49,7 @@
         is_idle = flow.head() is None
         flow.push(entry)
         self.queued += len(entry.indexes)
-        self.count_ahead(flow, len(entry.indexes) * entry.expected_ms)
+        self.count_ahead(flow, entry, len(entry.indexes))
         if is_idle:
             flow.deficit_ms = 0.0
             self._policy.push(flow)
@@ -70,7 +71,7 @@
         """Remove what is left of an entry."""
         dropped = flow.remove(entry)
         self.queued -= dropped
-        self.count_ahead(flow, -dropped * entry.expected_ms)
+        self.count_ahead(flow, entry, -dropped)
 
     def next(self, now: datetime.datetime) -> queues.Flow | None:
         """Remove and return the flow to serve next."""
@@ -95,10 +96,16 @@
         for key in list(self._parked):
             self.unpark(key)
 
-    def count_ahead(self, flow: queues.Flow, work_ms: float) -> None:
-        """Count expected work that came (positive) or ended (negative)."""
+    def count_ahead(self, flow: queues.Flow, entry: queues.Waiting, tasks: int) -> None:
+        """Count tasks of an entry that came (positive) or ended (negative)."""
         name = (flow.key.service, flow.is_long)
-        self._ahead_ms[name] = max(0.0, self._ahead_ms.get(name, 0.0) + work_ms)
+        work_ms = self._ahead_ms.get(name, 0.0) + tasks * entry.expected_ms
+        self._ahead_ms[name] = max(0.0, work_ms)
+        self._ahead_tasks[name] = self._ahead_tasks.get(name, 0) + tasks
+
+    def tasks_ahead(self, service: str, is_long: bool) -> int:
+        """Return the tasks of one lane that are queued or running."""
+        return self._ahead_tasks.get((service, is_long), 0)
 
     def work_ahead_ms(self, service: str, is_long: bool) -> float:
         """Return the expected work in front of a lane, queued or running."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -123,7 +123,7 @@
         if reason is not None:
             self.counters["refused"] += 1
             return [events.Answer(submission.submission_id, outcomes.NotRun(reason))]
-        is_long = expected > limits.short_ms
+        is_long = self._is_long(submission, limits)
         flow = self.backlog.flow(key, limits.team, kind, is_long, limits.weight)
         name = str(submission.submission_id)
         indexes = range(len(submission.tasks))
@@ -145,9 +145,9 @@
             return outcomes.Reason.LEAVING
         if pool is None:
             return outcomes.Reason.NO_TARGET
-        if submission.is_job and not _is_feasible(submission, pool):
+        if submission.is_job and not pool.can_hold_all(submission.tasks):
             return outcomes.Reason.INFEASIBLE
-        is_long = expected_ms > limits.short_ms
+        is_long = self._is_long(submission, limits)
         ahead_ms = self.backlog.work_ahead_ms(submission.service, is_long)
         key = runtimes.Key(submission.service, submission.kind)
         high_ms = self.run_times.high_ms(key) or expected_ms
@@ -159,8 +159,12 @@
         return self._admission.refuse(offer)
 
     def _expected_ms(self, key: runtimes.Key, tasks: tuple[work.Task, ...]) -> float:
-        declared = [task.declared for task in tasks if task.declared is not None]
-        return self.run_times.expected_ms(key, max(declared) if declared else None)
+        return self.run_times.expected_ms(key, runtimes.longest_declared(tasks))
+
+    def _is_long(self, submission: work.Submission, limits: events.Limits) -> bool:
+        key = runtimes.Key(submission.service, submission.kind)
+        declared = runtimes.longest_declared(submission.tasks)
+        return self.run_times.typical_ms(key, declared) > limits.short_ms
 
     @handlers.register("Cancelled")
     def _cancelled(
@@ -172,7 +176,7 @@
             item = self._submissions.get(name)
             if item is not None:
                 actions += self._end_early(item, outcomes.Reason.CANCELLED, stops)
-        return actions + _stop_actions(stops)
+        return actions + events.stop_actions(stops)
 
     @handlers.register("Drained")
     def _drained(
@@ -251,7 +255,7 @@
         if event.reason == outcomes.Reason.TARGET_REFUSED:
             self._blame(batch.state, now)
             return self._not_started(item, event.task.position, now)
-        self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+        self.backlog.count_ahead(item.flow, item.entry, -1)
         if event.ok:
             self._learn(item, batch, event, now)
             batch.state.health.succeeded()
@@ -280,7 +284,7 @@
             if event.fate == events.Fate.NOT_STARTED:
                 actions += self._not_started(item, task_id.position, now)
             else:
-                self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+                self.backlog.count_ahead(item.flow, item.entry, -1)
                 reason = event.reason or outcomes.Reason.BAD_ANSWER
                 actions += self._task_failed(item, task_id.position, reason, now)
         del self.placing.batches[event.batch]
@@ -316,7 +320,7 @@
     ) -> list[events.Action]:
         item.may_have_started -= 1
         if item.outcome is not None:
-            self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+            self.backlog.count_ahead(item.flow, item.entry, -1)
             return self._settle(item, now)
         self._delay(item, index, now)
         return []
@@ -340,14 +344,14 @@
             return self._settle(item, now)
         if self._may_retry(item, index):
             self.counters["retries"] += 1
-            self.backlog.count_ahead(item.flow, item.entry.expected_ms)
+            self.backlog.count_ahead(item.flow, item.entry, 1)
             self._delay(item, index, now)
             return []
         stops: dict[str, list[identifiers.TaskId]] = {}
         certain = reason in _RAN or (item.submission.is_job and item.answered > 0)
         outcome = outcomes.Failed(reason) if certain else outcomes.Unknown(reason)
         actions = self._conclude(item, outcome, stops)
-        return actions + _stop_actions(stops)
+        return actions + events.stop_actions(stops)
 
     def _may_retry(self, item: progress.Progress, index: int) -> bool:
         submission = item.submission
@@ -418,7 +422,7 @@
             if item.outcome is None:
                 self.backlog.add_back(item.flow, item.entry, index)
             else:
-                self.backlog.count_ahead(item.flow, -item.entry.expected_ms)
+                self.backlog.count_ahead(item.flow, item.entry, -1)
         if self._timers.pop_ejections(now):
             self.backlog.unpark_all()
         return self._expire(now)
@@ -430,7 +434,7 @@
             item = self._submissions.get(name)
             if item is not None:
                 actions += self._end_early(item, outcomes.Reason.DEADLINE, stops)
-        return actions + _stop_actions(stops)
+        return actions + events.stop_actions(stops)
 
     # Placing
 
@@ -452,13 +456,14 @@
     ) -> backlog.PoolKey | None:
         """Place tasks of a flow while its turn lasts; return what it waits for."""
         room = self.quotas.room(flow.team, now)
+        rules = self._rules_for(flow, now)
         while (entry := flow.head()) is not None:
             if room <= 0:
                 return (TEAM, flow.team)
             item = self._submissions[entry.key]
             needs = placing.needs_of(item, entry.indexes[0])
             state = self.placing.find(
-                flow, needs, entry.expected_ms, self.rules, self._routing, out, now
+                flow, needs, entry.expected_ms, rules, self._routing, out, now
             )
             if state is None:
                 return (flow.target_kind, flow.key.service)
@@ -472,21 +477,20 @@
                 return None
         return None
 
+    def _rules_for(self, flow: queues.Flow, now: datetime.datetime) -> events.Rules:
+        """Return the rules, with the share that long work may hold at present."""
+        pool = self.placing.pool(flow.target_kind, flow.key.service)
+        if pool is None:
+            return self.rules
+        service = flow.key.service
+        pool.reserve.see(self.backlog.tasks_ahead(service, False), now)
+        if not flow.is_long:
+            return self.rules
+        share = pool.reserve.long_share(pool.slots(), self.rules.long_share)
+        return self.rules._replace(long_share=share)
+
 
 TEAM = "team"
 """First part of the key under which flows of a team at its quota are parked."""
 
 _RAN = frozenset({outcomes.Reason.TARGET_FAILED, outcomes.Reason.TASK_STOPPED})
-
-
-def _is_feasible(submission: work.Submission, pool: pools.Pool) -> bool:
-    different = {task.needs for task in submission.tasks}
-    return all(pool.can_ever_hold(needs) for needs in different)
-
-
-def _stop_actions(
-    stops: dict[str, list[identifiers.TaskId]],
-) -> list[events.Action]:
-    return [
-        events.StopTasks(target_id, tuple(tasks)) for target_id, tasks in stops.items()
-    ]
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
@@ -252,3 +252,10 @@
 
 
 Action = SendBatch | StopTasks | Answer | WakeAt
+
+
+def stop_actions(
+    stops: dict[str, list[identifiers.TaskId]],
+) -> list[Action]:
+    """Return one message a target that stops its tasks."""
+    return [StopTasks(target_id, tuple(tasks)) for target_id, tasks in stops.items()]
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from carawaysail_decisions import capacity, health, routing
+from carawaysail_decisions import capacity, health, reserve, routing
 from carawaysail_types import work
 
 
@@ -97,6 +97,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.states: list[capacity.TargetState] = []
+        self.reserve = reserve.Reserve()
         self._slots = 0.0
         self._slowest = 1.0
         self._seen = 0
@@ -169,6 +170,10 @@
         """Tell whether any target, empty and whole, holds a task."""
         return any(state.spec.capacity.holds(needs) for state in self.states)
 
+    def can_hold_all(self, tasks: tuple[work.Task, ...]) -> bool:
+        """Tell whether each task can ever be held by some target."""
+        return all(self.can_ever_hold(needs) for needs in {x.needs for x in tasks})
+
 
 WEIGH_EVERY = 500
 """Ends of tasks after which learned speeds are summed up again."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/runtimes.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/runtimes.py
@@ -3,11 +3,19 @@
 import datetime
 import typing
 
+from carawaysail_types import work
+
 COLD_MS = 200.0
-MEAN_GAIN = 0.1
+MEAN_GAIN = 0.02
 TRUST_AFTER = 5
 QUANTILE = 0.9
 QUANTILE_STEP = 0.1
+MEDIAN_STEP = 0.1
+
+
+def longest_declared(tasks: tuple[work.Task, ...]) -> datetime.timedelta | None:
+    """Return the longest run time that a caller declares, or ``None`` for none."""
+    return max((x.declared for x in tasks if x.declared is not None), default=None)
 
 
 class Key(typing.NamedTuple):
@@ -26,12 +34,13 @@
 
 
 class _Estimate:
-    __slots__ = ("count", "high_ms", "mean_ms")
+    __slots__ = ("count", "high_ms", "mean_ms", "median_ms")
 
     def __init__(self, first_ms: float) -> None:
         self.count = 0
         self.mean_ms = first_ms
         self.high_ms = first_ms
+        self.median_ms = first_ms
 
 
 class RunTimes:
@@ -64,6 +73,17 @@
             return None
         return estimate.high_ms
 
+    def typical_ms(self, key: Key, declared: datetime.timedelta | None) -> float:
+        """Return the median run time to expect, in milliseconds.
+
+        The lane follows it: a mean would move all work of a kind to the long lane
+        after a single straggler.
+        """
+        estimate = self._seen.get(key)
+        if estimate is not None and estimate.count >= TRUST_AFTER:
+            return estimate.median_ms
+        return self.expected_ms(key, declared)
+
     def learn(self, key: Key, ran_ms: float, speed: float) -> float:
         """Learn from one run.
 
@@ -89,6 +109,9 @@
         estimate.count += 1
         gain = max(MEAN_GAIN, 1.0 / estimate.count)
         estimate.mean_ms += gain * (corrected - estimate.mean_ms)
+        is_longer = corrected > estimate.median_ms
+        half_step = 0.5 * MEDIAN_STEP * estimate.median_ms
+        estimate.median_ms += half_step if is_longer else -half_step
         step = QUANTILE_STEP * estimate.mean_ms
         above = corrected > estimate.high_ms
         estimate.high_ms += step * QUANTILE if above else -step * (1.0 - QUANTILE)
--- a/libs/carawaysail_decisions/tests/test_policies.py
+++ b/libs/carawaysail_decisions/tests/test_policies.py
@@ -12,6 +12,7 @@
     health,
     queues,
     quotas,
+    reserve,
     retries,
     runtimes,
     shares,
@@ -220,6 +221,15 @@
         self.assertAlmostEqual(100.0, learned.expected_ms(key, None), delta=5.0)
         self.assertIsNotNone(learned.high_ms(key))
 
+    def test_stragglers_do_not_make_a_kind_long(self):
+        learned = runtimes.RunTimes()
+        key = runtimes.Key("s", "k")
+        typical = []
+        for number in range(400):
+            learned.learn(key, 2_000.0 if number % 50 == 0 else 100.0, 1.0)
+            typical.append(learned.typical_ms(key, None))
+        self.assertLess(max(typical[100:]), 200.0)
+
     def test_cold(self):
         learned = runtimes.RunTimes()
         key = runtimes.Key("s", "k")
@@ -227,6 +237,26 @@
         self.assertIsNone(learned.high_ms(key))
 
 
+class TestReserve(testtools.TestCase):
+    """Slots that long work leaves free."""
+
+    def test_follows_the_need_up_at_once_and_down_slowly(self):
+        kept = reserve.Reserve()
+        self.assertEqual(0.9, kept.long_share(40.0, 0.9))
+        kept.see(10, NOW)
+        self.assertEqual(0.625, kept.long_share(40.0, 0.9))
+        kept.see(0, NOW + reserve.FADES_IN / 10)
+        self.assertLess(kept.long_share(40.0, 0.9), 0.7)
+        kept.see(0, NOW + reserve.FADES_IN * 10)
+        self.assertEqual(0.9, kept.long_share(40.0, 0.9))
+
+    def test_long_work_keeps_its_least_share(self):
+        kept = reserve.Reserve()
+        kept.see(1_000, NOW)
+        self.assertEqual(reserve.LEAST_LONG_SHARE, kept.long_share(40.0, 0.9))
+        self.assertEqual(0.9, kept.long_share(0.0, 0.9))
+
+
 class TestRetries(testtools.TestCase):
     """Budget and backoff."""
 
