Let a test wait without spinning

Cause: a test polled the targets' starts in a tight loop, which took a core from the daemons it watched. Change: it sleeps 10 ms between looks. Conclusion: nothing else changed.

--- a/libs/carawaysail_bench/tests/test_daemons.py
+++ b/libs/carawaysail_bench/tests/test_daemons.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import subprocess
+import time
 
 import testtools
 
@@ -43,7 +44,7 @@
         before = len(self.fleet.starts())
         call = self.pool.submit(self.request, vm, run_ms, **body)
         while len(self.fleet.starts()) == before:
-            pass
+            time.sleep(0.01)
         return call
 
     def assert_outcome(self, expected, answer):
