Keep the stored form of a section in one place; drop dead code

Cause: the prefix of the store's keys stood four times, and the form of a stored section three times (command line, daemon, test fleet). The command line read it without a check, so a value without a section ended it with a KeyError. Change: sections.STORE_PREFIX, pack and unpack with a typed error; the test fleet writes its tree by the command line's own writer. Gone: Progress.learn_key, logs.warn and an alias, which nothing used. Conclusion: behaviour as before, but for the typed error.

--- a/libs/carawaysail_bench/src/carawaysail_bench/fleet.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/fleet.py
@@ -16,15 +16,15 @@
 
 import urllib3
 
+from carawaysail_cli import stored
 from carawaysail_platform import keyvalue
-from carawaysail_settings import sections, text, tree
+from carawaysail_settings import tree
 from carawaysail_standins import main as standins
 from carawaysail_types import errors
 
 READY_S = 30.0
 END_S = 30.0
 POLL_S = 0.05
-PREFIX = "carawaysail/settings/"
 
 
 class NotStartedError(errors.CarawaysailError):
@@ -162,10 +162,8 @@
 
     def write_settings(self, cfg: tree.Tree) -> None:
         """Write every section of a tree into the empty store."""
-        store = keyvalue.HttpKeyValue(self.store_url)
-        for name, section in sections.split(cfg).items():
-            value = text.compact({"writers": [], "section": section})
-            store.compare_and_swap(PREFIX + name, 0, value)
+        store = stored.SettingsStore(keyvalue.HttpKeyValue(self.store_url))
+        store.write(stored.Read({}, {}, {}), cfg)
 
     def start_entry(self, vm: str) -> None:
         """Start one entry daemon; it may take a moment to get ready."""
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -26,7 +26,6 @@
 POLL = clock.milliseconds(2_000)
 READ = clock.milliseconds(500)
 DRAIN = clock.milliseconds(300)
-PREFIX = "carawaysail/settings/"
 
 
 class Fleet(typing.TypedDict):
@@ -401,7 +400,7 @@
         is_watcher = self.members.is_watcher(self.earth.now())
         if is_watcher and not self.earth.is_cut(self, store):
             try:
-                snapshot = store.read(PREFIX)
+                snapshot = store.read(sections.STORE_PREFIX)
                 self._spread(tuple(_section(item) for item in snapshot.items))
                 if self not in store.watchers:
                     store.watchers.append(self)
@@ -489,8 +488,10 @@
 
 
 def _section(item: typing.Any) -> versions.Section:
-    content = configuring.unwrap(item.value)
-    return versions.Section(item.key[len(PREFIX) :], item.revision, content)
+    content = configuring.section_text(item)
+    return versions.Section(
+        item.key[len(sections.STORE_PREFIX) :], item.revision, content
+    )
 
 
 def owner_of(node: Node) -> identifiers.Owner:
--- a/libs/carawaysail_cli/src/carawaysail_cli/stored.py
+++ b/libs/carawaysail_cli/src/carawaysail_cli/stored.py
@@ -4,9 +4,8 @@
 import typing
 
 from carawaysail_platform import errors, keyvalue
-from carawaysail_settings import sections, text, tree
+from carawaysail_settings import sections, tree
 
-PREFIX = "carawaysail/settings/"
 KEPT_WRITERS = 8
 
 
@@ -64,12 +63,12 @@
             If the service does not answer.
         """
         parts, revisions, writers = {}, {}, {}
-        for item in self._store.read(PREFIX).items:
-            name = item.key[len(PREFIX) :]
-            value = text.parse(name, item.value)
-            parts[name] = value["section"]
+        for item in self._store.read(sections.STORE_PREFIX).items:
+            name = item.key[len(sections.STORE_PREFIX) :]
+            found = sections.unpack(name, item.value)
+            parts[name] = found.section
             revisions[name] = item.revision
-            writers[name] = value["writers"]
+            writers[name] = found.writers
         return Read(sections.join(parts), revisions, writers)
 
     def write(self, before: Read, after: tree.Tree) -> list[Written]:
@@ -110,10 +109,12 @@
         writers = [writer, *before.writers.get(name, [])][:KEPT_WRITERS]
         value = ""
         if section is not None:
-            value = text.compact({"writers": writers, "section": section})
+            value = sections.pack(sections.Stored(section, writers))
         expected = before.revisions.get(name, 0)
         try:
-            revision = self._store.compare_and_swap(PREFIX + name, expected, value)
+            revision = self._store.compare_and_swap(
+                sections.STORE_PREFIX + name, expected, value
+            )
         except errors.WriteUncertainError as exc:
             revision = self._recognise(exc, name, writer, expected)
         return Written(name, revision)
@@ -122,10 +123,10 @@
         self, exc: errors.WriteUncertainError, name: str, writer: str, expected: int
     ) -> int:
         """Return the revision of a write whose answer was lost, if it took effect."""
-        for item in self._store.read(PREFIX + name).items:
-            if item.key != PREFIX + name:
+        for item in self._store.read(sections.STORE_PREFIX + name).items:
+            if item.key != sections.STORE_PREFIX + name:
                 continue
-            if writer in text.parse(name, item.value)["writers"]:
+            if writer in sections.unpack(name, item.value).writers:
                 return item.revision
             if item.revision != expected:
                 raise errors.WriteConflictError(name, expected, item.revision)
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/progress.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/progress.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from carawaysail_decisions import events, queues, runtimes
+from carawaysail_decisions import events, queues
 from carawaysail_types import outcomes, work
 
 
@@ -45,11 +45,6 @@
         self.tries: dict[int, int] = {}
         self.outcome: outcomes.Outcome | None = None
 
-    @property
-    def learn_key(self) -> runtimes.Key:
-        """What its run times are learned by."""
-        return self.flow.key
-
     def is_whole(self) -> bool:
         """Tell whether every task has its answer."""
         return self.answered == len(self.answers)
--- a/libs/carawaysail_entry/src/carawaysail_entry/configuring.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/configuring.py
@@ -12,7 +12,6 @@
 from carawaysail_types import clock
 from carawaysail_types import errors as type_errors
 
-PREFIX = "carawaysail/settings/"
 INBOX_BOUND = 1_000
 WATCH_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 10.0
@@ -188,11 +187,11 @@
                 self._stop.wait(LONGEST_PAUSE_S)
 
     def _read_and_watch(self, watch: bool) -> None:
-        snapshot = self._store.read(PREFIX)
+        snapshot = self._store.read(sections.STORE_PREFIX)
         self._post(snapshot.items, snapshot.revision)
         if not watch:
             return
-        for items in self._store.watch(PREFIX, snapshot.revision):
+        for items in self._store.watch(sections.STORE_PREFIX, snapshot.revision):
             self._post(items)
             if self._stop.is_set() or not self._is_watcher():
                 return
@@ -200,9 +199,9 @@
     def _post(self, items: tuple[keyvalue.Item, ...], complete_at: int = 0) -> None:
         found = []
         for item in items:
-            name = item.key[len(PREFIX) :]
+            name = item.key[len(sections.STORE_PREFIX) :]
             try:
-                content = unwrap(item.value)
+                content = section_text(item)
             except type_errors.CarawaysailError as exc:
                 logs.fault("settings", "Value refused.", exc, section=name)
                 complete_at = 0
@@ -212,20 +211,14 @@
             self._task.inbox.put(Took(tuple(found), "store", complete_at))
 
 
-def unwrap(value: str) -> str:
-    """Return the text of a section from the store's value.
-
-    The store holds ``{"writers": [...], "section": {...}}``: the identifiers of the
-    last writes let a writer whose answer was lost recognise its own.
+def section_text(item: keyvalue.Item) -> str:
+    """Return the canonical text of a stored section; empty if it was deleted.
 
     Raises
     ------
-    carawaysail_platform.errors.BadAnswerError
+    carawaysail_settings.errors.BadTextError
         If the value holds no section.
     """
-    if not value:
+    if not item.value:
         return ""
-    parsed = text.parse("store value", value)
-    if not isinstance(parsed, dict) or "section" not in parsed:
-        raise errors.BadAnswerError("store", "a value without a section")
-    return text.compact(parsed["section"])
+    return text.compact(sections.unpack(item.key, item.value).section)
--- a/libs/carawaysail_entry/src/carawaysail_entry/effective.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/effective.py
@@ -7,8 +7,6 @@
 from carawaysail_settings import inheritance, tree
 from carawaysail_types import clock
 
-VALUE = inheritance.value
-
 
 class Service(typing.NamedTuple):
     """Settings of a service and kind of job, as the front end needs them.
@@ -129,9 +127,9 @@
 
 def _rules(cfg: tree.Tree) -> events.Rules:
     return events.Rules(
-        routing=str(VALUE(cfg, "", "routing")),
-        queue=str(VALUE(cfg, "", "queue")),
-        admission=str(VALUE(cfg, "", "admission")),
+        routing=str(inheritance.value(cfg, "", "routing")),
+        queue=str(inheritance.value(cfg, "", "queue")),
+        admission=str(inheritance.value(cfg, "", "admission")),
         long_share=inheritance.number(cfg, "", "long_share"),
         batch_ms=inheritance.number(cfg, "", "batch_ms"),
         batch_tasks=inheritance.integer(cfg, "", "batch_tasks"),
--- a/libs/carawaysail_entry/src/carawaysail_entry/logs.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/logs.py
@@ -29,11 +29,6 @@
     eliot.log_message(message_type=f"{PREFIX}:{part}:info", text=text, **fields)
 
 
-def warn(part: str, text: str, **fields: typing.Any) -> None:
-    """Log what an operator may want to look at."""
-    eliot.log_message(message_type=f"{PREFIX}:{part}:warning", text=text, **fields)
-
-
 def fault(part: str, text: str, exc: BaseException, **fields: typing.Any) -> None:
     """Log an error with its type and text."""
     eliot.log_message(
--- a/libs/carawaysail_settings/src/carawaysail_settings/sections.py
+++ b/libs/carawaysail_settings/src/carawaysail_settings/sections.py
@@ -7,10 +7,48 @@
 import copy
 import typing
 
-from carawaysail_settings import tree
+from carawaysail_settings import errors, text, tree
 
 ROOT = "root"
 
+STORE_PREFIX = "carawaysail/settings/"
+"""Prefix of the keys under which the platform's store holds the sections."""
+
+
+class Stored(typing.NamedTuple):
+    """A section as the store holds it.
+
+    Parameters
+    ----------
+    section : dict
+        The section.
+    writers : list of str
+        Identifiers of its last writes, by which a writer whose answer was lost
+        recognises its own.
+    """
+
+    section: dict[str, typing.Any]
+    writers: list[str]
+
+
+def pack(stored: Stored) -> str:
+    """Return the store's value of a section."""
+    return text.compact(stored._asdict())
+
+
+def unpack(name: str, value: str) -> Stored:
+    """Return the section that a value of the store holds.
+
+    Raises
+    ------
+    errors.BadTextError
+        If the value holds none.
+    """
+    parsed = text.parse(name, value)
+    if not isinstance(parsed, dict) or set(parsed) != set(Stored._fields):
+        raise errors.BadTextError(name, "a value without section and writers")
+    return Stored(parsed["section"], parsed["writers"])
+
 
 def split(cfg: tree.Tree) -> dict[str, dict[str, typing.Any]]:
     """Return the sections of a tree by name.
--- a/libs/carawaysail_settings/tests/test_settings.py
+++ b/libs/carawaysail_settings/tests/test_settings.py
@@ -206,6 +206,12 @@
         self.assertEqual(["places/rosario", "root", "teams/ventas"], sorted(parts))
         self.assertEqual(make_tree(), sections.join(parts))
 
+    def test_stored_value(self):
+        kept = sections.Stored({"settings": {}}, ["w1"])
+        self.assertEqual(kept, sections.unpack("root", sections.pack(kept)))
+        for value in ("{", "[]", '{"section": {}}'):
+            self.assertRaises(errors.BadTextError, sections.unpack, "root", value)
+
     def test_name_of(self):
         self.assertEqual("teams/a", sections.name_of("teams/a/services/b"))
         self.assertEqual("root", sections.name_of("settings/weight"))
