End a stand-in's waits with its server, so that the test run ends

A dump of its threads showed two of the store stand-in's server threads in an idle watch whose caller had gone: HTTP server threads are not daemon threads, so the interpreter waits for them. WebServer.stop only asked, in a thread of its own, and nothing woke the watch. Ruled out: child processes (none left) and the daemons' own executors.

Tests: three endings (idle watch, watch whose caller has gone, a request and a batch that never end).

--- a/libs/carawaysail_platform/tests/test_platform.py
+++ b/libs/carawaysail_platform/tests/test_platform.py
@@ -81,6 +81,60 @@
         self.assertFalse(self.client.keep_lease("no-such-lease"))
 
 
+class TestEnding(testtools.TestCase):
+    """A stand-in's server ends with its callers' waits still under way."""
+
+    def assert_ends(self, server, call):
+        caller = threading.Thread(target=lambda: list(call()), daemon=True)
+        caller.start()
+        server.stop()
+        caller.join()
+        self.assertEqual([], [x for x in threading.enumerate() if x is caller])
+
+    def test_idle_watch(self):
+        standin = store.Store(0)
+        standin.server.start()
+        client = keyvalue.HttpKeyValue(standin.server.url)
+        changes = client.watch("k/", 1)
+        client.compare_and_swap("k/a", 0, "one")
+        next(changes)
+        self.assert_ends(standin.server, lambda: changes)
+
+    def test_watch_whose_caller_has_gone(self):
+        standin = store.Store(0)
+        standin.server.start()
+        client = keyvalue.HttpKeyValue(standin.server.url)
+        changes = client.watch("k/", 1)
+        client.compare_and_swap("k/a", 0, "one")
+        next(changes)
+        changes.close()
+        self.assert_ends(standin.server, tuple)
+
+    def assert_task_ends(self, standin, client):
+        standin.server.start()
+        self.addCleanup(standin.server.stop)
+        standin.faults.set({"never_end": 1})
+        found = []
+        call = threading.Thread(
+            target=lambda: found.extend(client.run((make_order(),), 30.0)), daemon=True
+        )
+        call.start()
+        while not standin.records.totals()["starts"]:
+            threading.Event().wait(0.005)
+        standin.server.stop()
+        call.join()
+        self.assertNotEqual([], found)
+
+    def test_request_that_never_ends(self):
+        standin = runner.Runner("r1", 0, 1, 1.0)
+        self.assert_task_ends(standin, runners.Runner(standin.server.url, 1.0, 1))
+
+    def test_batch_that_never_ends(self):
+        standin = worker.Worker("w1", 0, 1, 1.0)
+        client = workers.Worker(standin.server.url, 1.0, 1, 30_000)
+        self.assert_task_ends(standin, client)
+
+
 class TestVmList(testtools.TestCase):
     """The lagging list."""
 
--- a/libs/carawaysail_standins/src/carawaysail_standins/runner.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/runner.py
@@ -57,7 +57,7 @@
             if self.faults.value("fail_all"):
                 return web.Answer(500, b"{}", ((runners.TASK_HEADER, task),))
             payload = request.json()
-            self._clock.sleep_s(self._run_s(payload))
+            self.server.ending.wait(self._run_s(payload))
             ran_ms = (self._clock.seconds() - began) * 1000.0
         return self._answer(task, payload, ran_ms)
 
--- a/libs/carawaysail_standins/src/carawaysail_standins/store.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/store.py
@@ -54,7 +54,7 @@
         self._held: dict[bytes, Change] = {}
         self._log: list[Change] = []
         self._leases: dict[str, float] = {}
-        self.server = web.WebServer(self._handle, port, THREADS)
+        self.server = web.WebServer(self._handle, port, THREADS, self._wake)
         self._calls: dict[str, collections.abc.Callable[[typing.Any], typing.Any]] = {
             "/v3/kv/range": self._range,
             "/v3/kv/txn": self._txn,
@@ -62,6 +62,10 @@
             "/v3/lease/keepalive": self._keep,
         }
 
+    def _wake(self) -> None:
+        with self._changed:
+            self._changed.notify_all()
+
     def _handle(self, request: web.Request) -> web.Answer:
         if request.path == "/faults":
             self.faults.set(request.json())
@@ -138,12 +142,13 @@
         end = base64.b64decode(request["range_end"])
         after = int(request["start_revision"]) - 1
         yield json.dumps({"result": {"created": True}}).encode() + b"\n"
-        while not self.faults.value("down"):
+        while not (self.faults.value("down") or self.server.ending.is_set()):
             found = self._since(after, first, end)
-            if found:
-                after = found[-1].revision
-                events = [_event(change) for change in found]
-                yield json.dumps({"result": {"events": events}}).encode() + b"\n"
+            after = found[-1].revision if found else after
+            # A result without events is etcd's progress notice; writing it is also
+            # how a caller that has gone is noticed.
+            result = {**self._header(), "events": [_event(change) for change in found]}
+            yield json.dumps({"result": result}).encode() + b"\n"
 
     def _since(self, after: int, first: bytes, end: bytes) -> list[Change]:
         with self._changed:
@@ -155,7 +160,7 @@
                 and first <= base64.b64decode(change.key) < end
                 and self._clock.seconds() - change.at >= lag
             ]
-            if not found:
+            if not found and not self.server.ending.is_set():
                 self._changed.wait(lag or WATCH_WAIT_S)
             return found
 
--- a/libs/carawaysail_standins/src/carawaysail_standins/web.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/web.py
@@ -75,10 +75,20 @@
         Port on loopback; 0 for any free one.
     threads : int
         Requests answered at once.
+    on_stop : callable, optional
+        Wakes what waits on anything but ``ending``.
     """
 
-    def __init__(self, handler: Handler, port: int, threads: int) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        port: int,
+        threads: int,
+        on_stop: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        self.ending = threading.Event()
         self._handler = handler
+        self._on_stop = on_stop
         self._server = cheroot.wsgi.Server(
             ("127.0.0.1", port), self._application, numthreads=threads,
             request_queue_size=512, timeout=120,
@@ -98,8 +108,16 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop to answer, without waiting for answers that are under way."""
-        threading.Thread(target=self._server.stop, daemon=True).start()
+        """Stop to answer; returns when no thread of the server is left.
+
+        The server's threads outlive the main thread, so an answer that waited on
+        nothing would keep the process from ending.
+        """
+        self.ending.set()
+        self._on_stop()
+        self._server.stop()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def _application(
         self, environ: dict[str, typing.Any], start_response: typing.Any
--- a/libs/carawaysail_standins/src/carawaysail_standins/worker.py
+++ b/libs/carawaysail_standins/src/carawaysail_standins/worker.py
@@ -96,6 +96,7 @@
         self._ending: list[tuple[float, int, Task]] = []
         self._count = itertools.count()
         self._tasks: dict[str, Task] = {}
+        self._is_closed = False
         threading.Thread(target=self._run, name=name, daemon=True).start()
 
     def add(self, tasks: list[Task]) -> None:
@@ -104,6 +105,8 @@
             for task in tasks:
                 self._tasks[task.name] = task
                 self._waiting.append(task)
+                if self._is_closed:
+                    self._end(task, "stopped")
             self._changed.notify()
 
     def renew(self, names: list[str], lease_s: float) -> None:
@@ -124,6 +127,14 @@
                     self._end(task, "stopped")
             self._changed.notify()
 
+    def close(self) -> None:
+        """Stop all tasks and end the thread."""
+        with self._changed:
+            self._is_closed = True
+            for task in list(self._tasks.values()):
+                self._end(task, "stopped")
+            self._changed.notify()
+
     def used(self) -> int:
         """Return how many tasks run."""
         with self._changed:
@@ -132,6 +143,8 @@
     def _run(self) -> None:
         while True:
             with self._changed:
+                if self._is_closed:
+                    return
                 now = self._clock.seconds()
                 self._start_waiting(now)
                 pause = self._ending[0][0] - now if self._ending else IDLE_S
@@ -197,7 +210,7 @@
         self._clock = clock.SystemClock()
         self._slowness = slowness
         self._engine = Engine(name, processors, self.faults, self.records, self._clock)
-        self.server = web.WebServer(self._handle, port, THREADS)
+        self.server = web.WebServer(self._handle, port, THREADS, self._engine.close)
 
     def _handle(self, request: web.Request) -> web.Answer:
         if request.path == "/batches":
