Keep short work in front of long work over services and over moving shares

The waits came in bursts. A trace of every short task that found no slot showed three things: 1. the reserve was kept by pool, that is by service, so the long service's pool never saw the short service's tasks on the same targets; 2. a bound of 40% of 4 slots was rounded down at each target: 6 of 24 instead of 9, so with the first mended long work was held back too much; 3. the waits fell when shares read 3 of 8 at one daemon and 5 at the other: demand wandered about 16 and was told as 16 or 32 by turns, though both daemons had the same load. Ruled out: client lag (under 1 ms), the lane of long work (learned at once).

Change: Ahead counts queued and running work over the services that share targets, for the reserve and, by turns of weight, for admission (a flood of another service is in front only for its turns); phases spread the long bound over the targets so that whole slots add up; a demand told goes up at once and down only below a quarter, smoothed over 2 s.

--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -74,6 +74,7 @@
         """Start a new incarnation, without memory."""
         now = self.earth.now()
         self.begin_life()
+        self._demand = shares.Told()
         self.is_leaving = False
         seed = f"{self.name}/{self.life}".encode()
         incarnation = ownership.digest_of(seed).hex()[:16]
@@ -272,7 +273,7 @@
             now = self.earth.now()
             leaving = {*dispatch.leaving(now), *self._vm_leaving}
             self.members.update(
-                demand=shares.coarse(dispatch.demand()),
+                demand=self._demand.see(dispatch.demand(), now),
                 settings=self.versions.digest(),
                 ejected=dispatch.ejected(now),
                 leaving=tuple(sorted(leaving)),
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/backlog.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/backlog.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from carawaysail_decisions import queues, runtimes
+from carawaysail_decisions import ahead, queues, runtimes
 
 PoolKey = tuple[str, str]
 """Target kind and service."""
@@ -22,8 +22,7 @@
         self._policy = policy
         self._flows: dict[tuple[runtimes.Key, str, bool], queues.Flow] = {}
         self._parked: dict[PoolKey, list[queues.Flow]] = {}
-        self._ahead_ms: dict[tuple[str, bool], float] = {}
-        self._ahead_tasks: dict[tuple[str, bool], int] = {}
+        self.ahead = ahead.Ahead()
 
     def set_policy(self, policy: queues.Policy) -> None:
         """Order the flows by another policy."""
@@ -98,18 +97,5 @@
 
     def count_ahead(self, flow: queues.Flow, entry: queues.Waiting, tasks: int) -> None:
         """Count tasks of an entry that came (positive) or ended (negative)."""
-        name = (flow.key.service, flow.is_long)
-        work_ms = self._ahead_ms.get(name, 0.0) + tasks * entry.expected_ms
-        self._ahead_ms[name] = max(0.0, work_ms)
-        self._ahead_tasks[name] = self._ahead_tasks.get(name, 0) + tasks
-
-    def tasks_ahead(self, service: str, is_long: bool) -> int:
-        """Return the tasks of one lane that are queued or running."""
-        return self._ahead_tasks.get((service, is_long), 0)
-
-    def work_ahead_ms(self, service: str, is_long: bool) -> float:
-        """Return the expected work in front of a lane, queued or running."""
-        ahead = self._ahead_ms.get((service, False), 0.0)
-        if is_long:
-            ahead += self._ahead_ms.get((service, True), 0.0)
-        return ahead
+        lane = ahead.Lane(flow.target_kind, flow.key.service, flow.is_long)
+        self.ahead.count(lane, tasks, tasks * entry.expected_ms, flow.weight)
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
@@ -92,6 +92,7 @@
         "in_flight",
         "long_in_flight",
         "memory_mb",
+        "phase",
         "processors",
         "runs",
         "share",
@@ -107,6 +108,7 @@
         self.accelerators = 0.0
         self.in_flight = 0
         self.long_in_flight = 0.0
+        self.phase = 0.0
         self.speed = 1.0
         self.runs = 0
         self.health = health.Health()
@@ -136,7 +138,10 @@
         if needs.accelerators + self.accelerators > share.accelerators:
             return False
         if is_long:
-            bound = max(needs.processors, share.processors * long_share)
+            # A target holds whole tasks: the phases, spread over the targets, make the
+            # bounds add up to the share, rounded down once and not at each.
+            bound = share.processors * long_share + self.phase * needs.processors
+            bound = max(needs.processors, bound)
             if self.long_in_flight + needs.processors > bound:
                 return False
         return self.processors + needs.processors <= self.room_at(stretch)
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -11,6 +11,7 @@
 
 from carawaysail_decisions import (
     admission,
+    ahead,
     backlog,
     capacity,
     counters,
@@ -148,7 +149,8 @@
         if submission.is_job and not pool.can_hold_all(submission.tasks):
             return outcomes.Reason.INFEASIBLE
         is_long = self._is_long(submission, limits)
-        ahead_ms = self.backlog.work_ahead_ms(submission.service, is_long)
+        lane = ahead.Lane(pool.kind, submission.service, is_long)
+        ahead_ms = self.backlog.ahead.work_ms(lane, limits.weight)
         key = runtimes.Key(submission.service, submission.kind)
         high_ms = self.run_times.high_ms(key) or expected_ms
         high_ms *= pool.slowest()
@@ -211,6 +213,8 @@
         self, event: events.TargetsChanged, now: datetime.datetime
     ) -> list[events.Action]:
         self.placing.change(event)
+        served = ((x.kind, x.services) for x in event.specs if not x.leaving)
+        self.backlog.ahead.regroup(ahead.find_leaders(served))
         self.backlog.unpark_all()
         return []
 
@@ -482,8 +486,8 @@
         pool = self.placing.pool(flow.target_kind, flow.key.service)
         if pool is None:
             return self.rules
-        service = flow.key.service
-        pool.reserve.see(self.backlog.tasks_ahead(service, False), now)
+        lane = ahead.Lane(flow.target_kind, flow.key.service, False)
+        pool.reserve.see(self.backlog.ahead.tasks(lane), now)
         if not flow.is_long:
             return self.rules
         share = pool.reserve.long_share(pool.slots(), self.rules.long_share)
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
@@ -149,8 +149,15 @@
             if not spec.leaving:
                 for service in spec.services:
                     groups.setdefault((spec.kind, service), []).append(state)
+        self._spread_phases()
         for key in set(groups) | set(self._pools):
-            self._pools.setdefault(key, pools.Pool(self._rng)).fill(groups.get(key, ()))
+            pool = self._pools.setdefault(key, pools.Pool(key[0], self._rng))
+            pool.fill(groups.get(key, ()))
+
+    def _spread_phases(self) -> None:
+        states = [self.targets[name] for name in sorted(self.targets)]
+        for place, state in enumerate(states):
+            state.phase = place / len(states)
 
     def pool(self, kind: str, service: str) -> pools.Pool | None:
         """Return the targets that serve a service, or ``None`` for none."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
@@ -7,14 +7,19 @@
 """
 
 import collections.abc
+import datetime
 import functools
 import hashlib
+import math
 import typing
 
 from carawaysail_decisions import capacity
 
 MIN_DEMAND = 1.0
 SCORES_KEPT = 65_536
+SMOOTHS_IN = datetime.timedelta(seconds=2)
+KEPT_DOWN_TO = 0.25
+"""A demand told is kept until the smoothed one is below this share of it."""
 
 
 class Demand(typing.NamedTuple):
@@ -37,6 +42,40 @@
     return float(1 << max(0, int(tasks)).bit_length()) if tasks >= 1 else MIN_DEMAND
 
 
+class Told:
+    """The demand that this daemon tells the others: up at once, down seldom.
+
+    A demand that wanders about a power of two would move shares at each round, and a
+    share that moves while its old holder's tasks still run over-subscribes the target.
+    """
+
+    def __init__(self) -> None:
+        self._told = MIN_DEMAND
+        self._smooth = 0.0
+        self._at: datetime.datetime | None = None
+
+    def see(self, tasks: int, now: datetime.datetime) -> float:
+        """Take in how many tasks wait or run, and return the demand to tell.
+
+        Parameters
+        ----------
+        tasks : int
+            The tasks.
+        now : datetime.datetime
+            The present instant.
+        """
+        if self._at is not None:
+            kept = math.exp(-((now - self._at) / SMOOTHS_IN))
+            self._smooth = tasks + kept * (self._smooth - tasks)
+        self._at = now
+        if tasks > self._told:
+            self._told = coarse(tasks)
+            self._smooth = float(tasks)
+        elif self._smooth < KEPT_DOWN_TO * self._told:
+            self._told = coarse(max(tasks, self._smooth))
+        return self._told
+
+
 def split(
     target_id: str, slots: int, demands: collections.abc.Sequence[Demand]
 ) -> dict[str, int]:
--- a/libs/carawaysail_decisions/tests/test_policies.py
+++ b/libs/carawaysail_decisions/tests/test_policies.py
@@ -9,7 +9,11 @@
 
 from carawaysail_decisions import (
     admission,
+    ahead,
+    capacity,
+    events,
     health,
+    placing,
     queues,
     quotas,
     reserve,
@@ -134,6 +138,20 @@
         found = {shares.coarse(tasks) for tasks in range(1_000)}
         self.assertLessEqual(len(found), 11)
 
+    def told(self, demands):
+        """Return what is told of demands that come 250 ms apart."""
+        kept = shares.Told()
+        step = datetime.timedelta(milliseconds=250)
+        return [kept.see(x, NOW + n * step) for n, x in enumerate(demands)]
+
+    def test_demand_about_a_power_of_two_is_told_once(self):
+        self.assertEqual([32.0] * 40, self.told([17, 15, 18, 12] * 10))
+
+    def test_demand_is_told_up_at_once_and_down_in_seconds(self):
+        found = self.told([4, 100] + [1] * 60)
+        self.assertEqual([8.0, 128.0, 128.0], found[:3])
+        self.assertEqual(2.0, found[-1])
+
 
 class TestQuotas(testtools.TestCase):
     """Parts, loans, and a sum that never exceeds the quota."""
@@ -237,6 +255,83 @@
         self.assertIsNone(learned.high_ms(key))
 
 
+class TestAhead(testtools.TestCase):
+    """Work in front, over the services that share targets."""
+
+    def setUp(self):
+        super().setUp()
+        self.counts = ahead.Ahead()
+        self.short = ahead.Lane("runner", "pedidos", False)
+        self.other = ahead.Lane("runner", "envios", False)
+        self.long = ahead.Lane("runner", "cierres", True)
+
+    def share_targets(self, *services):
+        served = [("runner", frozenset(services))]
+        self.counts.regroup(ahead.find_leaders(served))
+
+    def test_short_tasks_of_all_services_that_share_targets(self):
+        self.counts.count(self.short, 3, 300.0, 1.0)
+        of_long = self.long._replace(is_long=False)
+        self.assertEqual(0, self.counts.tasks(of_long))
+        self.share_targets("pedidos", "cierres")
+        self.assertEqual(3, self.counts.tasks(of_long))
+        self.counts.count(self.short, 2, 200.0, 1.0)
+        self.assertEqual(5, self.counts.tasks(of_long))
+        self.share_targets("cierres")
+        self.assertEqual(0, self.counts.tasks(of_long))
+
+    def test_a_flood_of_another_service_is_in_front_only_for_its_turns(self):
+        self.share_targets("pedidos", "envios")
+        self.counts.count(self.other, 1_000, 100_000.0, 1.0)
+        self.assertEqual(0.0, self.counts.work_ms(self.short, 1.0))
+        self.counts.count(self.short, 2, 200.0, 1.0)
+        self.assertEqual(400.0, self.counts.work_ms(self.short, 1.0))
+        self.assertEqual(100_200.0, self.counts.work_ms(self.other, 1.0))
+
+    def test_long_work_has_all_short_work_in_front(self):
+        self.share_targets("pedidos", "cierres")
+        self.counts.count(self.short, 4, 400.0, 1.0)
+        self.counts.count(self.long, 1, 2_500.0, 1.0)
+        self.assertEqual(2_900.0, self.counts.work_ms(self.long, 1.0))
+        self.assertEqual(400.0, self.counts.work_ms(self.short, 1.0))
+
+    def test_ends_bring_the_counts_back_to_nothing(self):
+        self.share_targets("pedidos", "envios")
+        for lane in (self.short, self.other):
+            self.counts.count(lane, 5, 500.0, 2.0)
+            self.counts.count(lane, -5, -500.0, 2.0)
+        self.counts.count(self.short, 1, 100.0, 1.0)
+        self.assertEqual(100.0, self.counts.work_ms(self.short, 1.0))
+
+    def test_groups_join_over_targets(self):
+        served = [("runner", frozenset("ab")), ("runner", frozenset("cd")),
+                  ("runner", frozenset("bc")), ("worker", frozenset("z"))]  # fmt: skip
+        leaders = ahead.find_leaders(served)
+        self.assertEqual({"a"}, {leaders["runner", x] for x in "abcd"})
+        self.assertEqual("z", leaders["worker", "z"])
+
+
+class TestLongBound(testtools.TestCase):
+    """Bounds of long work add up over targets of a few slots each."""
+
+    def test_whole_slots_add_up_to_the_share(self):
+        rng = random.Random(1)
+        placed = placing.Placing(rng)
+        whole = capacity.Capacity(4.0)
+        specs = tuple(
+            capacity.TargetSpec(f"r{n}", "runner", "", frozenset({"s"}), whole)
+            for n in range(6)
+        )
+        shares_of = {spec.target_id: 1.0 for spec in specs}
+        placed.change(events.TargetsChanged(specs, shares_of))
+        held = 0
+        for state in placed.targets.values():
+            while state.fits(work.Needs(), True, 0.4, 1.0):
+                state.hold(work.Needs(), True)
+                held += 1
+        self.assertEqual(9, held)
+
+
 class TestReserve(testtools.TestCase):
     """Slots that long work leaves free."""
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -72,6 +72,7 @@
         self.service = transport.Service(me, self._answer)
         self.server = transport.Server(self.service)
         self._applied: _Inputs | None = None
+        self._demand = shares.Told()
         self._suspected: frozenset[str] = frozenset()
         self._vm_list_leaving: tuple[str, ...] = ()
         self._asking: set[str] = set()
@@ -91,13 +92,14 @@
         reply: replies.Reply[dispatch.Description] = replies.Reply()
         self._dispatch.inbox.put(dispatch.Describe(reply))
         told = await asyncio.wrap_future(reply.fut)
+        now = self._clock.now()
         self.members.update(
-            demand=shares.coarse(told.demand),
+            demand=self._demand.see(told.demand, now),
             settings=self._settings.versions.digest(),
             ejected=told.ejected,
             leaving=tuple(sorted({*told.leaving, *self._vm_list_leaving})),
         )
-        for address in self.members.tick(self._clock.now()):
+        for address in self.members.tick(now):
             self._spawn(self._gossip(address))
         self._apply_shares()
 
