Hand over the memory of submissions in pieces that fit a message

Cause: a daemon that ends hands all it remembers to one heir in one message. A message is refused over 16 MB, and answers alone may take 16 MB: 159 answers of 100 kB are 21.2 MB in JSON, so every try would have failed and the resubmissions been answered unknown.

Change: handover cuts a book into pieces of 4 MB; the heir gathers them in any order and any number of times and opens the book only when it is whole, since a book with a part missing would start a submission again. An entry too large for a piece goes as a hash. Pieces that stay alone are dropped after the window; nonsense pieces are a typed error. The fault matrix hands over in pieces of 300 bytes, so that faults strike between them.

--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
@@ -76,7 +76,17 @@
         else:
             rows.append(figures.Row(f"70%: median, {name}", median, "ratio"))
             rows.append(figures.Row(f"70%: p99, {name}", tail, "ratio"))
-    return rows
+    return rows + _bound_rows(dues)
+
+
+def _bound_rows(dues: list[load.Due]) -> list[figures.Row]:
+    """Return what one queue with perfect knowledge and no cost reaches on the load."""
+    ratios = sites.perfect_ratios([(due.at_s, due.run_ms) for due in dues])
+    return [
+        figures.Row(f"70%: {words}, one queue that knows all, worked out",
+                    load.percentile(ratios, share), "ratio")
+        for words, share in (("median", 50.0), ("p99", 99.0))
+    ]  # fmt: skip
 
 
 CREST_DEADLINE_MS = 4_000
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
@@ -1,5 +1,7 @@
 """The fleets that are measured: one data centre of today's sizes."""
 
+import heapq
+
 from carawaysail_bench import fleet
 from carawaysail_settings import tree
 from carawaysail_standins import main as standins
@@ -51,6 +53,36 @@
     return SLOTS * speeds * 1000.0 / mean_run_ms
 
 
+def perfect_ratios(dues: list[tuple[float, float]], count: int = 6) -> list[float]:
+    """Return response over run time of one queue that knows each runner's speed.
+
+    It sends each request at once to the fastest free slot, at no cost: what no
+    dispatcher can do much better on the same arrivals.
+
+    Parameters
+    ----------
+    dues : list of (float, float)
+        For each request, in order, its arrival in s and its run time in ms.
+    count : int, default=6
+        Runners.
+    """
+    free = sorted(
+        SLOWNESS[n % len(SLOWNESS)] for n in range(count) for _ in range(SLOTS)
+    )
+    busy: list[tuple[float, float]] = []
+    ratios = []
+    for at_s, run_ms in dues:
+        now_ms = start_ms = 1000.0 * at_s
+        while busy and (busy[0][0] <= now_ms or not free):
+            start_ms, slowness = heapq.heappop(busy)
+            start_ms = max(start_ms, now_ms)
+            heapq.heappush(free, slowness)
+        end_ms = start_ms + run_ms * (slowness := heapq.heappop(free))
+        heapq.heappush(busy, (end_ms, slowness))
+        ratios.append((end_ms - now_ms) / run_ms)
+    return ratios
+
+
 def make(
     targets: list[standins.Spec],
     entries: int = 2,
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/slopes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/slopes.py
@@ -16,6 +16,7 @@
     capacity,
     dispatcher,
     events,
+    handover,
     membership,
     ownership,
     shares,
@@ -109,6 +110,58 @@
     ]
 
 
+HANDOVER_SHAPES = (
+    ("many small answers", 150_000, 100),
+    ("large answers", 159, 100_000),
+)
+"""Submissions and bytes an answer; both fill the bound on kept answers."""
+
+
+@figures.figures.register("handover")
+def handed_over() -> list[figures.Row]:
+    """Measure the handover of a full memory: its pieces, their size and time."""
+    rows = []
+    for words, count, size in HANDOVER_SHAPES:
+        now = clock.ManualClock().now()
+        (memory,) = _full_register(count, size, now).hand_over(now)
+        began = time.process_time()
+        pieces = handover.cut(memory)
+        cut_ms = 1000.0 * (time.process_time() - began)
+        rows.append(figures.Row(f"handover, {words}: cut", cut_ms, "ms"))
+        for codec in codecs.codecs.names():
+            began = time.process_time()
+            encode = codecs.codecs.get(codec).encode
+            data = [encode(messages.HandOver(piece)) for piece in pieces]
+            heir = _register("e2", "1" * 16, now)
+            for part in data:
+                heir.adopt_piece(codecs.decode("hand_over", codec, part).piece, now)
+            spent_ms = 1000.0 * (time.process_time() - began)
+            found = f"handover, {words}, {codec}"
+            largest, bound = max(map(len, data)), codecs.MAX_MESSAGE_BYTES / 1e6
+            rows += [
+                figures.Row(f"{found}: all", sum(map(len, data)) / 1e6, "MB"),
+                figures.at_most(f"{found}: largest", largest / 1e6, "MB", bound),
+                figures.Row(f"{found}: encoded and adopted", spent_ms, "ms"),
+            ]
+    return rows
+
+
+def _register(vm: str, incarnation: str, now: datetime.datetime) -> ownership.Register:
+    return ownership.Register(
+        "rosario", vm, incarnation, now, datetime.timedelta(minutes=10)
+    )
+
+
+def _full_register(count: int, size: int, now: datetime.datetime) -> ownership.Register:
+    register = _register("e1", "0" * 16, now)
+    owner = register.owner(now)
+    for number in range(count):
+        sid = identifiers.SubmissionId(owner, f"order-{number}")
+        register.offer(sid, b"0123456789abcdef", now)
+        register.end(sid, outcomes.Completed((b"x" * size,)))
+    return register
+
+
 @figures.figures.register("gossip")
 def gossip() -> list[figures.Row]:
     """Measure bytes and time of control, by daemons in the data centre."""
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -8,6 +8,7 @@
 from carawaysail_decisions import (
     desk,
     events,
+    handover,
     membership,
     ownership,
     relaying,
@@ -18,7 +19,7 @@
 from carawaysail_entry import configuring, effective
 from carawaysail_platform import errors
 from carawaysail_settings import sections, text
-from carawaysail_types import clock, identifiers, outcomes, work
+from carawaysail_types import clock, outcomes, work
 
 WINDOW = datetime.timedelta(minutes=10)
 EXCHANGE = clock.milliseconds(6_000)
@@ -451,28 +452,30 @@
             self._go()
             return
         memories = self.desk.register.hand_over(self.earth.now())
-        self._hand_over(self._fleet["nodes"][heir.peer], memories, 5)
+        size = self._parts.piece_bytes
+        pieces = [x for memory in memories for x in handover.cut(memory, size)]
+        self._hand_over(self._fleet["nodes"][heir.peer], pieces, 5)
 
-    def _hand_over(self, heir: "Node", memories: typing.Any, tries: int) -> None:
+    def _hand_over(self, heir: "Node", pieces: typing.Any, tries: int) -> None:
         def serve(answer: world.Give) -> None:
-            heir.adopt(memories)
+            heir.adopt(pieces[0])
             answer(None)
 
         def fail(was_sent: bool, nobody_listens: bool) -> None:
             if tries > 1:
-                self._hand_over(heir, memories, tries - 1)
+                self._hand_over(heir, pieces, tries - 1)
             else:
                 self._go()
 
         def done(value: object) -> None:
-            self._go()
+            self._hand_over(heir, pieces[1:], 5) if pieces[1:] else self._go()
 
         self.earth.exchange(self, heir, serve, done, fail, GOSSIP)
 
-    def adopt(self, memories: tuple[ownership.Memory, ...]) -> None:
-        """Become the heir of incarnations that have ended."""
+    def adopt(self, piece: handover.Piece) -> None:
+        """Take a piece of the memory of an incarnation that ends."""
         register = self.desk.register
-        register.adopt(memories, self.earth.now())
+        register.adopt_piece(piece, self.earth.now())
         inherited = tuple(x for x in register.books if x != register.incarnation)
         self.members.update(inherited=inherited)
 
@@ -493,8 +496,3 @@
     return versions.Section(
         item.key[len(sections.STORE_PREFIX) :], item.revision, content
     )
-
-
-def owner_of(node: Node) -> identifiers.Owner:
-    """Return the owner token that a node gives now."""
-    return node.desk.register.owner(node.earth.now())
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/parts.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/parts.py
@@ -18,6 +18,8 @@
         Limits of every submission.
     waits_until_idle : bool
         Whether a graceful end waits for what is under way.
+    piece_bytes : int
+        Size of a piece of a handover; small, so that faults strike between pieces.
     """
 
     register: typing.Any = ownership.Register
@@ -26,3 +28,4 @@
     relaying: typing.Any = relaying
     limits: events.Limits = events.Limits()
     waits_until_idle: bool = True
+    piece_bytes: int = 300
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
@@ -94,7 +94,8 @@
     def _make(self, own: str, kind: str, owner: str) -> work.Submission:
         count = JOB_TASKS if kind == "job" else 1
         payloads = [f'"{own}-{number}"'.encode() for number in range(count)]
-        token = nodes.owner_of(self.fleet["nodes"][owner])
+        register = self.fleet["nodes"][owner].desk.register
+        token = register.owner(self.earth.now())
         return work.Submission(
             identifiers.SubmissionId(token, own),
             ownership.digest_of(b"".join(payloads)),
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
@@ -15,6 +15,7 @@
 import itertools
 import typing
 
+from carawaysail_decisions import handover
 from carawaysail_types import errors, identifiers, outcomes
 
 EPOCH = datetime.timedelta(minutes=1)
@@ -65,48 +66,6 @@
 Verdict = Start | Join | Remembered | Conflict | Forgotten | Elsewhere
 
 
-class Entry(typing.NamedTuple):
-    """One remembered submission, as handed to an heir.
-
-    Parameters
-    ----------
-    epoch : int
-        Epoch of its token.
-    own : str
-        The caller's part of the identifier.
-    digest : bytes
-        Hash of its body.
-    outcome : outcomes.Plain
-        Its outcome.
-    """
-
-    epoch: int
-    own: str
-    digest: bytes
-    outcome: outcomes.Plain
-
-
-class Memory(typing.NamedTuple):
-    """All that one incarnation remembers, as handed to an heir.
-
-    Parameters
-    ----------
-    incarnation : str
-        The incarnation that ends.
-    epoch : int
-        Its epoch at the time of the handover.
-    entries : tuple of Entry
-        Submissions with their outcomes.
-    evicted : dict of int to bytes
-        For each epoch the eight-byte hashes of submissions without an answer.
-    """
-
-    incarnation: identifiers.Incarnation
-    epoch: int
-    entries: tuple[Entry, ...]
-    evicted: dict[int, bytes]
-
-
 class _Record:
     __slots__ = ("digest", "outcome", "size")
 
@@ -215,7 +174,7 @@
         key = (sid.owner.epoch, sid.own)
         record = self._records.get(key)
         if record is None:
-            if _hash(sid.own) in self._evicted.get(sid.owner.epoch, ()):
+            if handover.hash_of(sid.own) in self._evicted.get(sid.owner.epoch, ()):
                 return Forgotten()
             self._records[key] = _Record(digest)
             return Start()
@@ -236,7 +195,7 @@
         if sid.owner.epoch < self._oldest(self.epoch(now)):
             return Forgotten()
         evicted = self._evicted.get(sid.owner.epoch, ())
-        return Forgotten() if _hash(sid.own) in evicted else None
+        return Forgotten() if handover.hash_of(sid.own) in evicted else None
 
     def end(self, sid: identifiers.SubmissionId, outcome: outcomes.Outcome) -> None:
         """Remember an outcome, or replace an ``unknown`` one by what was learned."""
@@ -262,16 +221,16 @@
 
     def export(
         self, incarnation: identifiers.Incarnation, now: datetime.datetime
-    ) -> Memory:
+    ) -> handover.Memory:
         """Return all that is remembered, for the heir; unfinished ones as unknown."""
         entries = tuple(
-            Entry(epoch, own, x.digest, outcomes.to_plain(x.outcome or _LOST))
+            handover.Entry(epoch, own, x.digest, outcomes.to_plain(x.outcome or _LOST))
             for (epoch, own), x in self._records.items()
         )
         evicted = {epoch: kept.export() for epoch, kept in self._evicted.items()}
-        return Memory(incarnation, self.epoch(now), entries, evicted)
+        return handover.Memory(incarnation, self.epoch(now), entries, evicted)
 
-    def load(self, memory: Memory) -> None:
+    def load(self, memory: handover.Memory) -> None:
         """Take over the memory of an incarnation that has ended."""
         for entry in memory.entries:
             sid = identifiers.SubmissionId(
@@ -289,7 +248,7 @@
         del self._ended[key]
         record = self._records.pop(key)
         self._kept_bytes -= record.size
-        self._evicted.setdefault(key[0], _Evicted()).add(_hash(key[1]))
+        self._evicted.setdefault(key[0], _Evicted()).add(handover.hash_of(key[1]))
 
     def _forget(self, now: datetime.datetime) -> None:
         present = self.epoch(now)
@@ -336,6 +295,7 @@
         self.incarnation = incarnation
         self.books = {incarnation: Book(0, now, window)}
         self.handed_over = False
+        self._gathering = handover.Gathering(window)
         self._strays: dict[str, tuple[_Record, datetime.datetime]] = {}
 
     def owner(self, now: datetime.datetime) -> identifiers.Owner:
@@ -413,12 +373,22 @@
         if book is not None:
             book.end(sid, outcome)
 
-    def hand_over(self, now: datetime.datetime) -> tuple[Memory, ...]:
+    def hand_over(self, now: datetime.datetime) -> tuple[handover.Memory, ...]:
         """Return every book for the heir; nothing is started here afterwards."""
         self.handed_over = True
         return tuple(book.export(name, now) for name, book in self.books.items())
 
-    def adopt(self, memories: tuple[Memory, ...], now: datetime.datetime) -> None:
+    def adopt_piece(self, piece: handover.Piece, now: datetime.datetime) -> None:
+        """Take one piece of a book, and adopt the book once it is whole."""
+        if piece.memory.incarnation in self.books:
+            return
+        memory = self._gathering.add(piece, now)
+        if memory is not None:
+            self.adopt((memory,), now)
+
+    def adopt(
+        self, memories: tuple[handover.Memory, ...], now: datetime.datetime
+    ) -> None:
         """Become the heir of incarnations that have ended.
 
         A repeated handover, whose first answer was lost, changes nothing.
@@ -440,11 +410,6 @@
 _LOST = outcomes.Unknown(outcomes.Reason.OWNER_LOST)
 
 
-def _hash(own: str) -> int:
-    raw = hashlib.blake2b(own.encode(), digest_size=8).digest()
-    return int.from_bytes(raw, "big")
-
-
 def _size(own: str, outcome: outcomes.Outcome) -> int:
     size = RECORD_OVERHEAD_BYTES + len(own)
     if isinstance(outcome, outcomes.Completed):
--- a/libs/carawaysail_decisions/tests/test_ownership.py
+++ b/libs/carawaysail_decisions/tests/test_ownership.py
@@ -1,11 +1,12 @@
 """Who may start a submission: the scenarios in which memory and views fail."""
 
 import datetime
+import itertools
 
 import testtools
 
 from carawaysail_bench import testing
-from carawaysail_decisions import membership, ownership, relaying
+from carawaysail_decisions import handover, membership, ownership, relaying
 from carawaysail_types import clock, errors, identifiers, outcomes
 
 WINDOW = datetime.timedelta(minutes=10)
@@ -138,6 +139,53 @@
         heir.adopt(memories, self.clock.now())
         self.assert_verdict(ownership.Join, self.offer(sid, register=heir))
 
+    def test_pieces_in_any_order_and_doubled_make_the_book(self):
+        known = [self.make_id(f"order-{n}") for n in range(40)]
+        for sid in known:
+            self.offer(sid)
+            self.register.end(sid, DONE)
+        (memory,) = self.register.hand_over(self.clock.now())
+        pieces = handover.cut(memory, 1_000)
+        self.assertGreater(len(pieces), 4)
+        heir = self.make_register("fedcba9876543210", "e2")
+        for piece in (*reversed(pieces[1:]), pieces[1]):
+            heir.adopt_piece(piece, self.clock.now())
+            verdict = self.offer(known[0], register=heir)
+            self.assert_verdict(ownership.Elsewhere, verdict)
+        heir.adopt_piece(pieces[0], self.clock.now())
+        found = [self.offer(sid, register=heir) for sid in known]
+        self.assertEqual([ownership.Remembered(DONE)] * 40, found)
+        heir.adopt_piece(pieces[0], self.clock.now())
+        self.assert_verdict(
+            ownership.Start, self.offer(self.make_id("new"), register=heir)
+        )
+
+    def test_pieces_that_stay_alone_are_dropped(self):
+        memory = handover.Memory("a" * 16, 0, (), {1: b"12345678" * 2})
+        first, last = handover.cut(memory, 8)
+        gathering = handover.Gathering(WINDOW)
+        self.assertIsNone(gathering.add(first, self.clock.now()))
+        self.clock.advance(2 * WINDOW)
+        self.assertIsNone(gathering.add(last, self.clock.now()))
+        self.assertEqual(memory, gathering.add(first, self.clock.now()))
+
+    def test_an_answer_too_large_for_a_piece_is_handed_over_as_a_hash(self):
+        sid = self.make_id()
+        self.offer(sid)
+        self.register.end(sid, outcomes.Completed((b"x" * 2_000,)))
+        (memory,) = self.register.hand_over(self.clock.now())
+        heir = self.make_register("fedcba9876543210", "e2")
+        for piece in handover.cut(memory, 1_000):
+            heir.adopt_piece(piece, self.clock.now())
+        self.assert_verdict(ownership.Forgotten, self.offer(sid, register=heir))
+
+    def test_nonsense_pieces_are_refused(self):
+        memory = handover.Memory("a" * 16, 0, (), {})
+        cut_hash = memory._replace(evicted={1: b"123"})
+        nonsense = ((0, 0, memory), (2, 2, memory), (-1, 1, memory), (0, 1, cut_hash))
+        for piece in itertools.starmap(handover.Piece, nonsense):
+            self.assertRaises(errors.BadInputError, handover.check, piece)
+
     def test_unfinished_work_is_handed_over_as_unknown(self):
         sid = self.make_id()
         self.offer(sid)
--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -14,6 +14,7 @@
     desk,
     dispatcher,
     events,
+    handover,
     ownership,
     standing,
 )
@@ -102,13 +103,13 @@
 class HandOver(typing.NamedTuple):
     """Close the register and reply with its memory."""
 
-    reply: replies.Reply[tuple[ownership.Memory, ...]]
+    reply: replies.Reply[tuple[handover.Memory, ...]]
 
 
 class Adopt(typing.NamedTuple):
-    """Take over the memory of daemons that have ended."""
+    """Take a piece of the memory of a daemon that ends."""
 
-    memories: tuple[ownership.Memory, ...]
+    piece: handover.Piece
     reply: replies.Reply[tuple[str, ...]]
 
 
@@ -277,7 +278,7 @@
 
     @handlers.register("Adopt")
     def _adopt(self, message: Adopt) -> None:
-        self._register.adopt(message.memories, self._clock.now())
+        self._register.adopt_piece(message.piece, self._clock.now())
         own = self._register.incarnation
         message.reply.give(tuple(x for x in self._register.books if x != own))
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from carawaysail_decisions import membership, relaying, shares, standing
+from carawaysail_decisions import handover, membership, relaying, shares, standing
 from carawaysail_entry import configuring, dispatch, effective, logs, replies, traces
 from carawaysail_peers import errors, messages, transport
 from carawaysail_platform import vmlist
@@ -359,10 +359,11 @@
         self, sender: transport.Sender, message: messages.HandOver
     ) -> messages.Message:
         reply: replies.Reply[tuple[str, ...]] = replies.Reply()
-        self._dispatch.inbox.put(dispatch.Adopt(message.memories, reply))
+        handover.check(message.piece)
+        self._dispatch.inbox.put(dispatch.Adopt(message.piece, reply))
         inherited = await asyncio.wrap_future(reply.fut)
         self.members.update(inherited=inherited)
-        logs.tell("peers", "Memory adopted.", incarnations=list(inherited))
+        logs.tell("peers", "Memory taken.", incarnations=list(inherited))
         return messages.Done()
 
     # Leaving
@@ -388,15 +389,22 @@
             return False
         reply: replies.Reply[typing.Any] = replies.Reply()
         self._dispatch.inbox.put(dispatch.HandOver(reply))
-        message = messages.HandOver(await asyncio.wrap_future(reply.fut))
+        for memory in await asyncio.wrap_future(reply.fut):
+            for piece in handover.cut(memory):
+                if not await self._hand_piece(heir, piece):
+                    return False
+        self.members.update(heir=heir.incarnation)
+        return True
+
+    async def _hand_piece(self, heir: membership.Record, piece: handover.Piece) -> bool:
         for _ in range(HANDOVER_TRIES):
             try:
+                message = messages.HandOver(piece)
                 await self.channels.exchange(heir.peer, message, HANDOVER_S)
             except type_errors.CarawaysailError as exc:
                 logs.fault("peers", "Handover not answered.", exc, heir=heir.vm)
                 await asyncio.sleep(GOSSIP_S)
             else:
-                self.members.update(heir=heir.incarnation)
                 return True
         return False
 
--- a/libs/carawaysail_peers/src/carawaysail_peers/messages.py
+++ b/libs/carawaysail_peers/src/carawaysail_peers/messages.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from carawaysail_decisions import membership, ownership, versions
+from carawaysail_decisions import handover, membership, versions
 from carawaysail_types import outcomes, registry, work
 
 kinds: registry.Registry[type] = registry.Registry("message kinds")
@@ -113,15 +113,15 @@
 
 @kinds.register("hand_over")
 class HandOver(typing.NamedTuple):
-    """The memory of daemons that have ended; answered by ``Done``.
+    """A piece of the memory of a daemon that ends; answered by ``Done``.
 
     Parameters
     ----------
-    memories : tuple of ownership.Memory
-        One for each incarnation.
+    piece : handover.Piece
+        The piece.
     """
 
-    memories: tuple[ownership.Memory, ...]
+    piece: handover.Piece
 
 
 @kinds.register("done")
--- a/libs/carawaysail_peers/tests/test_peers.py
+++ b/libs/carawaysail_peers/tests/test_peers.py
@@ -7,7 +7,7 @@
 import testtools
 
 from carawaysail_bench import fleet, testing
-from carawaysail_decisions import membership, ownership, versions
+from carawaysail_decisions import handover, membership, versions
 from carawaysail_peers import codecs, errors, messages, transport
 from carawaysail_types import clock, outcomes
 from carawaysail_types import errors as type_errors
@@ -27,9 +27,11 @@
     messages.Push((versions.Section("root", 3, "{}"),)),
     messages.Pull({"root": 2}),
     messages.HandOver(
-        (
-            ownership.Memory(
-                "0" * 16, 3, (ownership.Entry(1, "a", b"d", PLAIN),), {2: b"12345678"}
+        handover.Piece(
+            0,
+            1,
+            handover.Memory(
+                "0" * 16, 3, (handover.Entry(1, "a", b"d", PLAIN),), {2: b"12345678"}
             ),
         )
     ),
