Give every daemon a part of a service's few workers

Cause: workers were given whole to daemons over the whole data centre, by hash and not by service. With 8 daemons a service of 2 workers could be served by 2 daemons at a time; the others' jobs waited for their demand to move a worker, up to their deadline. Shown by a unit test that failed before: 8 daemons, services of 40, 2 and 8 workers, daemons without any share of a service. With one worker and 4 real daemons, one job after the other, the old way passed too (the worker follows the demand); the new test of that holds what parts must not break, tasks of 1 and of all 8 processors from every daemon.

Change: workers are assigned within each group of services that share workers; a group with fewer workers than daemons is split by demand. A part may be smaller than a task: a target that holds nothing of this daemon takes one task that the whole of it holds, which waits there for the others' tasks.

--- a/libs/carawaysail_bench/tests/test_whole_path.py
+++ b/libs/carawaysail_bench/tests/test_whole_path.py
@@ -35,3 +35,23 @@
         starts = self.fleet.starts()
         self.assertEqual(101, len(starts))
         self.assertEqual({1}, set(starts.values()))
+
+
+class TestFewWorkers(testtools.TestCase):
+    """More entry daemons than workers."""
+
+    def test_every_daemon_runs_jobs_on_the_only_worker(self):
+        (port,) = fleet.free_ports(1)
+        only = {"name": "rosario-w1", "kind": "worker", "port": port, "slots": 8}
+        teams = {"ventas": {"services": {"pedidos": {}}}}
+        entries = fleet.plan_entries({"rosario": 4})
+        targets = {"rosario": [{**only, "slowness": 1.0}]}
+        small = fleet.Fleet(entries, targets, teams, {})
+        small.__enter__()
+        self.addCleanup(small.close)
+        for vm in small.entries:
+            for processors in (1, 8):
+                task = {"payload": {"run_ms": 5, "echo": 1}, "processors": processors}
+                body = {"tasks": [task] * 4, "deadline_ms": 5_000}
+                told = small.call(vm, "POST", "/v1/services/pedidos/jobs", body)
+                self.assertEqual("completed", told[1].get("outcome"), (vm, told))
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/capacity.py
@@ -133,6 +133,10 @@
         if self.health.limit is not None and self.in_flight >= self.health.limit:
             return False
         share = self.share
+        if self.in_flight == 0 and share.processors > 0.0:
+            # A part of a worker may be smaller than a task that the whole holds: one
+            # such task may go there, and waits there for the other daemons' tasks.
+            return self.spec.capacity.holds(needs)
         if needs.memory_mb * stretch + self.memory_mb > share.memory_mb * stretch:
             return False
         if needs.accelerators + self.accelerators > share.accelerators:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/shares.py
@@ -2,8 +2,9 @@
 
 Every entry daemon of a data centre works out the same shares from the same gossip, so
 no message is spent on a task. Runners are split by slots; workers are given whole, so
-that large tasks still fit. Differing views cost a little over- or under-use until the
-next gossip, never correctness.
+that large tasks still fit. Where a group of services has fewer workers than there are
+daemons, each daemon gets a part of each worker, or some would serve nobody. Differing
+views cost a little over- or under-use until the next gossip, never correctness.
 """
 
 import collections.abc
@@ -13,7 +14,7 @@
 import math
 import typing
 
-from carawaysail_decisions import capacity
+from carawaysail_decisions import ahead, capacity
 
 MIN_DEMAND = 1.0
 SCORES_KEPT = 65_536
@@ -155,9 +156,9 @@
         What each daemon of the data centre asks for.
     """
     kept = [spec for spec in specs if not spec.leaving]
-    workers = [spec.target_id for spec in kept if spec.kind == "worker"]
-    holders = assign(workers, demands)
-    found = {name: 1.0 for name, holder in holders.items() if holder == vm}
+    found: dict[str, float] = {}
+    for workers in _worker_groups(kept):
+        found.update(_worker_shares(vm, workers, demands))
     for spec in kept:
         if spec.kind == "runner":
             slots = int(spec.capacity.processors)
@@ -166,6 +167,28 @@
     return found
 
 
+def _worker_groups(specs: list[capacity.TargetSpec]) -> list[list[str]]:
+    """Return the workers of each group of services that share workers."""
+    workers = [spec for spec in specs if spec.kind == "worker" and spec.services]
+    leaders = ahead.find_leaders((spec.kind, spec.services) for spec in workers)
+    groups: dict[str, list[str]] = {}
+    for spec in workers:
+        leader = leaders[spec.kind, next(iter(spec.services))]
+        groups.setdefault(leader, []).append(spec.target_id)
+    return [groups[leader] for leader in sorted(groups)]
+
+
+def _worker_shares(
+    vm: str, workers: list[str], demands: collections.abc.Sequence[Demand]
+) -> dict[str, float]:
+    if len(workers) >= len(demands):
+        holders = assign(workers, demands)
+        return {name: 1.0 for name, holder in holders.items() if holder == vm}
+    total = sum(demand.tasks for demand in demands)
+    mine = sum(demand.tasks for demand in demands if demand.vm == vm)
+    return dict.fromkeys(workers, mine / total) if mine else {}
+
+
 @functools.lru_cache(maxsize=SCORES_KEPT)
 def _score(target_id: str, vm: str) -> int:
     raw = hashlib.blake2b(f"{target_id}/{vm}".encode(), digest_size=8).digest()
--- a/libs/carawaysail_decisions/tests/test_policies.py
+++ b/libs/carawaysail_decisions/tests/test_policies.py
@@ -138,6 +138,36 @@
         found = {shares.coarse(tasks) for tasks in range(1_000)}
         self.assertLessEqual(len(found), 11)
 
+    def make_workers(self, *counts):
+        """Return workers of one service for each count."""
+        whole = capacity.Capacity(32.0)
+        return [
+            capacity.TargetSpec(f"s{s}-w{n}", "worker", "", frozenset({f"s{s}"}), whole)
+            for s, count in enumerate(counts)
+            for n in range(count)
+        ]
+
+    def shares_by_service(self, specs, demands):
+        """Return each daemon's sum of shares for each service."""
+        found = {}
+        for demand in demands:
+            given = shares.shares_of(demand.vm, specs, demands)
+            for spec in specs:
+                (service,) = spec.services
+                key = (demand.vm, service)
+                found[key] = found.get(key, 0.0) + given.get(spec.target_id, 0.0)
+        return found
+
+    def test_every_daemon_has_some_of_each_service(self):
+        demands = [shares.Demand(f"e{n}", 2.0 ** (n % 4)) for n in range(8)]
+        found = self.shares_by_service(self.make_workers(40, 2, 8), demands)
+        self.assertEqual([], [key for key, share in found.items() if share <= 0.0])
+
+    def test_parts_of_few_workers_add_up_to_them(self):
+        demands = [shares.Demand(vm, n) for vm, n in (("a", 1), ("b", 2), ("c", 1))]
+        found = self.shares_by_service(self.make_workers(2), demands)
+        self.assertEqual([0.5, 1.0, 0.5], list(found.values()))
+
     def told(self, demands):
         """Return what is told of demands that come 250 ms apart."""
         kept = shares.Told()
@@ -311,6 +341,25 @@
         self.assertEqual("z", leaders["worker", "z"])
 
 
+class TestPartOfAWorker(testtools.TestCase):
+    """A daemon with a part of a worker."""
+
+    def test_a_task_larger_than_the_part_goes_to_an_empty_worker(self):
+        whole = capacity.Capacity(32.0, 64_000.0, 1.0)
+        state = capacity.TargetState(
+            capacity.TargetSpec("w", "worker", "", frozenset({"s"}), whole)
+        )
+        state.share = whole.part(0.125)
+        large, too_large = work.Needs(8.0, 16_000.0, 1), work.Needs(8.0, 1.0, 2)
+        self.assertFalse(state.fits(too_large, False, 1.0, 1.0))
+        self.assertTrue(state.fits(large, False, 1.0, 1.0))
+        state.hold(large, False)
+        self.assertFalse(state.fits(work.Needs(1.0, 0.0, 0), False, 1.0, 1.0))
+        state.release(large, False)
+        state.share = whole.part(0.0)
+        self.assertFalse(state.fits(large, False, 1.0, 1.0))
+
+
 class TestLongBound(testtools.TestCase):
     """Bounds of long work add up over targets of a few slots each."""
 
