Say once what the reading of the whole change found twice

Fate stood in platform.targets and in decisions.events, and links turned one into the other by its text; five routing policies took a source of chance only to drop it; membership.locate took an instant it did not use; a submission's key and lane were worked out twice at intake, and a pool carried its kind only for that; two figures filled a register by the same loop; a handover measured each entry's size twice while filling a piece; perfect_ratios had a parameter nobody gave.

Change: Fate is in outcomes; routing policies are made without arguments; locate takes the owner only; intake makes the lane once and passes it on, Pool has no kind; one _fill; the rest dropped.

--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/served.py
@@ -81,7 +81,7 @@
 
 def _bound_rows(dues: list[load.Due]) -> list[figures.Row]:
     """Return what one queue with perfect knowledge and no cost reaches on the load."""
-    ratios = sites.perfect_ratios([(due.at_s, due.run_ms) for due in dues])
+    ratios = sites.perfect_ratios(dues)
     return [
         figures.Row(f"70%: {words}, one queue that knows all, worked out",
                     load.percentile(ratios, share), "ratio")
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/sites.py
@@ -3,6 +3,7 @@
 import heapq
 
 from carawaysail_bench import fleet
+from carawaysail_bench.measure import load
 from carawaysail_settings import tree
 from carawaysail_standins import main as standins
 
@@ -53,7 +54,7 @@
     return SLOTS * speeds * 1000.0 / mean_run_ms
 
 
-def perfect_ratios(dues: list[tuple[float, float]], count: int = 6) -> list[float]:
+def perfect_ratios(dues: list[load.Due]) -> list[float]:
     """Return response over run time of one queue that knows each runner's speed.
 
     It sends each request at once to the fastest free slot, at no cost: what no
@@ -61,25 +62,21 @@
 
     Parameters
     ----------
-    dues : list of (float, float)
-        For each request, in order, its arrival in s and its run time in ms.
-    count : int, default=6
-        Runners.
+    dues : list of load.Due
+        The requests, in order of arrival.
     """
-    free = sorted(
-        SLOWNESS[n % len(SLOWNESS)] for n in range(count) for _ in range(SLOTS)
-    )
+    free = sorted(SLOWNESS * SLOTS)
     busy: list[tuple[float, float]] = []
     ratios = []
-    for at_s, run_ms in dues:
-        now_ms = start_ms = 1000.0 * at_s
+    for due in dues:
+        now_ms = start_ms = 1000.0 * due.at_s
         while busy and (busy[0][0] <= now_ms or not free):
             start_ms, slowness = heapq.heappop(busy)
             start_ms = max(start_ms, now_ms)
             heapq.heappush(free, slowness)
-        end_ms = start_ms + run_ms * (slowness := heapq.heappop(free))
+        end_ms = start_ms + due.run_ms * (slowness := heapq.heappop(free))
         heapq.heappush(busy, (end_ms, slowness))
-        ratios.append((end_ms - now_ms) / run_ms)
+        ratios.append((end_ms - now_ms) / due.run_ms)
     return ratios
 
 
--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/slopes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/slopes.py
@@ -74,7 +74,7 @@
                     batch.batch, task.task, True, b"1", ran_ms=50.0
                 )
                 actions += placer.handle(ended, source.now())
-            ended_batch = events.BatchEnded(batch.batch, events.Fate.ANSWERED)
+            ended_batch = events.BatchEnded(batch.batch, outcomes.Fate.ANSWERED)
             actions += placer.handle(ended_batch, source.now())
 
 
@@ -83,23 +83,17 @@
     """Measure the memory of a remembered submission, and the time of an offer."""
     count = 50_000
     now = clock.ManualClock().now()
-    window = datetime.timedelta(minutes=10)
-    digest = b"0123456789abcdef"
     tracemalloc.start()
-    register = ownership.Register("rosario", "e1", "0" * 16, now, window)
-    owner = register.owner(now)
+    register = _register("e1", "0" * 16, now)
     before = tracemalloc.get_traced_memory()[0]
     began = time.process_time()
-    done = outcomes.Completed((b'{"confirmed": true}',))
-    for number in range(count):
-        sid = identifiers.SubmissionId(owner, f"order-{number}")
-        register.offer(sid, digest, now)
-        register.end(sid, done)
+    _fill(register, count, b'{"confirmed": true}', now)
     spent = time.process_time() - began
     kept = (tracemalloc.get_traced_memory()[0] - before) / count
     book = register.books["0" * 16]
     for key in list(book._ended):
         book._evict(key)
+    sid = identifiers.SubmissionId(register.owner(now), "order-0")
     book.peek(sid, now + 2 * ownership.EPOCH)
     evicted = (tracemalloc.get_traced_memory()[0] - before) / count
     tracemalloc.stop()
@@ -123,7 +117,9 @@
     rows = []
     for words, count, size in HANDOVER_SHAPES:
         now = clock.ManualClock().now()
-        (memory,) = _full_register(count, size, now).hand_over(now)
+        register = _register("e1", "0" * 16, now)
+        _fill(register, count, b"x" * size, now)
+        (memory,) = register.hand_over(now)
         began = time.process_time()
         pieces = handover.cut(memory)
         cut_ms = 1000.0 * (time.process_time() - began)
@@ -152,14 +148,16 @@
     )
 
 
-def _full_register(count: int, size: int, now: datetime.datetime) -> ownership.Register:
-    register = _register("e1", "0" * 16, now)
+def _fill(
+    register: ownership.Register, count: int, answer: bytes, now: datetime.datetime
+) -> None:
+    """Let a register remember completed submissions with one answer each."""
     owner = register.owner(now)
+    done = outcomes.Completed((answer,))
     for number in range(count):
         sid = identifiers.SubmissionId(owner, f"order-{number}")
         register.offer(sid, b"0123456789abcdef", now)
-        register.end(sid, outcomes.Completed((b"x" * size,)))
-    return register
+        register.end(sid, done)
 
 
 @figures.figures.register("gossip")
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/fakes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/fakes.py
@@ -58,14 +58,14 @@
         def lost() -> None:
             """Tell the daemon that the connection is silent."""
             reason = outcomes.Reason.CONNECTION_LOST
-            fate = events.Fate.MAY_HAVE_STARTED
+            fate = outcomes.Fate.MAY_HAVE_STARTED
             if sender.is_alive and sender.life == life:
                 ended = events.BatchEnded(action.batch, fate, reason)
                 sender.post(lambda: tell(ended))
 
         if not self.is_alive or self._earth.is_cut(sender, self):
             reason = outcomes.Reason.CONNECTION_LOST
-            refused = events.BatchEnded(action.batch, events.Fate.NOT_STARTED, reason)
+            refused = events.BatchEnded(action.batch, outcomes.Fate.NOT_STARTED, reason)
             self._earth.later(world.NEAR, lambda: sender.post(lambda: tell(refused)))
             return
 
@@ -120,7 +120,7 @@
         self._earth.step("finished", action.tasks[0].task.submission, self)
         for sent in action.tasks:
             deliver(self._result(action.batch, sent))
-        deliver(events.BatchEnded(action.batch, events.Fate.ANSWERED))
+        deliver(events.BatchEnded(action.batch, outcomes.Fate.ANSWERED))
 
     def _result(self, batch: int, sent: events.Sent) -> events.TaskEnded:
         if self.mode == "fails_all":
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -149,7 +149,7 @@
 
     def _begin_relay(self, submission: work.Submission, give: typing.Any) -> None:
         owner = submission.submission_id.owner
-        located = self.members.locate(owner, self.earth.now())
+        located = self.members.locate(owner)
         address = owner.vm if owner.vm in self._fleet["nodes"] else ""
         step = self._parts.relaying.first(located, address, submission.attempt)
         self._follow(step, submission, give)
--- a/libs/carawaysail_bench/src/carawaysail_bench/testing.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/testing.py
@@ -124,7 +124,9 @@
                 sent.batch, task.task, True, task.payload, ran_ms=ran_ms
             )
             actions += self.give(ended)
-        return actions + self.give(events.BatchEnded(sent.batch, events.Fate.ANSWERED))
+        return actions + self.give(
+            events.BatchEnded(sent.batch, outcomes.Fate.ANSWERED)
+        )
 
     def advance(self, milliseconds: float) -> list[events.Action]:
         """Let time pass and tick."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/dispatcher.py
@@ -105,7 +105,7 @@
         return tuple(name for name, x in states if x.health.is_ejected(now))
 
     def _set_policies(self) -> None:
-        self._routing = routing.policies.get(self.rules.routing)(self._rng)
+        self._routing = routing.policies.get(self.rules.routing)()
         self._admission = admission.policies.get(self.rules.admission)()
 
     # Intake
@@ -120,12 +120,12 @@
         key = runtimes.Key(submission.service, submission.kind)
         expected = self._expected_ms(key, submission.tasks)
         pool = self.placing.pool(kind, submission.service)
-        reason = self._refusal(event, pool, expected, now)
+        lane = ahead.Lane(kind, key.service, self._is_long(key, event))
+        reason = self._refusal(event, pool, lane, expected, now)
         if reason is not None:
             self.counters["refused"] += 1
             return [events.Answer(submission.submission_id, outcomes.NotRun(reason))]
-        is_long = self._is_long(submission, limits)
-        flow = self.backlog.flow(key, limits.team, kind, is_long, limits.weight)
+        flow = self.backlog.flow(key, limits.team, kind, lane.is_long, limits.weight)
         name = str(submission.submission_id)
         indexes = range(len(submission.tasks))
         entry = queues.Waiting(name, submission.tasks, indexes, expected, now)
@@ -138,6 +138,7 @@
         self,
         event: events.Submitted,
         pool: pools.Pool | None,
+        lane: ahead.Lane,
         expected_ms: float,
         now: datetime.datetime,
     ) -> outcomes.Reason | None:
@@ -148,8 +149,6 @@
             return outcomes.Reason.NO_TARGET
         if submission.is_job and not pool.can_hold_all(submission.tasks):
             return outcomes.Reason.INFEASIBLE
-        is_long = self._is_long(submission, limits)
-        lane = ahead.Lane(pool.kind, submission.service, is_long)
         ahead_ms = self.backlog.ahead.work_ms(lane, limits.weight)
         key = runtimes.Key(submission.service, submission.kind)
         high_ms = self.run_times.high_ms(key) or expected_ms
@@ -163,10 +162,9 @@
     def _expected_ms(self, key: runtimes.Key, tasks: tuple[work.Task, ...]) -> float:
         return self.run_times.expected_ms(key, runtimes.longest_declared(tasks))
 
-    def _is_long(self, submission: work.Submission, limits: events.Limits) -> bool:
-        key = runtimes.Key(submission.service, submission.kind)
-        declared = runtimes.longest_declared(submission.tasks)
-        return self.run_times.typical_ms(key, declared) > limits.short_ms
+    def _is_long(self, key: runtimes.Key, event: events.Submitted) -> bool:
+        declared = runtimes.longest_declared(event.submission.tasks)
+        return self.run_times.typical_ms(key, declared) > event.limits.short_ms
 
     @handlers.register("Cancelled")
     def _cancelled(
@@ -278,14 +276,14 @@
         if batch is None:
             return []
         actions: list[events.Action] = []
-        if event.fate != events.Fate.ANSWERED:
+        if event.fate != outcomes.Fate.ANSWERED:
             self._blame(batch.state, now)
         for task_id in list(batch.tasks):
             item = self.placing.release(event.batch, task_id)
             if item is None:
                 continue
             self._freed(item, batch.state)
-            if event.fate == events.Fate.NOT_STARTED:
+            if event.fate == outcomes.Fate.NOT_STARTED:
                 actions += self._not_started(item, task_id.position, now)
             else:
                 self.backlog.count_ahead(item.flow, item.entry, -1)
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/events.py
@@ -1,7 +1,6 @@
 """Events that the dispatcher takes and actions that it returns."""
 
 import datetime
-import enum
 import typing
 
 from carawaysail_decisions import capacity
@@ -125,14 +124,6 @@
     ran_ms: float | None = None
 
 
-class Fate(enum.StrEnum):
-    """What is known of the tasks of a batch that were not answered."""
-
-    ANSWERED = "answered"
-    NOT_STARTED = "not_started"
-    MAY_HAVE_STARTED = "may_have_started"
-
-
 class BatchEnded(typing.NamedTuple):
     """The exchange with a target is over.
 
@@ -140,14 +131,14 @@
     ----------
     batch : int
         Number of the batch.
-    fate : Fate
+    fate : outcomes.Fate
         What is known of its tasks that were not answered one by one.
     reason : outcomes.Reason
         What went wrong, if anything did.
     """
 
     batch: int
-    fate: Fate
+    fate: outcomes.Fate
     reason: outcomes.Reason = outcomes.Reason.NONE
 
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/handover.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/handover.py
@@ -138,11 +138,12 @@
     held: list[Entry] = []
     size = 0
     for entry in entries:
-        if held and size + entry.size() > piece_bytes:
+        more = entry.size()
+        if held and size + more > piece_bytes:
             yield tuple(held)
             held, size = [], 0
         held.append(entry)
-        size += entry.size()
+        size += more
     if held:
         yield tuple(held)
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/membership.py
@@ -239,15 +239,13 @@
                 return held.record
         return None
 
-    def locate(self, owner: identifiers.Owner, now: datetime.datetime) -> Located:
+    def locate(self, owner: identifiers.Owner) -> Located:
         """Return where the owner of an identifier answers.
 
         Parameters
         ----------
         owner : identifiers.Owner
             The owner that the identifier names.
-        now : datetime.datetime
-            The present instant.
         """
         for held in self._held.values():
             if owner.incarnation in held.record.inherited:
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/placing.py
@@ -151,8 +151,7 @@
                     groups.setdefault((spec.kind, service), []).append(state)
         self._spread_phases()
         for key in set(groups) | set(self._pools):
-            pool = self._pools.setdefault(key, pools.Pool(key[0], self._rng))
-            pool.fill(groups.get(key, ()))
+            self._pools.setdefault(key, pools.Pool(self._rng)).fill(groups.get(key, ()))
 
     def _spread_phases(self) -> None:
         states = [self.targets[name] for name in sorted(self.targets)]
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/pools.py
@@ -91,14 +91,11 @@
 
     Parameters
     ----------
-    kind : str
-        ``runner`` or ``worker``.
     rng : random.Random
         Source of chance.
     """
 
-    def __init__(self, kind: str, rng: random.Random) -> None:
-        self.kind = kind
+    def __init__(self, rng: random.Random) -> None:
         self.states: list[capacity.TargetState] = []
         self.reserve = reserve.Reserve()
         self._slots = 0.0
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/routing.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/routing.py
@@ -1,7 +1,6 @@
 """Routing policies: which of the targets with room gets the next task."""
 
 import collections.abc
-import random
 import typing
 
 from carawaysail_decisions import capacity
@@ -22,9 +21,7 @@
         """Return one of the candidates; there is at least one."""
 
 
-Make = collections.abc.Callable[[random.Random], Policy]
-
-policies: registry.Registry[Make] = registry.Registry("routing policies")
+policies: registry.Registry[type[Policy]] = registry.Registry("routing policies")
 
 
 @policies.register("random")
@@ -33,9 +30,6 @@
 
     sample = 1
 
-    def __init__(self, rng: random.Random) -> None:
-        del rng
-
     def choose(
         self, candidates: collections.abc.Sequence[capacity.TargetState]
     ) -> capacity.TargetState:
@@ -49,8 +43,7 @@
 
     sample = SAMPLE
 
-    def __init__(self, rng: random.Random) -> None:
-        del rng
+    def __init__(self) -> None:
         self._turn = 0
         self._chosen: dict[str, int] = {}
 
@@ -70,9 +63,6 @@
 
     sample = SAMPLE
 
-    def __init__(self, rng: random.Random) -> None:
-        del rng
-
     def choose(
         self, candidates: collections.abc.Sequence[capacity.TargetState]
     ) -> capacity.TargetState:
@@ -86,9 +76,6 @@
 
     sample = 2
 
-    def __init__(self, rng: random.Random) -> None:
-        del rng
-
     def choose(
         self, candidates: collections.abc.Sequence[capacity.TargetState]
     ) -> capacity.TargetState:
@@ -102,9 +89,6 @@
 
     sample = SAMPLE
 
-    def __init__(self, rng: random.Random) -> None:
-        del rng
-
     def choose(
         self, candidates: collections.abc.Sequence[capacity.TargetState]
     ) -> capacity.TargetState:
--- a/libs/carawaysail_decisions/tests/test_dispatcher.py
+++ b/libs/carawaysail_decisions/tests/test_dispatcher.py
@@ -6,8 +6,8 @@
 from carawaysail_decisions import ahead, capacity, events
 from carawaysail_types import identifiers, outcomes, work
 
-NOT_STARTED = events.Fate.NOT_STARTED
-MAY_HAVE = events.Fate.MAY_HAVE_STARTED
+NOT_STARTED = outcomes.Fate.NOT_STARTED
+MAY_HAVE = outcomes.Fate.MAY_HAVE_STARTED
 LOST = outcomes.Reason.CONNECTION_LOST
 
 
@@ -277,7 +277,7 @@
                     reason = outcomes.Reason.TARGET_FAILED
                     task = sent.tasks[0].task
                     self.give(events.TaskEnded(sent.batch, task, False, b"", reason))
-                    self.give(events.BatchEnded(sent.batch, events.Fate.ANSWERED))
+                    self.give(events.BatchEnded(sent.batch, outcomes.Fate.ANSWERED))
                 else:
                     self.finish(sent)
         self.assertLessEqual(lost, 5)
@@ -296,7 +296,7 @@
                 reason = outcomes.Reason.TARGET_FAILED
                 task = sent.tasks[0].task
                 self.give(events.TaskEnded(sent.batch, task, False, b"", reason))
-                self.give(events.BatchEnded(sent.batch, events.Fate.ANSWERED))
+                self.give(events.BatchEnded(sent.batch, outcomes.Fate.ANSWERED))
         self.assertEqual(1, len(self.dispatcher.ejected(self.clock.now())))
 
     def test_share_bounds_what_is_sent(self):
--- a/libs/carawaysail_decisions/tests/test_members.py
+++ b/libs/carawaysail_decisions/tests/test_members.py
@@ -94,14 +94,13 @@
     def test_locate_owner_restart_and_heir(self):
         mesh = self.make_mesh()
         owner = self.owner(mesh, "e1")
-        now = mesh.clock.now()
-        self.assertEqual("e1", mesh.members["e6"].locate(owner, now).peer)
+        self.assertEqual("e1", mesh.members["e6"].locate(owner).peer)
         mesh.members["e1"] = mesh.make("e1", born_ms=9, incarnation="f" * 16)
         mesh.round(16)
-        self.assertTrue(mesh.members["e6"].locate(owner, mesh.clock.now()).lost)
+        self.assertTrue(mesh.members["e6"].locate(owner).lost)
         mesh.members["e2"].update(inherited=(owner.incarnation,))
         mesh.round(16)
-        self.assertEqual("e2", mesh.members["e6"].locate(owner, now).peer)
+        self.assertEqual("e2", mesh.members["e6"].locate(owner).peer)
 
     def test_heir_is_alive_and_near(self):
         mesh = self.make_mesh(7)
--- a/libs/carawaysail_entry/src/carawaysail_entry/links.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/links.py
@@ -90,7 +90,7 @@
         link = self._links.get(action.target_id)
         if link is None:
             reason = outcomes.Reason.NO_TARGET
-            fate = events.Fate.NOT_STARTED
+            fate = outcomes.Fate.NOT_STARTED
             self._post(events.BatchEnded(action.batch, fate, reason))
             return
         link.under_way[action.batch] = tuple(sent.task for sent in action.tasks)
@@ -124,13 +124,12 @@
                     self._post(events.TaskEnded(action.batch, *item))
         except Exception as exc:
             logs.fault("target", "Call failed.", exc, target=action.target_id)
-            fate = targets.Fate.MAY_HAVE_STARTED
+            fate = outcomes.Fate.MAY_HAVE_STARTED
             ended = targets.End(fate, outcomes.Reason.CONNECTION_LOST)
-        end = ended or targets.End(targets.Fate.MAY_HAVE_STARTED)
+        end = ended or targets.End(outcomes.Fate.MAY_HAVE_STARTED)
         if end.is_leaving:
             self._post(events.TargetLeaving(action.target_id))
-        known = events.Fate(end.fate.value)
-        self._post(events.BatchEnded(action.batch, known, end.reason))
+        self._post(events.BatchEnded(action.batch, end.fate, end.reason))
 
     def _exchange(
         self, link: _Link, action: events.SendBatch
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -240,7 +240,7 @@
         groups: dict[str, list[str]] = {}
         for name in names:
             owner = identifiers.parse_submission(name).owner
-            located = self.members.locate(owner, self._clock.now())
+            located = self.members.locate(owner)
             if located.peer:
                 groups.setdefault(located.peer, []).append(name)
         for address, group in groups.items():
@@ -258,7 +258,7 @@
         attempt: int,
         trace: str,
     ) -> Relayed:
-        located = self.members.locate(sid.owner, self._clock.now())
+        located = self.members.locate(sid.owner)
         address = self._address_in_settings(sid.owner)
         step = relaying.first(located, address, attempt)
         if not isinstance(step, relaying.Ask):
--- a/libs/carawaysail_platform/src/carawaysail_platform/runners.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/runners.py
@@ -81,13 +81,13 @@
 ) -> collections.abc.Iterator[targets.Result | targets.End]:
     named = targets.parse_task(answer.headers.get(TASK_HEADER, ""))
     is_leaving = answer.headers.get(LEAVING_HEADER) == "1"
-    end = targets.End(targets.Fate.ANSWERED, is_leaving=is_leaving)
+    end = targets.End(outcomes.Fate.ANSWERED, is_leaving=is_leaving)
     if answer.status == 503 and answer.headers.get(NOT_STARTED_HEADER) == "1":
         refused = outcomes.Reason.TARGET_REFUSED
         yield targets.Result(order.task, False, b"", refused)
     elif named != order.task:
         reason = outcomes.Reason.BAD_ANSWER
-        end = targets.End(targets.Fate.MAY_HAVE_STARTED, reason, is_leaving)
+        end = targets.End(outcomes.Fate.MAY_HAVE_STARTED, reason, is_leaving)
     elif answer.status != 200 or not is_json(answer.data):
         reason = outcomes.Reason.TARGET_FAILED
         yield targets.Result(order.task, False, b"", reason)
--- a/libs/carawaysail_platform/src/carawaysail_platform/targets.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/targets.py
@@ -1,7 +1,6 @@
 """What a target says of the tasks it was sent, and the interface of its client."""
 
 import collections.abc
-import enum
 import typing
 
 import urllib3.exceptions
@@ -10,14 +9,6 @@
 from carawaysail_types import identifiers, outcomes, work
 
 
-class Fate(enum.StrEnum):
-    """What is known of the tasks of an exchange that were not answered."""
-
-    ANSWERED = "answered"
-    NOT_STARTED = "not_started"
-    MAY_HAVE_STARTED = "may_have_started"
-
-
 class Order(typing.NamedTuple):
     """One task for a target.
 
@@ -71,7 +62,7 @@
 
     Parameters
     ----------
-    fate : Fate
+    fate : outcomes.Fate
         What is known of the tasks that have no result.
     reason : outcomes.Reason
         What went wrong, if anything did.
@@ -79,14 +70,15 @@
         Whether the target told that it is leaving.
     """
 
-    fate: Fate
+    fate: outcomes.Fate
     reason: outcomes.Reason = outcomes.Reason.NONE
     is_leaving: bool = False
 
 
 def lost(exc: urllib3.exceptions.HTTPError) -> End:
     """Return the end of an exchange whose connection failed."""
-    fate = Fate.NOT_STARTED if http.is_unsent(exc) else Fate.MAY_HAVE_STARTED
+    is_unsent = http.is_unsent(exc)
+    fate = outcomes.Fate.NOT_STARTED if is_unsent else outcomes.Fate.MAY_HAVE_STARTED
     return End(fate, outcomes.Reason.CONNECTION_LOST)
 
 
--- a/libs/carawaysail_platform/src/carawaysail_platform/workers.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/workers.py
@@ -152,7 +152,7 @@
     if answer.status == 503 and answer.headers.get(runners.NOT_STARTED_HEADER) == "1":
         answer.drain_conn()
         reason = outcomes.Reason.TARGET_REFUSED
-        yield targets.End(targets.Fate.NOT_STARTED, reason, is_leaving)
+        yield targets.End(outcomes.Fate.NOT_STARTED, reason, is_leaving)
         return
     rest = b""
     try:
@@ -169,9 +169,9 @@
     answer.release_conn()
     if waiting:
         reason = outcomes.Reason.BAD_ANSWER
-        yield targets.End(targets.Fate.MAY_HAVE_STARTED, reason)
+        yield targets.End(outcomes.Fate.MAY_HAVE_STARTED, reason)
     else:
-        yield targets.End(targets.Fate.ANSWERED, is_leaving=is_leaving)
+        yield targets.End(outcomes.Fate.ANSWERED, is_leaving=is_leaving)
 
 
 def parse_line(line: bytes) -> targets.Result | None:
--- a/libs/carawaysail_types/src/carawaysail_types/outcomes.py
+++ b/libs/carawaysail_types/src/carawaysail_types/outcomes.py
@@ -30,6 +30,14 @@
     STILL_RUNNING = "still_running"
 
 
+class Fate(enum.StrEnum):
+    """What is known of the tasks of one message that were not answered one by one."""
+
+    ANSWERED = "answered"
+    NOT_STARTED = "not_started"
+    MAY_HAVE_STARTED = "may_have_started"
+
+
 class Resubmit(enum.StrEnum):
     """What a caller may do with the submission afterwards."""
 
