--- a/libs/carawaysail_entry/src/carawaysail_entry/configuring.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/configuring.py
@@ -6,8 +6,9 @@
 import typing
 
 from carawaysail_decisions import versions
-from carawaysail_entry import effective, inbox, logs
+from carawaysail_entry import effective
 from carawaysail_platform import errors, keyvalue
+from carawaysail_runtime import inbox, logs
 from carawaysail_settings import sections, text, tree
 from carawaysail_types import clock
 from carawaysail_types import errors as type_errors
--- a/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/daemon.py
@@ -10,7 +10,6 @@
 from carawaysail_entry import (
     configuring,
     dispatch,
-    logs,
     metrics,
     peering,
     traces,
@@ -19,6 +18,7 @@
 from carawaysail_entry.front import door, server
 from carawaysail_peers import messages
 from carawaysail_platform import keyvalue, vmlist
+from carawaysail_runtime import logs
 from carawaysail_settings import daemon as daemon_settings
 from carawaysail_types import clock
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch.py
@@ -18,7 +18,8 @@
     ownership,
     standing,
 )
-from carawaysail_entry import effective, inbox, links, logs, replies, traces
+from carawaysail_entry import effective, links, replies, traces
+from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, identifiers, registry, work
 
 INBOX_BOUND = 20_000
--- a/libs/carawaysail_entry/src/carawaysail_entry/front/server.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/front/server.py
@@ -7,8 +7,8 @@
 import cherrypy
 import cherrypy._cpwsgi_server
 
-from carawaysail_entry import logs
 from carawaysail_entry.front import calls, door, encode, operations, routes
+from carawaysail_runtime import logs
 from carawaysail_settings import errors as settings_errors
 from carawaysail_types import errors
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/links.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/links.py
@@ -6,8 +6,9 @@
 import typing
 
 from carawaysail_decisions import capacity, events
-from carawaysail_entry import logs, traces
+from carawaysail_entry import traces
 from carawaysail_platform import runners, targets, workers
+from carawaysail_runtime import logs
 from carawaysail_types import clock, identifiers, outcomes, registry
 
 LATE_S = 30.0
--- a/libs/carawaysail_entry/src/carawaysail_entry/peering.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peering.py
@@ -5,9 +5,10 @@
 import typing
 
 from carawaysail_decisions import handover, membership, relaying, shares, standing
-from carawaysail_entry import configuring, dispatch, effective, logs, replies, traces
+from carawaysail_entry import configuring, dispatch, effective, replies, traces
 from carawaysail_peers import errors, messages, transport
 from carawaysail_platform import vmlist
+from carawaysail_runtime import logs
 from carawaysail_types import clock, identifiers, outcomes, registry, work
 from carawaysail_types import errors as type_errors
 
--- a/libs/carawaysail_entry/src/carawaysail_entry/vmwatch.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/vmwatch.py
@@ -3,8 +3,8 @@
 import collections.abc
 import threading
 
-from carawaysail_entry import logs
 from carawaysail_platform import errors, vmlist
+from carawaysail_runtime import logs
 
 POLL_S = 2.0
 
--- a/libs/carawaysail_entry/tests/test_front.py
+++ b/libs/carawaysail_entry/tests/test_front.py
@@ -10,8 +10,9 @@
 
 from carawaysail_bench import testing
 from carawaysail_decisions import standing
-from carawaysail_entry import effective, inbox, replies, traces
+from carawaysail_entry import effective, replies, traces
 from carawaysail_entry.front import decode, encode, routes, server
+from carawaysail_runtime import inbox
 from carawaysail_settings import errors as settings_errors
 from carawaysail_settings import tree
 from carawaysail_types import clock, errors, outcomes
--- /dev/null
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that holds workers: tasks that own state and sockets, and their wiring."""
--- /dev/null
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -0,0 +1,218 @@
+"""The daemon that holds workers: wires its tasks, starts them and ends them."""
+
+import asyncio
+import collections.abc
+import secrets
+import signal
+import socket
+import sys
+import typing
+
+from carawaysail_fleet import (
+    desk,
+    front,
+    httpserver,
+    messages,
+    meters,
+    ports,
+    replies,
+    storetasks,
+    workerlinks,
+)
+from carawaysail_runtime import inbox, logs
+from carawaysail_streams import transport
+from carawaysail_types import clock, daemons
+
+SWITCH_INTERVAL_S = 0.001
+FRONT_THREADS = 96
+"""Clients that can wait at once: those of the heaviest crest at one of two VMs."""
+
+SPARE_THREADS = 8
+"""Threads kept for requests that need not wait."""
+
+READINESS_THREADS = 2
+METRICS_THREADS = 1
+ROTATION = clock.milliseconds(2600)
+"""Time for the balancer to stop sending: two misses of a check each second."""
+
+EXIT_MARGIN = clock.milliseconds(700)
+"""Time left for stopping when the grace is nearly over."""
+
+
+class Adapter(typing.NamedTuple):
+    """What translates between the daemon and its platform.
+
+    Parameters
+    ----------
+    store : callable
+        Returns a client of the store; each task has its own.
+    workers : ports.Workers
+        Makes calls to workers.
+    directory : ports.Directory
+        Formats in the store.
+    codec : ports.ClientCodec
+        Formats of clients' requests.
+    reload : callable
+        Reads the settings file again.
+    """
+
+    store: collections.abc.Callable[[], ports.Store]
+    workers: ports.Workers
+    directory: ports.Directory
+    codec: ports.ClientCodec
+    reload: collections.abc.Callable[[], ports.Settings]
+
+
+class Daemon:
+    """One daemon.
+
+    Parameters
+    ----------
+    cfg : ports.Settings
+        Its settings.
+    adapter : Adapter
+        What translates to the platform.
+    counters : meters.Meters
+        Its metrics.
+    """
+
+    def __init__(
+        self, cfg: ports.Settings, adapter: Adapter, counters: meters.Meters
+    ) -> None:
+        self._cfg = cfg
+        self._adapter = adapter
+        self._meters = counters
+        self._clock = clock.SystemClock()
+        self._leaving = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until told to end, then end gracefully."""
+        cfg = self._cfg
+        self._wire(asyncio.get_running_loop())
+        self._watch_signals(asyncio.get_running_loop())
+        await self._peers.start(cfg.peer)
+        desk_task = asyncio.create_task(self._desk.run())
+        for task in self._store_tasks:
+            task.start()
+        for server in self._servers:
+            server.start()
+        logs.tell(
+            "daemon", "Started.", vm=cfg.vm, data_centre=cfg.data_centre,
+            incarnation=self._me.incarnation, front=cfg.front, peer=cfg.peer,
+        )  # fmt: skip
+        await self._leaving.wait()
+        await self._end()
+        desk_task.cancel()
+
+    def _wire(self, loop: asyncio.AbstractEventLoop) -> None:
+        cfg, adapter = self._cfg, self._adapter
+        self._me = daemons.Daemon(
+            cfg.vm, cfg.data_centre, secrets.token_hex(8), cfg.peer
+        )
+        self._inbox: inbox.Inbox[messages.Message] = inbox.Inbox(loop, desk.INBOX_BOUND)
+        self._replies = replies.Replies()
+        self._desk = desk.Desk(cfg, self._me, self._inbox, self._clock)
+        out, seed = self._inbox, secrets.randbits(32)
+        claims = storetasks.ClaimTask(adapter.store(), self._me, out, seed)
+        reports = storetasks.ReportsTask(adapter.store(), adapter.directory, out, seed)
+        self._members = storetasks.MembersTask(adapter.store(), self._me, out, seed)
+        configuration = storetasks.ConfigurationTask(
+            adapter.store(), adapter.directory, out, seed
+        )
+        self._store_tasks = (configuration, self._members, reports, claims)
+        links = workerlinks.WorkerLinks(adapter.workers, out, self._clock)
+        self._front = front.Front(
+            adapter.codec, out, self._replies, self._meters, self._clock,
+            FRONT_THREADS - SPARE_THREADS,
+        )  # fmt: skip
+        self._desk.connect(
+            desk.Links(links, claims, reports, self._replies, self._meters, self._front)
+        )
+        self._peers = transport.Server(desk.PeerReceiver(out))
+        self._servers = self._make_servers()
+
+    def _make_servers(self) -> list[httpserver.Server]:
+        cfg = self._cfg
+        self._http = httpserver.Server(cfg.front, self._front.handle, FRONT_THREADS)
+        self._desk.on_limits = self._http.limit
+        servers = [self._http]
+        if cfg.readiness:
+            servers.append(
+                httpserver.Server(cfg.readiness, self._ready, READINESS_THREADS)
+            )
+        if cfg.metrics:
+            servers.append(
+                httpserver.Server(cfg.metrics, self._show_metrics, METRICS_THREADS)
+            )
+        return servers
+
+    def _ready(self, request: ports.Request, client: socket.socket) -> ports.Response:
+        is_ready = self._front.is_configured() and not self._leaving.is_set()
+        return ports.Response(200 if is_ready else 503)
+
+    def _show_metrics(
+        self, request: ports.Request, client: socket.socket
+    ) -> ports.Response:
+        body, content_type = self._meters.render()
+        return ports.Response(200, body, content_type=content_type)
+
+    def _watch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings again; what is bound at the start stays as it is."""
+        try:
+            found = self._adapter.reload()
+        except Exception as exc:
+            logs.fault("daemon", "Settings not reloaded.", exc)
+            return
+        changed = [
+            name for name in found._fields
+            if getattr(found, name) != getattr(self._cfg, name)
+        ]  # fmt: skip
+        logs.tell("daemon", "Settings reloaded.", changed=changed)
+
+    async def _end(self) -> None:
+        began = self._clock.now()
+        self._inbox.put(messages.Leave())
+        self._http.close_connections()
+        last = began + self._cfg.grace - EXIT_MARGIN
+        try:
+            async with asyncio.timeout((last - began).total_seconds()):
+                await asyncio.sleep(ROTATION.total_seconds())
+                await self._desk.has_ended.wait()
+        except TimeoutError:
+            logs.tell(
+                "daemon", "Grace is over.", open_calls=self._replies.waiting(),
+                holds=list(self._desk.broker.tokens()),
+            )  # fmt: skip
+        for task in self._store_tasks:
+            task.stop()
+        await asyncio.to_thread(self._members.deregister)
+        await asyncio.to_thread(self._http.stop)
+        self._desk.close()
+        logs.tell("daemon", "Ended.")
+
+
+def run(cfg: ports.Settings, adapter: Adapter, counters: meters.Meters) -> None:
+    """Run one daemon until it is told to end.
+
+    Parameters
+    ----------
+    cfg : ports.Settings
+        Its settings.
+    adapter : Adapter
+        What translates to the platform.
+    counters : meters.Meters
+        Its metrics.
+    """
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    log = logs.open_bounded(sys.stdout)
+
+    async def main() -> None:
+        await Daemon(cfg, adapter, counters).run()
+
+    asyncio.run(main())
+    log.close()
--- /dev/null
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -0,0 +1,101 @@
+"""What tasks and threads tell the desk; each is handled by a registered handler."""
+
+import datetime
+import typing
+
+from carawaysail_fleet import ports
+from carawaysail_types import daemons, jobs, runs
+
+
+class Posted(typing.NamedTuple):
+    """A client has sent a job."""
+
+    request: ports.JobRequest
+    reply: int
+
+
+class ClientLeft(typing.NamedTuple):
+    """A client has closed its connection."""
+
+    job_id: str
+    reply: int
+
+
+class Listed(typing.NamedTuple):
+    """A worker has answered, or not, what runs on it."""
+
+    worker: runs.WorkerReport
+    answer: runs.Listing | runs.Answer
+    asked: datetime.datetime
+
+
+class Started(typing.NamedTuple):
+    """A worker has answered, or not, an order to start."""
+
+    worker: runs.WorkerReport
+    run: runs.Run
+    answer: runs.Answer
+
+
+class Stopped(typing.NamedTuple):
+    """A worker has answered, or not, an order to stop."""
+
+    worker: runs.WorkerReport
+    run: runs.Run
+    answer: runs.Answer
+
+
+class Configured(typing.NamedTuple):
+    """The store has a configuration."""
+
+    configuration: jobs.Configuration
+
+
+class Reports(typing.NamedTuple):
+    """The store has been asked for the reports of all workers."""
+
+    reports: tuple[runs.WorkerReport, ...]
+    beating: frozenset[str]
+
+
+class Members(typing.NamedTuple):
+    """The store has been asked for all daemons and tenures."""
+
+    found: tuple[daemons.Daemon, ...]
+    tenures: tuple[daemons.Tenure, ...]
+
+
+class Claimed(typing.NamedTuple):
+    """A tenure was tried for; the newest one that the store has, if it told."""
+
+    data_centre: str
+    tenure: daemons.Tenure | None
+
+
+class StreamOpened(typing.NamedTuple):
+    """A stream from or to another daemon was opened."""
+
+    peer: daemons.Daemon
+
+
+class Refused(typing.NamedTuple):
+    """Nothing listens at a daemon's address."""
+
+    peer: daemons.Daemon
+
+
+class Received(typing.NamedTuple):
+    """Another daemon has sent messages."""
+
+    sender: daemons.Daemon
+    messages: tuple[typing.Any, ...]
+
+
+class Leave(typing.NamedTuple):
+    """The daemon is asked to end."""
+
+
+Message = (
+    Posted | ClientLeft | Listed | Started | Stopped | Configured | Reports | Members
+    | Claimed | StreamOpened | Refused | Received | Leave
+)  # fmt: skip
--- /dev/null
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/meters.py
@@ -0,0 +1,77 @@
+"""Metrics by aioprometheus: counters of decisions, histograms of times."""
+
+import datetime
+import threading
+
+import aioprometheus
+
+from carawaysail_types import clock
+
+BUCKETS_MS = [
+    2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0,
+]  # fmt: skip
+
+
+class Meters:
+    """The metrics of one daemon.
+
+    Parameters
+    ----------
+    vm, data_centre : str
+        Labels of every metric.
+    """
+
+    def __init__(self, vm: str, data_centre: str) -> None:
+        labels = {"vm": vm, "data_centre": data_centre}
+        self._registry = aioprometheus.Registry()
+        self._lock = threading.Lock()
+        self._decisions = aioprometheus.Counter(
+            "carawaysail_decisions_total", "Decisions by name and outcome.", labels,
+            registry=self._registry,
+        )  # fmt: skip
+        self._answers = aioprometheus.Counter(
+            "carawaysail_answers_total", "Answers to clients by status and reason.",
+            labels, registry=self._registry,
+        )  # fmt: skip
+        self._response_ms = aioprometheus.Histogram(
+            "carawaysail_response_ms", "Response time in milliseconds by queue.",
+            labels, registry=self._registry, buckets=BUCKETS_MS,
+        )  # fmt: skip
+        self._calls_ms = aioprometheus.Histogram(
+            "carawaysail_call_ms", "Calls to outside services in milliseconds.",
+            labels, registry=self._registry, buckets=BUCKETS_MS,
+        )  # fmt: skip
+        self._sizes = aioprometheus.Gauge(
+            "carawaysail_size", "Sizes of the daemon's state by name.", labels,
+            registry=self._registry,
+        )  # fmt: skip
+
+    def decided(self, name: str, outcome: str) -> None:
+        """Count a decision."""
+        with self._lock:
+            self._decisions.inc({"name": name, "outcome": outcome})
+
+    def answered(self, queue: str, status: int, took: datetime.timedelta) -> None:
+        """Count an answer to a client."""
+        with self._lock:
+            self._answers.inc({"queue": queue, "status": str(status)})
+            self._response_ms.observe({"queue": queue}, clock.to_milliseconds(took))
+
+    def called(self, service: str, outcome: str, took: datetime.timedelta) -> None:
+        """Count a call to an outside service."""
+        with self._lock:
+            self._calls_ms.observe(
+                {"service": service, "outcome": outcome}, clock.to_milliseconds(took)
+            )
+
+    def sizes(self, sizes: dict[str, int]) -> None:
+        """Take over the sizes of the daemon's state."""
+        with self._lock:
+            for name, value in sizes.items():
+                self._sizes.set({"name": name}, value)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text and its content type."""
+        with self._lock:
+            body, headers = aioprometheus.render(self._registry, ["text/plain"])
+        return body, headers["Content-Type"]
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of daemons that hold workers alone; pure, without I/O."""
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -0,0 +1,769 @@
+"""The broker of a data centre: takes jobs and places their tasks on held workers.
+
+A broker is the only source of orders to its workers. It keeps a ledger for each and
+never orders what does not certainly fit. All methods take the present instant and
+return actions; nothing here does I/O.
+"""
+
+import collections.abc
+import datetime
+import typing
+
+from carawaysail_holding import (
+    estimates,
+    events,
+    foreign,
+    held,
+    jobstate,
+    lengths,
+    memory,
+    policies,
+)
+from carawaysail_types import clock, jobs, runs
+
+MISSING_GRACE = clock.milliseconds(3000)
+"""A worker missing in the store for so long is taken as gone; lapsed entries of a
+store that was away come back within two seconds."""
+
+_PROVEN_UNSTARTED = frozenset(set(runs.Answer) - {runs.Answer.TAKEN, runs.Answer.LOST})
+
+
+class Load(typing.NamedTuple):
+    """How busy a broker's workers are, for one service.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    free_milli : int
+        Thousandths of a core that are free on workers that take work.
+    room_milli : int
+        Thousandths of a core of those workers.
+    wait_ms : float
+        Expected time until a new task would start, in milliseconds.
+    """
+
+    service: str
+    free_milli: int
+    room_milli: int
+    wait_ms: float
+
+
+class Broker:
+    """Jobs and workers of the data centres that this daemon holds.
+
+    Parameters
+    ----------
+    terms : events.Terms
+        Figures of the deployment.
+    names : policies.PolicyNames
+        Policies in use.
+    """
+
+    def __init__(
+        self, terms: events.Terms, names: policies.PolicyNames = policies.PolicyNames()
+    ) -> None:
+        self._terms = terms
+        self._order = policies.orders.get(names.order)
+        self._choice = policies.choices.get(names.choice)
+        self._admission = policies.admissions.get(names.admission)
+        self.lengths = lengths.Lengths()
+        self._tokens: dict[str, int] = {}
+        self._reports: dict[str, runs.WorkerReport] = {}
+        self._workers: dict[str, held.HeldWorker] = {}
+        self._jobs: dict[str, jobstate.JobState] = {}
+        self._memory = memory.Memory()
+        self._foreign = foreign.ForeignRuns()
+        self._out: list[events.Action] = []
+
+    # Tenure
+
+    def tokens(self) -> dict[str, int]:
+        """Return the held data centres with their fencing tokens."""
+        return dict(self._tokens)
+
+    def hold(
+        self, data_centre: str, token: int, now: datetime.datetime
+    ) -> list[events.Action]:
+        """Begin to hold a data centre's workers."""
+        self._release(data_centre, now)
+        self._tokens[data_centre] = token
+        self._adopt_reports(now)
+        return self._take()
+
+    def release(self, data_centre: str, now: datetime.datetime) -> list[events.Action]:
+        """Forget a data centre's workers; jobs begun there go on elsewhere."""
+        self._release(data_centre, now)
+        return self._take()
+
+    def _release(self, data_centre: str, now: datetime.datetime) -> None:
+        self._tokens.pop(data_centre, None)
+        gone = [
+            worker_id
+            for worker_id, worker in self._workers.items()
+            if worker.report.data_centre == data_centre
+        ]
+        for worker_id in gone:
+            del self._workers[worker_id]
+            self._foreign.drop_worker(worker_id)
+        moved = [
+            job
+            for job in self._jobs.values()
+            if any(state.worker_id in gone for state in job.tasks.values())
+        ]
+        for job in moved:
+            self._move(job, now)
+        if not self._tokens:
+            for job in list(self._jobs.values()):
+                self._move(job, now)
+
+    def _move(self, job: jobstate.JobState, now: datetime.datetime) -> None:
+        """Forget a job whose workers another broker holds by now."""
+        for state in job.tasks.values():
+            worker = self._workers.get(state.worker_id)
+            if state.phase is jobstate.Phase.PLACED and worker is not None:
+                self._stop(worker, runs.Run(state.task, state.last_number), now)
+        self._jobs.pop(job.job_id, None)
+        self._note("moved", job.job_id, begun=job.has_ordered)
+
+    # Workers
+
+    def update(
+        self,
+        reports: collections.abc.Iterable[runs.WorkerReport],
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take over what the store says of all workers."""
+        self._reports = {report.worker_id: report for report in reports}
+        for worker_id, worker in list(self._workers.items()):
+            report = self._reports.get(worker_id)
+            if report is None:
+                if worker.missing_since is None:
+                    worker.missing_since = now
+                    self._note("worker_missing", worker_id)
+                continue
+            worker.missing_since = None
+            if report.incarnation != worker.report.incarnation:
+                self._drop(worker_id, "restarted", now)
+            elif report.is_draining and not worker.is_draining:
+                worker.is_draining = True
+                self._note("worker_draining", worker_id)
+        self._adopt_reports(now)
+        self._place(now)
+        return self._take()
+
+    def _adopt_reports(self, now: datetime.datetime) -> None:
+        for worker_id, report in self._reports.items():
+            token = self._tokens.get(report.data_centre)
+            if token is None or worker_id in self._workers:
+                continue
+            worker = held.HeldWorker(report, token, now)
+            self._workers[worker_id] = worker
+            self._out.append(worker.next_hold(self._terms, now))
+
+    def _drop(self, worker_id: str, why: str, now: datetime.datetime) -> None:
+        """Forget a life of a worker that is over, with all that ran there."""
+        worker = self._workers.pop(worker_id)
+        self._foreign.drop_worker(worker_id)
+        self.lengths.forget(worker_id, worker.report.incarnation)
+        lost = list(worker.ledger.entries())
+        self._note("worker_dropped", worker_id, why=why, runs=len(lost))
+        for run in lost:
+            self._run_gone(run, worker_id)
+
+    def listed(
+        self,
+        worker_id: str,
+        listing: runs.Listing,
+        asked: datetime.datetime,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take a worker's listing; answered by the next request for one."""
+        worker = self._workers.get(worker_id)
+        if worker is None or listing.incarnation != worker.report.incarnation:
+            return self._take()
+        if worker.standing.is_silent:
+            self._note("worker_answers", worker_id)
+        was_listed = worker.ledger.is_listed
+        findings = worker.listed(listing, asked, now)
+        for end in findings.ends:
+            self._ended(worker, end, now)
+        for run in findings.vanished:
+            self._note("run_vanished", run.task.job_id, run=str(run.task))
+            self._run_gone(run, worker_id)
+        for run in findings.foreign:
+            self._found(worker, run, now)
+        if not was_listed:
+            self._note(
+                "worker_listed", worker_id, token=worker.ledger.token,
+                running=len(listing.running),
+            )  # fmt: skip
+        self._place(now)
+        self._out.append(worker.next_hold(self._terms, now))
+        return self._take()
+
+    def hold_failed(
+        self,
+        worker_id: str,
+        incarnation: str,
+        answer: runs.Answer,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take note that a worker gave no listing; answered by the next request."""
+        worker = self._workers.get(worker_id)
+        if worker is None or worker.report.incarnation != incarnation:
+            return self._take()
+        if answer is runs.Answer.FENCED:
+            self._fenced(worker, now)
+            return self._take()
+        self._silent(worker, answer)
+        self._out.append(worker.next_hold(self._terms, now))
+        return self._take()
+
+    def _silent(self, worker: held.HeldWorker, answer: runs.Answer) -> None:
+        if not worker.standing.is_silent:
+            worker.standing.is_silent = True
+            self._note("worker_silent", worker.report.worker_id, answer=answer.value)
+
+    def _fenced(self, worker: held.HeldWorker, now: datetime.datetime) -> None:
+        report = worker.report
+        self._note("fenced", report.worker_id, token=worker.ledger.token)
+        self._out.append(events.Fenced(report.data_centre, report.worker_id))
+        self._release(report.data_centre, now)
+
+    # Runs
+
+    def start_answered(
+        self,
+        worker_id: str,
+        incarnation: str,
+        run: runs.Run,
+        answer: runs.Answer,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take the answer to an order that starts a run."""
+        worker = self._workers.get(worker_id)
+        if worker is None or worker.report.incarnation != incarnation:
+            return self._take()
+        worker.ledger.start_answered(run, answer, now)
+        if answer is runs.Answer.FENCED:
+            self._fenced(worker, now)
+            return self._take()
+        if answer is runs.Answer.LOST:
+            self._silent(worker, answer)
+            self._note("start_lost", run.task.job_id, run=_name(run), worker=worker_id)
+            self._stop(worker, run, now)
+        elif answer in _PROVEN_UNSTARTED:
+            self._rejected(worker, run, answer, now)
+        self._place(now)
+        return self._take()
+
+    def _rejected(
+        self,
+        worker: held.HeldWorker,
+        run: runs.Run,
+        answer: runs.Answer,
+        now: datetime.datetime,
+    ) -> None:
+        worker_id = worker.report.worker_id
+        self._note(
+            "start_rejected", run.task.job_id, run=_name(run), worker=worker_id,
+            answer=answer.value,
+        )  # fmt: skip
+        if answer is runs.Answer.UNSENT:
+            self._silent(worker, answer)
+        if answer is runs.Answer.UNHEALTHY and worker.standing.failed(
+            run.task.job_id, now
+        ):
+            self._note("worker_rests", worker_id, cause=answer.value)
+        state = self._state(run)
+        if state is not None:
+            state.avoid.add(worker_id)
+        self._run_gone(run, worker_id)
+
+    def stop_answered(
+        self,
+        worker_id: str,
+        incarnation: str,
+        run: runs.Run,
+        answer: runs.Answer,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take the answer to an order that stops a run."""
+        worker = self._workers.get(worker_id)
+        if worker is None or worker.report.incarnation != incarnation:
+            return self._take()
+        if answer is runs.Answer.FENCED:
+            self._fenced(worker, now)
+            return self._take()
+        worker.ledger.stop_answered(run, answer is runs.Answer.TAKEN, now)
+        return self._take()
+
+    def _stop(
+        self, worker: held.HeldWorker, run: runs.Run, now: datetime.datetime
+    ) -> None:
+        worker.ledger.stop(run, now)
+        self._out.append(events.StopRun(worker.report, run, worker.ledger.token))
+
+    def _found(
+        self, worker: held.HeldWorker, run: runs.Run, now: datetime.datetime
+    ) -> None:
+        """Match a run of an earlier holder with its job, or keep it for a while."""
+        state = self._state(run)
+        if state is not None and state.phase is jobstate.Phase.WAITING:
+            self._claim(worker, run, state, now)
+        else:
+            self._foreign.add(run, worker.report.worker_id, now)
+
+    def _claim(
+        self,
+        worker: held.HeldWorker,
+        run: runs.Run,
+        state: jobstate.TaskState,
+        now: datetime.datetime,
+    ) -> None:
+        worker.ledger.claim(run, state.step.room, now)
+        state.place(run, worker.report.worker_id, now)
+        self._jobs[run.task.job_id].has_ordered = True
+        self._note("claimed", run.task.job_id, run=_name(run))
+
+    def _ended(
+        self, worker: held.HeldWorker, end: runs.RunEnd, now: datetime.datetime
+    ) -> None:
+        task = end.run.task
+        self._foreign.drop_run(end.run)
+        state = self._state(end.run)
+        self._note(
+            "run_ended", task.job_id, run=_name(end.run), how=end.ending.value,
+            worker=worker.report.worker_id,
+        )  # fmt: skip
+        if end.ending is runs.Ending.DONE:
+            self._succeeded(worker, end.run, state, now)
+        elif end.ending is runs.Ending.FAILED:
+            self._failed(worker, end.run, state, now)
+        else:
+            self._run_gone(end.run, worker.report.worker_id)
+
+    def _succeeded(
+        self,
+        worker: held.HeldWorker,
+        run: runs.Run,
+        state: jobstate.TaskState | None,
+        now: datetime.datetime,
+    ) -> None:
+        worker.standing.succeeded()
+        if state is None:
+            self._memory.done(run.task, now)
+            return
+        job = self._jobs[run.task.job_id]
+        is_current = state.last_number == run.number and state.started is not None
+        if is_current and state.started is not None:
+            self.lengths.observe(
+                job.submission.queue.name, state.step, worker.report,
+                now - state.started,
+            )  # fmt: skip
+        state.phase = jobstate.Phase.DONE
+        state.worker_id = ""
+        if job.is_done():
+            self._finish(job, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
+
+    def _failed(
+        self,
+        worker: held.HeldWorker,
+        run: runs.Run,
+        state: jobstate.TaskState | None,
+        now: datetime.datetime,
+    ) -> None:
+        worker_id = worker.report.worker_id
+        if worker.standing.failed(run.task.job_id, now):
+            self._note("worker_rests", worker_id, cause="failed runs")
+        if state is None:
+            return
+        state.failures += 1
+        state.avoid.add(worker_id)
+        self._run_gone(run, worker_id)
+        job = self._jobs[run.task.job_id]
+        if state.failures >= job.submission.queue.max_attempts:
+            outcome = jobs.JobOutcome(jobs.Verdict.FAILED, jobs.Reason.TASK_FAILED)
+            self._finish(job, outcome, now)
+
+    def _run_gone(self, run: runs.Run, worker_id: str) -> None:
+        """Let a task start again whose run is certainly over."""
+        self._foreign.drop_run(run)
+        state = self._state(run)
+        if (
+            state is not None
+            and state.phase is jobstate.Phase.PLACED
+            and state.worker_id == worker_id
+            and state.last_number == run.number
+        ):
+            state.release()
+
+    def _state(self, run: runs.Run) -> jobstate.TaskState | None:
+        job = self._jobs.get(run.task.job_id)
+        return job.tasks.get(run.task) if job is not None else None
+
+    # Jobs
+
+    def submit(
+        self,
+        submission: events.Submission,
+        waiter: events.Waiter,
+        now: datetime.datetime,
+    ) -> list[events.Action]:
+        """Take a job, join it to the copy that is under way, or refuse it."""
+        job_id = submission.job.job_id
+        known = self._jobs.get(job_id)
+        outcome = self._memory.outcome(job_id, now)
+        if known is not None:
+            if waiter not in known.waiters:
+                known.waiters.append(waiter)
+            self._note("joined", job_id, waiter=waiter.vm)
+        elif outcome is not None:
+            self._note("remembered", job_id, verdict=outcome.verdict.value)
+            self._out.append(events.Reply(waiter, job_id, outcome))
+        else:
+            self._admit(submission, waiter, now)
+        return self._take()
+
+    def _admit(
+        self,
+        submission: events.Submission,
+        waiter: events.Waiter,
+        now: datetime.datetime,
+    ) -> None:
+        schedule = policies.schedule(self.lengths, submission, now)
+        job = jobstate.JobState(submission, schedule)
+        job.waiters.append(waiter)
+        self._recall(job, now)
+        reason, outlook = self._objection(job, now)
+        fields = {
+            "queue": submission.queue.name,
+            "waiter": waiter.vm,
+            "tasks": len(job.tasks),
+            "length_ms": round(clock.to_milliseconds(schedule.length)),
+            "finish_ms": round(clock.to_milliseconds(outlook.finish - now)),
+            "due_ms": round(clock.to_milliseconds(schedule.due - now)),
+            "resumed": submission.is_resumed,
+        }
+        if reason is not jobs.Reason.NONE and not job.has_ordered:
+            outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, outlook.drained)
+            self._note("refused", submission.job.job_id, reason=reason.value, **fields)
+            self._out.append(events.Reply(waiter, submission.job.job_id, outcome))
+            return
+        self._note("admitted", submission.job.job_id, **fields)
+        self._jobs[job.job_id] = job
+        if job.is_done():
+            self._finish(job, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
+        self._place(now)
+
+    def _recall(self, job: jobstate.JobState, now: datetime.datetime) -> None:
+        """Give a job what earlier copies of it have left behind."""
+        job.has_ordered = job.submission.is_resumed
+        self._jobs[job.job_id] = job
+        for task, state in job.tasks.items():
+            state.last_number = self._memory.last_number(task)
+            if self._memory.is_done(task, now):
+                state.phase = jobstate.Phase.DONE
+                job.has_ordered = True
+            for run, worker_id in self._foreign.of(task):
+                worker = self._workers.get(worker_id)
+                if worker is not None and state.phase is jobstate.Phase.WAITING:
+                    self._foreign.drop_run(run)
+                    self._claim(worker, run, state, now)
+        del self._jobs[job.job_id]
+
+    def _objection(
+        self, job: jobstate.JobState, now: datetime.datetime
+    ) -> tuple[jobs.Reason, policies.Outlook]:
+        """Return why a job cannot be taken, and what it can expect."""
+        queue = job.submission.queue
+        workers = self._usable(queue.service, now)
+        outlook = estimates.outlook(
+            job, workers, self._jobs.values(), self._order, self.lengths, now
+        )
+        if job.submission.job.missing_features():
+            return jobs.Reason.UNSUPPORTED, outlook._replace(
+                drained=datetime.timedelta()
+            )
+        if not workers:
+            return jobs.Reason.NO_WORKERS, outlook
+        if not self._can_ever_fit(job):
+            return jobs.Reason.NEVER_FITS, outlook._replace(
+                drained=datetime.timedelta()
+            )
+        if not self._admission.admits(job, outlook, now):
+            return jobs.Reason.OVERLOADED, outlook
+        return jobs.Reason.NONE, outlook
+
+    def _can_ever_fit(self, job: jobstate.JobState) -> bool:
+        service = job.submission.queue.service
+        known = [x for x in self._reports.values() if x.service == service]
+        return all(
+            any(_suits(report, step) for report in known)
+            for step in job.submission.job.steps
+        )
+
+    def withdraw(
+        self, job_id: str, waiter: events.Waiter, now: datetime.datetime
+    ) -> list[events.Action]:
+        """Forget a waiter; a job that nobody waits for is stopped."""
+        job = self._jobs.get(job_id)
+        if job is not None and waiter in job.waiters:
+            job.waiters.remove(waiter)
+            if not job.waiters:
+                reason = jobs.Reason.WITHDRAWN
+                self._finish(job, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason), now)
+                self._place(now)
+        return self._take()
+
+    def waiters_lost(self, vm: str, now: datetime.datetime) -> list[events.Action]:
+        """Withdraw all jobs of a daemon that is not heard any more."""
+        taken: list[events.Action] = []
+        for job in list(self._jobs.values()):
+            for waiter in [x for x in job.waiters if x.vm == vm]:
+                taken.extend(self.withdraw(job.job_id, waiter, now))
+        return taken
+
+    def _finish(
+        self, job: jobstate.JobState, outcome: jobs.JobOutcome, now: datetime.datetime
+    ) -> None:
+        """Tell all waiters, and stop what still runs for the job."""
+        del self._jobs[job.job_id]
+        for state in job.tasks.values():
+            if state.last_number:
+                self._memory.used(state.task, state.last_number, now)
+            worker = self._workers.get(state.worker_id)
+            if state.phase is jobstate.Phase.PLACED and worker is not None:
+                self._stop(worker, runs.Run(state.task, state.last_number), now)
+        if outcome.verdict in (jobs.Verdict.COMPLETED, jobs.Verdict.FAILED):
+            self._memory.ended(job.job_id, outcome, now)
+        self._note(
+            "finished", job.job_id, verdict=outcome.verdict.value,
+            reason=outcome.reason.value, queue=job.submission.queue.name,
+            age_ms=round(clock.to_milliseconds(now - job.submission.arrived)),
+            late_ms=round(clock.to_milliseconds(now - job.schedule.due)),
+        )  # fmt: skip
+        for waiter in job.waiters:
+            self._out.append(events.Reply(waiter, job.job_id, outcome))
+
+    # Placing
+
+    def _usable(self, service: str, now: datetime.datetime) -> list[held.HeldWorker]:
+        return [
+            worker
+            for worker in self._workers.values()
+            if worker.report.service == service and worker.accepts(now)
+        ]
+
+    def _place(self, now: datetime.datetime) -> None:
+        """Order as many waiting tasks as fit, the most urgent job first."""
+        waiting = [job for job in self._jobs.values() if job.waiting()]
+        if not waiting:
+            return
+        usable: dict[str, list[held.HeldWorker]] = {}
+        for job in sorted(waiting, key=lambda x: self._order.key(x, now)):
+            service = job.submission.queue.service
+            if service not in usable:
+                usable[service] = self._usable(service, now)
+            if job.submission.is_resumed and self._is_unlisted(service, now):
+                continue
+            self._place_job(job, usable[service], now)
+
+    def _is_unlisted(self, service: str, now: datetime.datetime) -> bool:
+        """Tell whether runs of an earlier holder may still be unknown."""
+        return any(
+            not worker.ledger.is_listed and not worker.has_lapsed(self._terms, now)
+            for worker in self._workers.values()
+            if worker.report.service == service
+        )
+
+    def _place_job(
+        self,
+        job: jobstate.JobState,
+        usable: list[held.HeldWorker],
+        now: datetime.datetime,
+    ) -> None:
+        largest = max((x.ledger.free().processor_milli for x in usable), default=0)
+        for state in job.ready():
+            if state.step.room.processor_milli > largest:
+                continue
+            candidates = self._candidates(job, state, usable, now)
+            if not candidates and state.avoid:
+                candidates = self._candidates(job, state, usable, now, strict=False)
+            if not candidates or self._is_unresolved(state.task):
+                continue
+            chosen = self._choice.choose(
+                candidates, job, estimates.utilisation(usable), now
+            )
+            self._start(job, state, chosen.worker, now)
+
+    def _is_unresolved(self, task: runs.Task) -> bool:
+        """Tell whether a run of the task still counts on some worker."""
+        return any(
+            run.task == task
+            for worker in self._workers.values()
+            for run in worker.ledger.entries()
+        )
+
+    def _candidates(
+        self,
+        job: jobstate.JobState,
+        state: jobstate.TaskState,
+        usable: list[held.HeldWorker],
+        now: datetime.datetime,
+        strict: bool = True,
+    ) -> list[policies.Candidate]:
+        step = state.step
+        expected = self.lengths.expected(job.submission.queue.name, step)
+        found = []
+        for worker in usable:
+            free = worker.ledger.free()
+            if not free.holds(step.room) or not worker.accepts(now):
+                continue
+            report = worker.report
+            if step.required_label and step.required_label not in report.labels:
+                continue
+            if strict and report.worker_id in state.avoid:
+                continue
+            limit = step.max_per_worker
+            if limit and worker.ledger.tasks_of(job.job_id, state.task.step) >= limit:
+                continue
+            takes = self.lengths.on(expected, report)
+            if step.preferred_rack and step.preferred_rack not in report.labels:
+                takes *= self._terms.cross_rack_factor
+            spare = free.processor_milli - step.room.processor_milli
+            found.append(policies.Candidate(worker, takes, spare))
+        return found
+
+    def _start(
+        self,
+        job: jobstate.JobState,
+        state: jobstate.TaskState,
+        worker: held.HeldWorker,
+        now: datetime.datetime,
+    ) -> None:
+        expires = worker.expires(self._terms, now)
+        if expires is None:
+            return
+        run = state.next_run()
+        worker.ledger.order(run, state.step.room, now)
+        worker.extend(now)
+        state.place(run, worker.report.worker_id, now)
+        job.has_ordered = True
+        self._note(
+            "placed", job.job_id, run=_name(run), worker=worker.report.worker_id,
+            waited_ms=round(clock.to_milliseconds(now - job.submission.arrived)),
+            free_milli=worker.ledger.free().processor_milli,
+        )  # fmt: skip
+        self._out.append(
+            events.StartRun(
+                worker.report,
+                run,
+                job.submission.job.spec,
+                expires,
+                worker.ledger.token,
+            )  # fmt: skip
+        )
+
+    # Time
+
+    def tick(self, now: datetime.datetime) -> list[events.Action]:
+        """Act on what is due: deadlines, lost leases, stops to be tried again."""
+        for job in list(self._jobs.values()):
+            self._expire(job, now)
+        for worker_id, worker in list(self._workers.items()):
+            self._tend(worker_id, worker, now)
+        for run, worker_id in self._foreign.overdue(now):
+            worker = self._workers.get(worker_id)  # type: ignore[assignment]
+            if worker is not None:
+                self._note("stop_unclaimed", run.task.job_id, run=_name(run))
+                self._stop(worker, run, now)
+        self._memory.prune(now)
+        self._place(now)
+        return self._take()
+
+    def _expire(self, job: jobstate.JobState, now: datetime.datetime) -> None:
+        left = job.submission.deadline - now
+        if left <= datetime.timedelta():
+            verdict = jobs.Verdict.UNKNOWN if job.has_ordered else jobs.Verdict.REFUSED
+            self._finish(job, jobs.JobOutcome(verdict, jobs.Reason.TIMED_OUT), now)
+        elif not job.has_ordered and left < job.schedule.length:
+            reason = jobs.Reason.TOO_LATE
+            outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, FIRST_RETURN)
+            self._finish(job, outcome, now)
+
+    def _tend(
+        self, worker_id: str, worker: held.HeldWorker, now: datetime.datetime
+    ) -> None:
+        if worker.standing.is_silent and worker.has_lapsed(self._terms, now):
+            for run in worker.ledger.lapse():
+                self._note("lease_lost", run.task.job_id, run=_name(run))
+                self._run_gone(run, worker_id)
+            if worker.missing_since is not None:
+                self._drop(worker_id, "missing and silent", now)
+                return
+        missing = worker.missing_since
+        is_overdue = missing is not None and now - missing > MISSING_GRACE
+        if is_overdue and not worker.ledger.entries():
+            self._drop(worker_id, "missing in the store", now)
+            return
+        for run in worker.ledger.uncertain():
+            self._stop(worker, run, now)
+
+    # Load
+
+    def loads_by_place(
+        self, now: datetime.datetime
+    ) -> tuple[tuple[str, tuple[Load, ...]], ...]:
+        """Return how busy the held workers are, by data centre and service."""
+        return tuple((place, self._loads(place, now)) for place in sorted(self._tokens))
+
+    def _loads(self, place: str, now: datetime.datetime) -> tuple[Load, ...]:
+        held_here = [x for x in self._workers.values() if x.report.data_centre == place]
+        found = []
+        for service in sorted({x.report.service for x in held_here}):
+            usable = [
+                x for x in held_here if x.report.service == service and x.accepts(now)
+            ]
+            free = sum(x.ledger.free().processor_milli for x in usable)
+            room = sum(x.report.room.processor_milli for x in usable)
+            wait = estimates.wait(
+                self._usable(service, now), self._jobs.values(), service,
+                self.lengths, now,
+            )  # fmt: skip
+            found.append(Load(service, free, room, clock.to_milliseconds(wait)))
+        return tuple(found)
+
+    def worker_ids(self) -> frozenset[str]:
+        """Return the workers that are held."""
+        return frozenset(self._workers)
+
+    def counts(self) -> dict[str, int]:
+        """Return sizes for the metrics."""
+        return {
+            "jobs": len(self._jobs),
+            "workers": len(self._workers),
+            "silent_workers": sum(x.standing.is_silent for x in self._workers.values()),
+            "runs": sum(len(x.ledger.entries()) for x in self._workers.values()),
+        }
+
+    def _note(self, name: str, subject: str, **fields: typing.Any) -> None:
+        self._out.append(events.Note(name, subject, fields))
+
+    def _take(self) -> list[events.Action]:
+        taken, self._out = self._out, []
+        return taken
+
+
+FIRST_RETURN = clock.milliseconds(1000)
+"""When a client that came too late had better come back: the least whole second."""
+
+
+def _suits(report: runs.WorkerReport, step: jobs.Step) -> bool:
+    has_label = not step.required_label or step.required_label in report.labels
+    return has_label and report.room.holds(step.room)
+
+
+def _name(run: runs.Run) -> str:
+    return f"{run.task}#{run.number}"
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/events.py
@@ -0,0 +1,148 @@
+"""What comes into the broker's decisions, and the actions that come out."""
+
+import datetime
+import typing
+
+from carawaysail_types import jobs, runs
+
+
+class Terms(typing.NamedTuple):
+    """Figures of the deployment that decisions rest on.
+
+    Parameters
+    ----------
+    lease : datetime.timedelta
+        Longest lease that a worker grants.
+    cross_rack_factor : float
+        How many times longer a task takes away from its data's rack.
+    """
+
+    lease: datetime.timedelta = datetime.timedelta(seconds=1)
+    cross_rack_factor: float = 1.5
+
+
+class Waiter(typing.NamedTuple):
+    """The daemon whose client waits for a job.
+
+    Parameters
+    ----------
+    vm, incarnation : str
+        The daemon.
+    """
+
+    vm: str
+    incarnation: str
+
+
+class Submission(typing.NamedTuple):
+    """A job handed to the broker of a data centre.
+
+    Parameters
+    ----------
+    job : jobs.Job
+        The job.
+    queue : jobs.Queue
+        Its queue, in the version that the client's daemon knows.
+    arrived, deadline : datetime.datetime
+        When the client sent it and until when it waits.
+    is_resumed : bool
+        Whether another broker may have begun it.
+    """
+
+    job: jobs.Job
+    queue: jobs.Queue
+    arrived: datetime.datetime
+    deadline: datetime.datetime
+    is_resumed: bool = False
+
+
+class StartRun(typing.NamedTuple):
+    """Order a worker to start a run.
+
+    Parameters
+    ----------
+    worker : runs.WorkerReport
+        The worker.
+    run : runs.Run
+        The run.
+    spec : str
+        The job's specification.
+    expires : datetime.timedelta
+        End of the lease, on the worker's clock.
+    token : int
+        Fencing token.
+    """
+
+    worker: runs.WorkerReport
+    run: runs.Run
+    spec: str
+    expires: datetime.timedelta
+    token: int
+
+
+class StopRun(typing.NamedTuple):
+    """Order a worker to stop a run, or never to begin it."""
+
+    worker: runs.WorkerReport
+    run: runs.Run
+    token: int
+
+
+class Hold(typing.NamedTuple):
+    """Renew a worker's lease and ask what runs there.
+
+    Parameters
+    ----------
+    worker : runs.WorkerReport
+        The worker.
+    token : int
+        Fencing token.
+    acknowledged : int
+        Ends up to this number may be forgotten.
+    wait : datetime.timedelta
+        How long the worker may wait for an end before it answers.
+    expires : datetime.timedelta or None
+        End of the lease, on the worker's clock; ``None`` leaves it as it is.
+    """
+
+    worker: runs.WorkerReport
+    token: int
+    acknowledged: int
+    wait: datetime.timedelta
+    expires: datetime.timedelta | None
+
+
+class Reply(typing.NamedTuple):
+    """Tell a daemon what became of a job that its client waits for."""
+
+    waiter: Waiter
+    job_id: str
+    outcome: jobs.JobOutcome
+
+
+class Fenced(typing.NamedTuple):
+    """A worker follows a holder with a higher token."""
+
+    data_centre: str
+    worker_id: str
+
+
+class Note(typing.NamedTuple):
+    """A decision, for the log.
+
+    Parameters
+    ----------
+    name : str
+        What was decided.
+    subject : str
+        Identifier of the job, worker or data centre.
+    fields : dict
+        The inputs and the outcome.
+    """
+
+    name: str
+    subject: str
+    fields: dict[str, typing.Any]
+
+
+Action = StartRun | StopRun | Hold | Reply | Fenced | Note
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held.py
@@ -0,0 +1,98 @@
+"""A worker in the hands of this daemon: ledger, standing, clock and lease."""
+
+import datetime
+
+from carawaysail_holding import events, ledger, standing
+from carawaysail_types import clock, runs
+
+BUSY_WAIT = clock.milliseconds(250)
+"""Longest wait of a listing while tasks run: a quarter of the usual lease."""
+
+IDLE_WAIT = clock.milliseconds(500)
+"""Longest wait of a listing while nothing runs; bounds how late a loss is seen."""
+
+CLOCK_DRIFT = 1.02
+"""A worker's clock may be 2% slow, so a lease may last that much longer."""
+
+LAPSE_MARGIN = clock.milliseconds(60)
+"""Time for an extension that is under way to arrive, beyond the lease."""
+
+
+class HeldWorker:
+    """One life of a worker that only this daemon gives orders to.
+
+    Parameters
+    ----------
+    report : runs.WorkerReport
+        The worker.
+    token : int
+        Fencing token.
+    now : datetime.datetime
+        Present instant.
+    """
+
+    def __init__(
+        self, report: runs.WorkerReport, token: int, now: datetime.datetime
+    ) -> None:
+        self.ledger = ledger.Ledger(report, token, now)
+        self.standing = standing.Standing()
+        self.is_draining = report.is_draining
+        self.missing_since: datetime.datetime | None = None
+        self._clock_read: tuple[datetime.timedelta, datetime.datetime] | None = None
+        self._extended = now
+
+    @property
+    def report(self) -> runs.WorkerReport:
+        """The worker's report."""
+        return self.ledger.report
+
+    def accepts(self, now: datetime.datetime) -> bool:
+        """Tell whether new runs may be ordered here."""
+        return (
+            self.ledger.is_listed
+            and not self.is_draining
+            and self.missing_since is None
+            and self.standing.accepts(now, len(self.ledger.entries()))
+        )
+
+    def listed(
+        self, listing: runs.Listing, asked: datetime.datetime, now: datetime.datetime
+    ) -> ledger.Findings:
+        """Take note of a listing."""
+        self.standing.is_silent = False
+        self._clock_read = (listing.clock, now)
+        return self.ledger.take(listing, asked)
+
+    def expires(
+        self, terms: events.Terms, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Return the end of a lease that begins now, on the worker's clock."""
+        if self._clock_read is None:
+            return None
+        read, at = self._clock_read
+        return read + (now - at) + terms.lease
+
+    def extend(self, now: datetime.datetime) -> None:
+        """Take note that an order which extends the lease is sent."""
+        self._extended = now
+
+    def has_lapsed(self, terms: events.Terms, now: datetime.datetime) -> bool:
+        """Tell whether the lease has run out for certain."""
+        return now >= self._extended + terms.lease * CLOCK_DRIFT + LAPSE_MARGIN
+
+    def next_hold(self, terms: events.Terms, now: datetime.datetime) -> events.Hold:
+        """Return the next request for a listing.
+
+        A silent worker is only asked: extending its lease would keep its runs alive
+        while nothing is known of them.
+        """
+        is_busy = bool(self.ledger.entries())
+        expires = None if self.standing.is_silent else self.expires(terms, now)
+        if expires is not None:
+            self.extend(now)
+        wait = BUSY_WAIT if is_busy else IDLE_WAIT
+        if not self.ledger.is_listed or self.standing.is_silent:
+            wait = clock.milliseconds(0)
+        return events.Hold(
+            self.report, self.ledger.token, self.ledger.acknowledged, wait, expires
+        )
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
@@ -0,0 +1,123 @@
+"""One job at its broker: tasks, runs, attempts, and what it is due."""
+
+import datetime
+import enum
+import typing
+
+from carawaysail_holding import events
+from carawaysail_types import jobs, runs
+
+
+class Phase(enum.Enum):
+    """How far a task is."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class TaskState:
+    """One task.
+
+    Parameters
+    ----------
+    task : runs.Task
+        Its name.
+    step : jobs.Step
+        What it needs.
+    """
+
+    def __init__(self, task: runs.Task, step: jobs.Step) -> None:
+        self.task = task
+        self.step = step
+        self.phase = Phase.WAITING
+        self.last_number = 0
+        self.failures = 0
+        self.worker_id = ""
+        self.started: datetime.datetime | None = None
+        self.avoid: set[str] = set()
+
+    def next_run(self) -> runs.Run:
+        """Return the run that would be ordered next."""
+        return runs.Run(self.task, self.last_number + 1)
+
+    def place(self, run: runs.Run, worker_id: str, now: datetime.datetime) -> None:
+        """Take note that a run of this task counts on a worker."""
+        self.phase = Phase.PLACED
+        self.last_number = max(self.last_number, run.number)
+        self.worker_id = worker_id
+        self.started = now
+
+    def release(self) -> None:
+        """Let the task be started again."""
+        self.phase = Phase.WAITING
+        self.worker_id = ""
+        self.started = None
+
+
+class Schedule(typing.NamedTuple):
+    """When a job has to be where.
+
+    Parameters
+    ----------
+    length : datetime.timedelta
+        Expected length of the longest chain of tasks on an average worker.
+    due : datetime.datetime
+        Until when an answer keeps the response-time objective.
+    latest_start : datetime.datetime
+        Until when the first task must start for that.
+    """
+
+    length: datetime.timedelta
+    due: datetime.datetime
+    latest_start: datetime.datetime
+
+
+class JobState:
+    """One job.
+
+    Parameters
+    ----------
+    submission : events.Submission
+        What was submitted.
+    schedule : Schedule
+        When it is due.
+    """
+
+    def __init__(self, submission: events.Submission, schedule: Schedule) -> None:
+        self.submission = submission
+        self.schedule = schedule
+        self.waiters: list[events.Waiter] = []
+        self.has_ordered = False
+        self.tasks: dict[runs.Task, TaskState] = {}
+        for number, step in enumerate(submission.job.steps):
+            for index in range(step.width):
+                task = runs.Task(submission.job.job_id, 0, number, index)
+                self.tasks[task] = TaskState(task, step)
+
+    @property
+    def job_id(self) -> str:
+        """The job's identifier."""
+        return self.submission.job.job_id
+
+    def is_done(self) -> bool:
+        """Tell whether every task is done."""
+        return all(state.phase is Phase.DONE for state in self.tasks.values())
+
+    def ready(self) -> list[TaskState]:
+        """Return the waiting tasks whose earlier steps are done."""
+        open_steps = {
+            task.step
+            for task, state in self.tasks.items()
+            if state.phase is not Phase.DONE
+        }
+        return [
+            state
+            for state in self.tasks.values()
+            if state.phase is Phase.WAITING
+            and not open_steps.intersection(state.step.after)
+        ]
+
+    def waiting(self) -> int:
+        """Return how many tasks wait for a worker."""
+        return sum(state.phase is Phase.WAITING for state in self.tasks.values())
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -0,0 +1,219 @@
+"""The ledger of one worker: what runs there, as far as its holder can prove.
+
+Room counts as taken from the order that starts a run until the worker itself shows
+that the run has ended or can never begin. An order without an answer may be carried
+out much later, so its room stays taken until a stop of that very run was answered.
+"""
+
+import datetime
+import enum
+import typing
+
+from carawaysail_types import jobs, runs
+
+
+class State(enum.Enum):
+    """What is known of a run on a worker."""
+
+    ORDERED = "ordered"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+
+
+class Entry(typing.NamedTuple):
+    """A run that counts against the worker's room.
+
+    Parameters
+    ----------
+    state : State
+        What is known.
+    room : jobs.Room or None
+        What it takes; ``None`` for a run whose job is not known here.
+    since : datetime.datetime
+        When it entered this state.
+    """
+
+    state: State
+    room: jobs.Room | None
+    since: datetime.datetime
+
+
+class Findings(typing.NamedTuple):
+    """What a listing has shown.
+
+    Parameters
+    ----------
+    ends : tuple of runs.RunEnd
+        Ends that were not taken note of before.
+    vanished : tuple of runs.Run
+        Runs that have neither an end nor are there any more.
+    foreign : tuple of runs.Run
+        Runs that this holder did not order.
+    """
+
+    ends: tuple[runs.RunEnd, ...]
+    vanished: tuple[runs.Run, ...]
+    foreign: tuple[runs.Run, ...]
+
+
+class Ledger:
+    """Runs on one life of a worker.
+
+    Parameters
+    ----------
+    report : runs.WorkerReport
+        The worker; its life never changes in one ledger.
+    token : int
+        Fencing token of all orders.
+    now : datetime.datetime
+        Present instant.
+    """
+
+    def __init__(
+        self, report: runs.WorkerReport, token: int, now: datetime.datetime
+    ) -> None:
+        self.report = report
+        self.token = token
+        self.began = now
+        self.is_listed = False
+        self.acknowledged = 0
+        self._entries: dict[runs.Run, Entry] = {}
+        self._free: jobs.Room | None = None
+
+    def entries(self) -> dict[runs.Run, Entry]:
+        """Return the runs that count against the worker's room."""
+        return dict(self._entries)
+
+    def entry(self, run: runs.Run) -> Entry | None:
+        """Return what is known of a run, if it counts."""
+        return self._entries.get(run)
+
+    def free(self) -> jobs.Room:
+        """Return the room that is certainly free."""
+        if self._free is None:
+            self._free = self._count_free()
+        return self._free
+
+    def _count_free(self) -> jobs.Room:
+        free = self.report.room
+        for entry in self._entries.values():
+            if entry.room is None:
+                return jobs.NO_ROOM
+            free = free.minus(entry.room)
+        return free
+
+    def _set(self, run: runs.Run, entry: Entry) -> None:
+        self._entries[run] = entry
+        self._free = None
+
+    def _remove(self, run: runs.Run) -> None:
+        if self._entries.pop(run, None) is not None:
+            self._free = None
+
+    def tasks_of(self, job_id: str, step: int) -> int:
+        """Return how many runs of a job's step count here."""
+        return sum(
+            run.task.job_id == job_id and run.task.step == step for run in self._entries
+        )
+
+    def order(self, run: runs.Run, room: jobs.Room, now: datetime.datetime) -> None:
+        """Take room for a run that is ordered now."""
+        self._set(run, Entry(State.ORDERED, room, now))
+
+    def claim(self, run: runs.Run, room: jobs.Room, now: datetime.datetime) -> None:
+        """Take over a run that another holder ordered."""
+        self._set(run, Entry(State.RUNNING, room, now))
+
+    def start_answered(
+        self, run: runs.Run, answer: runs.Answer, now: datetime.datetime
+    ) -> None:
+        """Take note of the answer to the order of a run."""
+        entry = self._entries.get(run)
+        if entry is None:
+            return
+        if answer is runs.Answer.TAKEN:
+            if entry.state is State.ORDERED:
+                self._set(run, Entry(State.RUNNING, entry.room, now))
+        elif answer is runs.Answer.LOST:
+            self._set(run, Entry(State.UNCERTAIN, entry.room, now))
+        else:
+            self._remove(run)
+
+    def stop(self, run: runs.Run, now: datetime.datetime) -> None:
+        """Take note that a run is told to stop."""
+        entry = self._entries.get(run)
+        if entry is not None:
+            self._set(run, Entry(State.STOPPING, entry.room, now))
+
+    def stop_answered(
+        self, run: runs.Run, is_taken: bool, now: datetime.datetime
+    ) -> None:
+        """Take note of the answer to a stop; one that was lost is tried again."""
+        entry = self._entries.get(run)
+        if entry is None or entry.state is State.STOPPED:
+            return
+        state = State.STOPPED if is_taken else State.UNCERTAIN
+        self._set(run, Entry(state, entry.room, now))
+
+    def take(self, listing: runs.Listing, asked: datetime.datetime) -> Findings:
+        """Compare with what the worker lists.
+
+        Parameters
+        ----------
+        listing : runs.Listing
+            The listing.
+        asked : datetime.datetime
+            When it was asked for. What was certain before must show in it.
+        """
+        self.is_listed = True
+        running = set(listing.running)
+        ends = tuple(end for end in listing.ends if end.sequence > self.acknowledged)
+        for end in ends:
+            self._remove(end.run)
+            self.acknowledged = max(self.acknowledged, end.sequence)
+        for run in running:
+            entry = self._entries.get(run)
+            if entry is not None and entry.state is State.UNCERTAIN:
+                self._set(run, Entry(State.RUNNING, entry.room, asked))
+        vanished = [
+            run
+            for run, entry in self._entries.items()
+            if run not in running and entry.since < asked and _must_show(entry)
+        ]
+        for run in vanished:
+            self._remove(run)
+        ended = {end.run for end in listing.ends}
+        foreign = tuple(
+            run for run in running if run not in self._entries and run not in ended
+        )
+        for run in foreign:
+            self._set(run, Entry(State.RUNNING, None, asked))
+        return Findings(ends, tuple(vanished), foreign)
+
+    def lapse(self) -> tuple[runs.Run, ...]:
+        """Drop what has lost its lease; return it.
+
+        An order without an answer stays: it may still be carried out.
+        """
+        lapsed = tuple(
+            run
+            for run, entry in self._entries.items()
+            if entry.state not in (State.UNCERTAIN, State.ORDERED)
+        )
+        for run in lapsed:
+            self._remove(run)
+        return lapsed
+
+    def uncertain(self) -> tuple[runs.Run, ...]:
+        """Return runs whose last order was not answered."""
+        return tuple(
+            run
+            for run, entry in self._entries.items()
+            if entry.state is State.UNCERTAIN
+        )
+
+
+def _must_show(entry: Entry) -> bool:
+    return entry.state in (State.RUNNING, State.STOPPED)
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/tenure.py
@@ -0,0 +1,283 @@
+"""Which daemon holds the workers of a data centre, and when it changes.
+
+The store's conditional write decides; its revision is the fencing token, so a daemon
+that wrongly believes to hold is refused by the workers. What is decided here is only
+when a daemon tries: a leaving, restarted or silent holder is replaced at once by the
+first daemon of its data centre, the others follow one after the other in case that one
+cannot reach the store.
+"""
+
+import datetime
+import hashlib
+import typing
+
+from carawaysail_types import clock, daemons
+
+SUSPECT = clock.milliseconds(600)
+"""Silence after which a daemon is taken as away: four heartbeats."""
+
+SETTLE = clock.milliseconds(1000)
+"""Time for a daemon that the store lists to be heard for the first time."""
+
+TURN = clock.milliseconds(400)
+"""How long each daemon waits for the one before it to take a vacant tenure."""
+
+MIN_TENURE = clock.milliseconds(3200)
+"""Tenures of daemons that live do not change hands faster; above the store's lease."""
+
+HOME_AFTER = clock.milliseconds(2000)
+"""Time for a restarted daemon to settle before it takes its data centre back."""
+
+FRESH_WORKERS = clock.milliseconds(2500)
+"""Workers whose report changed within this reach the store."""
+
+
+class Claim(typing.NamedTuple):
+    """Try to take a tenure by a conditional write.
+
+    Parameters
+    ----------
+    data_centre : str
+        Whose workers to hold.
+    token : int
+        Token of the tenure to replace; 0 if there was none.
+    cause : str
+        Why.
+    """
+
+    data_centre: str
+    token: int
+    cause: str
+
+
+class _Peer:
+    def __init__(self, daemon: daemons.Daemon, now: datetime.datetime) -> None:
+        self.daemon = daemon
+        self.first_seen = now
+        self.heard: datetime.datetime | None = None
+        self.is_leaving = False
+        self.is_refusing = False
+        self.is_listed = True
+        self.unlisted_since: datetime.datetime | None = None
+
+
+class Tenures:
+    """What one daemon believes of all daemons and tenures.
+
+    Parameters
+    ----------
+    me : daemons.Daemon
+        This daemon.
+    now : datetime.datetime
+        Present instant.
+    """
+
+    def __init__(self, me: daemons.Daemon, now: datetime.datetime) -> None:
+        self.me = me
+        self.is_leaving = False
+        self._born = now
+        self._peers: dict[str, _Peer] = {}
+        self._tenures: dict[str, daemons.Tenure] = {}
+        self._changed: dict[str, datetime.datetime] = {}
+        self._vacant_since: dict[str, datetime.datetime] = {}
+        self._workers_seen: dict[str, datetime.datetime] = {}
+        self._asked: dict[str, datetime.datetime] = {}
+
+    # What is learned
+
+    def listed(
+        self,
+        found: tuple[daemons.Daemon, ...],
+        tenures: tuple[daemons.Tenure, ...],
+        now: datetime.datetime,
+    ) -> None:
+        """Take what the store lists: all daemons with a lease, and all tenures."""
+        for daemon in found:
+            if daemon.vm != self.me.vm:
+                self._see(daemon, now)
+        listed = {(daemon.vm, daemon.incarnation) for daemon in found}
+        for peer in self._peers.values():
+            peer.is_listed = (peer.daemon.vm, peer.daemon.incarnation) in listed
+            if peer.is_listed:
+                peer.unlisted_since = None
+            elif peer.unlisted_since is None:
+                peer.unlisted_since = now
+        for tenure in tenures:
+            self.learn(tenure, now)
+
+    def _see(self, daemon: daemons.Daemon, now: datetime.datetime) -> _Peer:
+        peer = self._peers.get(daemon.vm)
+        if peer is None or peer.daemon.incarnation != daemon.incarnation:
+            peer = self._peers[daemon.vm] = _Peer(daemon, now)
+        return peer
+
+    def heard(
+        self, daemon: daemons.Daemon, is_leaving: bool, now: datetime.datetime
+    ) -> None:
+        """Take note of a message of another daemon."""
+        peer = self._see(daemon, now)
+        peer.heard = now
+        peer.is_leaving = is_leaving
+        peer.is_refusing = False
+
+    def refused(self, daemon: daemons.Daemon) -> None:
+        """Take note that nothing listens at a daemon's address."""
+        peer = self._peers.get(daemon.vm)
+        if peer is not None and peer.daemon == daemon:
+            peer.is_refusing = True
+
+    def workers_seen(self, data_centre: str, now: datetime.datetime) -> None:
+        """Take note that workers of a data centre report to the store."""
+        self._workers_seen[data_centre] = now
+
+    def learn(self, tenure: daemons.Tenure, now: datetime.datetime) -> bool:
+        """Take note of a tenure; tell whether it is newer than what was known."""
+        known = self._tenures.get(tenure.data_centre)
+        if known is not None and known.token >= tenure.token:
+            return False
+        self._tenures[tenure.data_centre] = tenure
+        self._changed[tenure.data_centre] = now
+        self._vacant_since.pop(tenure.data_centre, None)
+        self._asked.pop(tenure.data_centre, None)
+        return True
+
+    # What is known
+
+    def peers(self) -> tuple[daemons.Daemon, ...]:
+        """Return the other daemons that may live."""
+        return tuple(
+            peer.daemon
+            for peer in self._peers.values()
+            if peer.is_listed or self._is_heard(peer)
+        )
+
+    def _is_heard(self, peer: _Peer) -> bool:
+        return peer.heard is not None
+
+    def tenure(self, data_centre: str) -> daemons.Tenure | None:
+        """Return the newest known tenure of a data centre."""
+        return self._tenures.get(data_centre)
+
+    def tenures(self) -> tuple[daemons.Tenure, ...]:
+        """Return the newest known tenure of each data centre."""
+        return tuple(self._tenures.values())
+
+    def is_mine(self, tenure: daemons.Tenure) -> bool:
+        """Tell whether a tenure is this daemon's."""
+        return tenure.vm == self.me.vm and tenure.incarnation == self.me.incarnation
+
+    def is_heard(self, vm: str, incarnation: str, now: datetime.datetime) -> bool:
+        """Tell whether a daemon was heard within ``SUSPECT``."""
+        if vm == self.me.vm:
+            return incarnation == self.me.incarnation
+        peer = self._peers.get(vm)
+        return (
+            peer is not None
+            and peer.daemon.incarnation == incarnation
+            and peer.heard is not None
+            and now - peer.heard < SUSPECT
+            and not peer.is_refusing
+        )
+
+    def daemon(self, vm: str, incarnation: str) -> daemons.Daemon | None:
+        """Return a daemon by name, if that life of it is the last known."""
+        if vm == self.me.vm:
+            return self.me if incarnation == self.me.incarnation else None
+        peer = self._peers.get(vm)
+        if peer is None or peer.daemon.incarnation != incarnation:
+            return None
+        return peer.daemon
+
+    # What to do
+
+    def decide(self, now: datetime.datetime) -> list[Claim]:
+        """Return the tenures that this daemon should try to take now."""
+        if self.is_leaving:
+            return []
+        places = {self.me.data_centre, *self._tenures, *self._workers_seen}
+        claims = []
+        for place in sorted(places):
+            cause = self._vacancy(place, now)
+            if not cause:
+                self._vacant_since.pop(place, None)
+                continue
+            since = self._vacant_since.setdefault(place, now)
+            asked = self._asked.get(place)
+            if asked is not None and now - asked < TURN:
+                continue
+            if now - since >= TURN * self._rank(place, now):
+                self._asked[place] = now
+                known = self._tenures.get(place)
+                claims.append(Claim(place, known.token if known else 0, cause))
+        return claims
+
+    def _vacancy(self, place: str, now: datetime.datetime) -> str:
+        """Return why a tenure should be taken by somebody; empty if it should not."""
+        is_home = place == self.me.data_centre
+        if not is_home and not self._is_orphaned(place, now):
+            return ""
+        known = self._tenures.get(place)
+        if known is None:
+            return "vacant"
+        if self.is_mine(known):
+            return ""
+        age = now - self._changed.get(place, now)
+        holder = self._peers.get(known.vm)
+        if holder is None or holder.daemon.incarnation != known.incarnation:
+            return "" if self._is_settling(now) else "holder is gone"
+        if holder.is_leaving:
+            return "holder leaves"
+        if holder.is_refusing:
+            return "holder refuses connections"
+        if not self._seems_alive(holder, now):
+            is_near = holder.daemon.data_centre == self.me.data_centre
+            if (is_near or not holder.is_listed) and age >= MIN_TENURE:
+                return "holder is silent"
+            return ""
+        is_foreign = holder.daemon.data_centre != place
+        has_settled = now - self._born >= HOME_AFTER
+        if is_home and is_foreign and has_settled and age >= MIN_TENURE:
+            return "holder is in another data centre"
+        return ""
+
+    def _is_settling(self, now: datetime.datetime) -> bool:
+        return now - self._born < clock.milliseconds(300)
+
+    def _seems_alive(self, peer: _Peer, now: datetime.datetime) -> bool:
+        if peer.is_refusing:
+            return False
+        since = peer.heard or peer.first_seen + (SETTLE - SUSPECT)
+        return now - since < SUSPECT
+
+    def _is_orphaned(self, place: str, now: datetime.datetime) -> bool:
+        """Tell whether a data centre has workers and no daemon of its own."""
+        seen = self._workers_seen.get(place)
+        if seen is None or now - seen > FRESH_WORKERS:
+            return False
+        if now - self._born < HOME_AFTER:
+            return False
+        return not any(
+            peer.daemon.data_centre == place and self._may_live(peer, now)
+            for peer in self._peers.values()
+        )
+
+    def _may_live(self, peer: _Peer, now: datetime.datetime) -> bool:
+        if peer.is_leaving or peer.is_refusing:
+            return False
+        return peer.is_listed or self._seems_alive(peer, now)
+
+    def _rank(self, place: str, now: datetime.datetime) -> int:
+        """Return how many daemons should try before this one."""
+        rivals = [
+            peer.daemon
+            for peer in self._peers.values()
+            if self._seems_alive(peer, now) and not peer.is_leaving
+        ]
+        if place == self.me.data_centre:
+            rivals = [x for x in rivals if x.data_centre == place]
+        own = _weight(place, self.me.vm)
+        return sum(_weight(place, x.vm) < own for x in rivals)
+
+
+def _weight(place: str, vm: str) -> bytes:
+    return hashlib.blake2b(f"{place}|{vm}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every process of the system uses to run: inboxes and logs."""
--- /dev/null
+++ b/libs/carawaysail_streams/src/carawaysail_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of messages between daemons that hold workers, and their encoding."""
--- /dev/null
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -0,0 +1,129 @@
+"""The typed messages between daemons that hold workers, registered by kind.
+
+Clocks of VMs differ, so a message gives the age of things rather than an instant.
+"""
+
+import typing
+
+import msgspec
+
+from carawaysail_holding import broker, events
+from carawaysail_streams import errors
+from carawaysail_types import daemons, jobs, registry
+
+kinds: registry.Registry[type] = registry.Registry("fleet message kinds")
+
+
+@kinds.register("heartbeat")
+class Heartbeat(typing.NamedTuple):
+    """What a daemon says of itself, several times a second.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether it is about to end.
+    tenures : tuple of daemons.Tenure
+        All tenures that it knows.
+    loads : tuple of (str, tuple of broker.Load)
+        How busy the workers are that it holds, by data centre.
+    heard_ms : float
+        Age of the receiver's last message to the sender; negative for none.
+    version : int
+        Version of its configuration; 0 for none.
+    """
+
+    is_leaving: bool
+    tenures: tuple[daemons.Tenure, ...]
+    loads: tuple[tuple[str, tuple[broker.Load, ...]], ...]
+    heard_ms: float
+    version: int
+
+
+@kinds.register("submit")
+class Submit(typing.NamedTuple):
+    """Hand a job to a broker.
+
+    Parameters
+    ----------
+    job : jobs.Job
+        The job.
+    queue : jobs.Queue
+        Its queue.
+    age_ms, left_ms : float
+        Time since the client sent it, and until the client stops waiting.
+    is_resumed : bool
+        Whether another broker may have begun it.
+    """
+
+    job: jobs.Job
+    queue: jobs.Queue
+    age_ms: float
+    left_ms: float
+    is_resumed: bool
+
+
+@kinds.register("withdraw")
+class Withdraw(typing.NamedTuple):
+    """Tell a broker that nobody waits for a job here any more."""
+
+    job_id: str
+
+
+@kinds.register("outcome")
+class Outcome(typing.NamedTuple):
+    """Tell a daemon what became of a job that its client waits for."""
+
+    job_id: str
+    outcome: jobs.JobOutcome
+
+
+Message = Heartbeat | Submit | Withdraw | Outcome
+
+_names = {kind: name for name, kind in kinds.items()}
+_decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in kinds.items()
+}
+_encoder = msgspec.msgpack.Encoder()
+
+
+class _Frame(typing.NamedTuple):
+    sender: daemons.Daemon
+    messages: tuple[tuple[str, msgspec.Raw], ...]
+
+
+_frames = msgspec.msgpack.Decoder(_Frame)
+
+
+def encode(sender: daemons.Daemon, messages: typing.Iterable[Message]) -> bytes:
+    """Return the bytes of some messages from one daemon."""
+    rows = tuple(
+        (_names[type(message)], msgspec.Raw(_encoder.encode(message)))
+        for message in messages
+    )
+    return _encoder.encode(_Frame(sender, rows))
+
+
+def decode(data: bytes) -> tuple[daemons.Daemon, list[Message]]:
+    """Return the sender and the messages that bytes hold.
+
+    Raises
+    ------
+    errors.BadFrameError
+        If the bytes are not such messages.
+    """
+    try:
+        frame = _frames.decode(data)
+        found = []
+        for name, raw in frame.messages:
+            kinds.get(name)
+            found.append(_decoders[name].decode(raw))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        raise errors.BadFrameError(len(data), str(exc)) from exc
+    return frame.sender, found
+
+
+def submit(submission: events.Submission, age_ms: float, left_ms: float) -> Submit:
+    """Return the message that hands on a submission."""
+    return Submit(
+        submission.job, submission.queue, age_ms, left_ms, submission.is_resumed
+    )
--- /dev/null
+++ b/libs/carawaysail_types/src/carawaysail_types/runs.py
@@ -0,0 +1,150 @@
+"""Runs of tasks on workers, and what workers say of them and of themselves."""
+
+import datetime
+import enum
+import typing
+
+from carawaysail_types import jobs
+
+
+class Task(typing.NamedTuple):
+    """One task of a job.
+
+    Parameters
+    ----------
+    job_id : str
+        The job.
+    occurrence : int
+        Which repetition of the job; 0 for a job that runs once.
+    step, number : int
+        Number of the step, and of the task within it.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    number: int
+
+    def __str__(self) -> str:
+        """Return the task's name on the wire."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
+
+
+class Run(typing.NamedTuple):
+    """One start of a task.
+
+    Parameters
+    ----------
+    task : Task
+        The task.
+    number : int
+        Number of the start, from 1; a later start has a higher one.
+    """
+
+    task: Task
+    number: int
+
+
+class Ending(enum.StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class RunEnd(typing.NamedTuple):
+    """The end of a run, as its worker lists it.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the end in this life of the worker, from 1.
+    run : Run
+        The run.
+    ending : Ending
+        How it ended.
+    """
+
+    sequence: int
+    run: Run
+    ending: Ending
+
+
+class Listing(typing.NamedTuple):
+    """What a worker runs, and the ends that were not acknowledged yet.
+
+    Parameters
+    ----------
+    incarnation : str
+        Life of the worker that answered.
+    clock : datetime.timedelta
+        The worker's steady clock.
+    running : tuple of Run
+        Runs that hold room.
+    ends : tuple of RunEnd
+        Ends, oldest first.
+    """
+
+    incarnation: str
+    clock: datetime.timedelta
+    running: tuple[Run, ...]
+    ends: tuple[RunEnd, ...]
+
+
+class Answer(enum.StrEnum):
+    """How a worker answered an order.
+
+    ``LOST`` means that the order may have been carried out or may still be;
+    ``UNSENT`` that it certainly was not and will not be.
+    """
+
+    TAKEN = "taken"
+    FENCED = "fenced"
+    OLD = "old"
+    LATE = "late"
+    FULL = "full"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other_life"
+    LOST = "lost"
+    UNSENT = "unsent"
+
+
+class WorkerReport(typing.NamedTuple):
+    """What a worker says of itself in the platform's store.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker's name in the store.
+    incarnation : str
+        Its present life.
+    service : str
+        The service that it belongs to.
+    address : str
+        ``host:port``.
+    data_centre : str
+        Where it is.
+    room : jobs.Room
+        Its capacity.
+    labels : tuple of str
+        Its labels.
+    rack : str
+        The label that names its rack; empty if none does.
+    is_draining : bool
+        Whether it is about to leave and takes no new work.
+    """
+
+    worker_id: str
+    incarnation: str
+    service: str
+    address: str
+    data_centre: str
+    room: jobs.Room
+    labels: tuple[str, ...] = ()
+    rack: str = ""
+    is_draining: bool = False
