Read the store's lists cheaply, learn speeds by worker, wait for a worker in time

Cause of 28 priced calls a second a daemon: a fresh read counts ten times a stale one or a renewal; lists were read fresh each second. Members and configuration now follow watches of 30 s (a silent connection is found by keep-alive probes within 3 s), reports are read stale by holders only, and fresh where the answer is older than the last.

Cause of late long tasks: labels were taken to tell speed; eight of 24 workers of either label take 2.3 times as long. Speeds are now learned by worker, lengths from estimates, and a task waits where only a slow worker is free that would make it late.

Long tasks still land on slow workers; traced next.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -115,11 +115,12 @@
         out, seed = self._inbox, secrets.randbits(32)
         claims = storetasks.ClaimTask(adapter.store(), self._me, out, seed)
         reports = storetasks.ReportsTask(adapter.store(), adapter.directory, out, seed)
-        self._members = storetasks.MembersTask(adapter.store(), self._me, out, seed)
+        members = storetasks.MembersTask(adapter.store(), out, seed)
+        self._lease = storetasks.LeaseTask(adapter.store(), self._me, out, seed)
         configuration = storetasks.ConfigurationTask(
             adapter.store(), adapter.directory, out, seed
         )
-        self._store_tasks = (configuration, self._members, reports, claims)
+        self._store_tasks = (configuration, members, self._lease, reports, claims)
         links = workerlinks.WorkerLinks(adapter.workers, out, self._clock)
         self._front = front.Front(
             adapter.codec, out, self._replies, self._meters, self._clock,
@@ -190,7 +191,7 @@
             )  # fmt: skip
         for task in self._store_tasks:
             task.stop()
-        await asyncio.to_thread(self._members.deregister)
+        await asyncio.to_thread(self._lease.deregister)
         await asyncio.to_thread(self._http.stop)
         self._desk.close()
         logs.tell("daemon", "Ended.")
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -102,7 +102,7 @@
         self.clock = source
         self.broker = broker.Broker(cfg.terms)
         self.gateway = gateway.Gateway(me)
-        self.tenures = tenure.Tenures(me, now)
+        self.tenures = tenure.Tenures(me, cfg.data_centres, now)
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
         self.has_ended = asyncio.Event()
@@ -154,6 +154,9 @@
         now = self.clock.now()
         self.perform(self.broker.tick(now), now)
         self._drop_silent(now)
+        self.links.reports.want(
+            bool(self.broker.tokens()) or self.tenures.has_orphans(now)
+        )
         self._update_targets(now)
         self.perform(self.gateway.tick(now), now)
         for claim in self.tenures.decide(now):
@@ -265,7 +268,6 @@
     def holding_changed(self) -> None:
         """Close links to workers that are not held, and read reports accordingly."""
         self.links.workers.keep(self.broker.worker_ids())
-        self.links.reports.hold(bool(self.broker.tokens()))
         self._next_heartbeat = self.clock.now()
 
     def _update_targets(self, now: datetime.datetime) -> None:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -48,13 +48,16 @@
 
     Parameters
     ----------
-    has_changed : bool
-        Whether there was a change, or one may have been missed.
+    changed : tuple of Item
+        Keys that were written.
+    removed : tuple of str
+        Keys that were removed.
     revision : int
         Revision to go on from.
     """
 
-    has_changed: bool
+    changed: tuple[Item, ...]
+    removed: tuple[str, ...]
     revision: int
 
 
@@ -64,11 +67,14 @@
     def read(self, key: str) -> Item | None:
         """Return a key, or ``None`` if there is none."""
 
-    def list(self, prefix: str) -> Snapshot:
-        """Return all keys under a prefix."""
+    def list(self, prefix: str, is_stale_fine: bool = False) -> Snapshot:
+        """Return all keys under a prefix; a stale answer costs much less."""
 
     def wait(self, prefix: str, after: int, wait: datetime.timedelta) -> Seen:
-        """Wait for a change under a prefix; also return when the wait is over."""
+        """Wait for a change under a prefix; also return when the wait is over.
+
+        Raises ``HistoryLostError`` if the store has forgotten what came after.
+        """
 
     def swap(self, key: str, expected: int, value: bytes, lease: int = 0) -> int:
         """Write a key if its revision is the expected one; return the new one."""
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
@@ -17,17 +17,17 @@
 from carawaysail_types import clock, daemons
 from carawaysail_types import errors as type_errors
 
-WATCH_WAIT = clock.milliseconds(1500)
-"""Longest wait of a watch: a watch whose connection went silent is left in time."""
+WATCH_WAIT = clock.milliseconds(30_000)
+"""Longest wait that the store grants; keep-alive probes find a silent connection."""
 
-MEMBERS_EVERY = clock.milliseconds(1000)
+RENEW_EVERY = clock.milliseconds(1000)
+LEASE_TTL = clock.milliseconds(3000)
 REPORTS_EVERY = clock.milliseconds(700)
 """A worker that drains may be used for two seconds: two reads fall into that."""
 
-REPORTS_IDLE_EVERY = clock.milliseconds(2000)
-"""Readers that hold no worker only look for data centres without daemons."""
+NO_CONFIGURATION_S = 0.2
+"""Pause until the configuration is looked for again, in seconds."""
 
-LEASE_TTL = clock.milliseconds(3000)
 RETRY_S = (0.15, 0.35)
 """Pause after a failed call: drawn between these, so that daemons spread."""
 
@@ -88,7 +88,7 @@
 
 
 class ConfigurationTask(_Task):
-    """Watches the operators' configuration; every version comes from a fresh read."""
+    """Watches the operators' configuration, and reads it fresh where that fails."""
 
     name = "configuration"
 
@@ -101,21 +101,25 @@
     ) -> None:
         super().__init__(store, out, seed)
         self._directory = directory
-        self._revision = -1
         self._after = 0
 
     def _step(self) -> float:
         key = self._directory.configuration_key
-        item = self._store.read(key)
-        if item is None:
-            return 0.2
-        if item.revision != self._revision:
+        if not self._after:
+            item = self._store.read(key)
+            if item is None:
+                return NO_CONFIGURATION_S
             self._take(item)
-        self._watch(key, item.revision)
+            self._after = item.revision
+        after, self._after = self._after, 0
+        seen = self._store.wait(key, after, WATCH_WAIT)
+        for item in seen.changed:
+            if item.key == key:
+                self._take(item)
+        self._after = max(after, seen.revision)
         return 0.0
 
     def _take(self, item: ports.Item) -> None:
-        self._revision = item.revision
         try:
             found = self._directory.configuration(item.value)
         except type_errors.CarawaysailError as exc:
@@ -123,26 +127,11 @@
             return
         self._out.put(messages.Configured(found))
 
-    def _watch(self, key: str, revision: int) -> None:
-        """Wait until the key has changed, with a read now and then in between."""
-        after = revision
-        for _ in range(WATCHES_A_READ):
-            if self._ending.is_set():
-                return
-            seen = self._store.wait(key, after, WATCH_WAIT)
-            if seen.has_changed:
-                return
-            after = seen.revision
 
+class LeaseTask(_Task):
+    """Keeps this daemon's entry in the store under a lease."""
 
-WATCHES_A_READ = 4
-"""Watches that may bring nothing before the key is read anew."""
-
-
-class MembersTask(_Task):
-    """Keeps this daemon's entry under a lease and reads all daemons and tenures."""
-
-    name = "members"
+    name = "lease"
 
     def __init__(
         self,
@@ -159,8 +148,7 @@
         if not self._lease or not self._store.renew(self._lease):
             self._lease = self._store.grant(LEASE_TTL)
             self._register()
-        self._read()
-        return MEMBERS_EVERY.total_seconds()
+        return RENEW_EVERY.total_seconds()
 
     def _register(self) -> None:
         key = DAEMONS + self._me.vm
@@ -169,9 +157,47 @@
         self._store.swap(key, revision, _encode(self._me), self._lease)
         logs.tell("store", "Registered.", lease=self._lease)
 
-    def _read(self) -> None:
+    def deregister(self) -> None:
+        """End the lease, so that the entry goes at once; best effort."""
+        if self._lease:
+            try:
+                self._store.end(self._lease)
+            except type_errors.CarawaysailError as exc:
+                logs.fault("store", "Lease not ended.", exc)
+
+
+class MembersTask(_Task):
+    """Follows the entries of all daemons and tenures by a watch."""
+
+    name = "members"
+
+    def __init__(
+        self, store: ports.Store, out: "inbox.Inbox[messages.Message]", seed: int
+    ) -> None:
+        super().__init__(store, out, seed)
+        self._items: dict[str, ports.Item] = {}
+        self._after = 0
+
+    def _step(self) -> float:
+        if not self._after:
+            snapshot = self._store.list(PREFIX)
+            self._items = {item.key: item for item in snapshot.items}
+            self._after = snapshot.revision
+            self._tell()
+        after, self._after = self._after, 0
+        seen = self._store.wait(PREFIX, after, WATCH_WAIT)
+        for key in seen.removed:
+            self._items.pop(key, None)
+        for item in seen.changed:
+            self._items[item.key] = item
+        if seen.changed or seen.removed:
+            self._tell()
+        self._after = max(after, seen.revision)
+        return 0.0
+
+    def _tell(self) -> None:
         found, tenures = [], []
-        for item in self._store.list(PREFIX).items:
+        for item in self._items.values():
             try:
                 if item.key.startswith(DAEMONS):
                     found.append(msgspec.json.decode(item.value, type=daemons.Daemon))
@@ -181,14 +207,6 @@
                 logs.fault("store", "Entry unreadable.", exc, key=item.key)
         self._out.put(messages.Members(tuple(found), tuple(tenures)))
 
-    def deregister(self) -> None:
-        """End the lease, so that the entry goes at once; best effort."""
-        if self._lease:
-            try:
-                self._store.end(self._lease)
-            except type_errors.CarawaysailError as exc:
-                logs.fault("store", "Lease not ended.", exc)
-
 
 def decode_tenure(item: ports.Item) -> daemons.Tenure:
     """Return the tenure that an entry of the store holds."""
@@ -198,7 +216,7 @@
 
 
 class ReportsTask(_Task):
-    """Reads the workers' reports, often while this daemon holds some."""
+    """Reads the workers' reports while this daemon needs them."""
 
     name = "reports"
 
@@ -212,19 +230,30 @@
         super().__init__(store, out, seed)
         self._directory = directory
         self._beats: dict[str, int] = {}
-        self._is_holding = False
+        self._revision = 0
         self._wanted = threading.Event()
+        self._now = threading.Event()
 
-    def hold(self, is_holding: bool) -> None:
-        """Say whether this daemon holds workers; read at once if it now does."""
-        if is_holding and not self._is_holding:
+    def want(self, is_wanted: bool) -> None:
+        """Say whether reports are needed; the first ones are read at once."""
+        if is_wanted and not self._wanted.is_set():
+            self._now.set()
             self._wanted.set()
-        self._is_holding = is_holding
+        elif not is_wanted:
+            self._wanted.clear()
+
+    def stop(self) -> None:
+        """Tell the thread to end."""
+        super().stop()
+        self._now.set()
+        self._wanted.set()
 
     def _step(self) -> float:
-        snapshot = self._store.list(self._directory.reports_prefix)
+        self._wanted.wait()
+        if self._ending.is_set():
+            return 0.0
         found, beating = [], set()
-        for item in snapshot.items:
+        for item in self._read().items:
             decoded = self._directory.report(item)
             if decoded is None:
                 continue
@@ -234,11 +263,19 @@
                 beating.add(report.data_centre)
             self._beats[report.worker_id] = beat
         self._out.put(messages.Reports(tuple(found), frozenset(beating)))
-        pause = REPORTS_EVERY if self._is_holding else REPORTS_IDLE_EVERY
-        self._wanted.wait(pause.total_seconds())
-        self._wanted.clear()
+        self._now.clear()
+        self._now.wait(REPORTS_EVERY.total_seconds())
         return 0.0
 
+    def _read(self) -> ports.Snapshot:
+        """Read cheaply, and fresh where the cheap answer is older than the last."""
+        prefix = self._directory.reports_prefix
+        snapshot = self._store.list(prefix, is_stale_fine=bool(self._revision))
+        if snapshot.revision <= self._revision:
+            snapshot = self._store.list(prefix)
+        self._revision = max(self._revision, snapshot.revision)
+        return snapshot
+
 
 class ClaimTask(_Task):
     """Takes tenures by conditional writes."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -165,7 +165,6 @@
         """Forget a life of a worker that is over, with all that ran there."""
         worker = self._workers.pop(worker_id)
         self._foreign.drop_worker(worker_id)
-        self.lengths.forget(worker_id, worker.report.incarnation)
         lost = list(worker.ledger.entries())
         self._note("worker_dropped", worker_id, why=why, runs=len(lost))
         for run in lost:
@@ -432,7 +431,9 @@
         waiter: events.Waiter,
         now: datetime.datetime,
     ) -> None:
-        schedule = policies.schedule(self.lengths, submission, now)
+        for step in submission.job.steps:
+            self.lengths.estimated(submission.queue.name, step)
+        schedule = policies.schedule(self.lengths, submission)
         job = jobstate.JobState(submission, schedule)
         job.waiters.append(waiter)
         self._recall(job, now)
@@ -593,10 +594,16 @@
                 candidates = self._candidates(job, state, usable, now, strict=False)
             if not candidates or self._is_unresolved(state.task):
                 continue
-            chosen = self._choice.choose(
-                candidates, job, estimates.utilisation(usable), now
+            expected = self.lengths.expected(job.submission.queue.name, state.step)
+            view = policies.View(
+                job,
+                min(self.lengths.on(expected, x.report) for x in usable),
+                estimates.utilisation(usable),
+                now,
             )
-            self._start(job, state, chosen.worker, now)
+            chosen = self._choice.choose(candidates, view)
+            if chosen is not None:
+                self._start(job, state, chosen, now)
 
     def _is_unresolved(self, task: runs.Task) -> bool:
         """Tell whether a run of the task still counts on some worker."""
@@ -640,9 +647,10 @@
         self,
         job: jobstate.JobState,
         state: jobstate.TaskState,
-        worker: held.HeldWorker,
+        chosen: policies.Candidate,
         now: datetime.datetime,
     ) -> None:
+        worker = chosen.worker
         expires = worker.expires(self._terms, now)
         if expires is None:
             return
@@ -654,6 +662,8 @@
         self._note(
             "placed", job.job_id, run=_name(run), worker=worker.report.worker_id,
             waited_ms=round(clock.to_milliseconds(now - job.submission.arrived)),
+            takes_ms=round(clock.to_milliseconds(chosen.takes)),
+            due_ms=round(clock.to_milliseconds(job.schedule.due - now)),
             free_milli=worker.ledger.free().processor_milli,
         )  # fmt: skip
         self._out.append(
--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -1,8 +1,9 @@
 """Learned run times: what a task takes, and how fast a worker is.
 
-Estimates of clients are rough. The expected length of a task is the geometric mean of
-its own estimate and of what the tasks of its queue took; the speed of a worker is
-learned from its own runs and, before it had any, from workers with its labels.
+Estimates of clients are rough, each by itself, but not on average. The expected length
+of a task on an average worker is the geometric mean of its own estimate and of those of
+its queue. How fast a worker is follows from its own runs: the labels of workers say
+nothing of it.
 """
 
 import datetime
@@ -10,11 +11,14 @@
 
 from carawaysail_types import clock, jobs, runs
 
-RATE = 0.1
-"""Weight of a new observation in a moving average; about the last ten count."""
+QUEUE_RATE = 0.05
+"""Weight of a new estimate in a queue's average; about the last twenty count."""
+
+SPEED_RATE = 0.15
+"""Least weight of a new run in a worker's speed; the last seven or so count."""
 
 DEFAULT_LENGTH = clock.milliseconds(300)
-"""Expected length before any run was seen; the order of a short task."""
+"""Expected length before any job was seen; the order of a short task."""
 
 SHORTEST_MS = 1.0
 MAX_LOG_RATIO = math.log(4.0)
@@ -26,10 +30,10 @@
 
     def __init__(self) -> None:
         self._queue_log_ms: dict[str, float] = {}
-        self._speed_log: dict[str, float] = {}
+        self._speeds: dict[str, tuple[float, int]] = {}
 
     def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
-        """Return the expected length of a step's tasks on a worker of speed 1."""
+        """Return the expected length of a step's tasks on an average worker."""
         learned = self._queue_log_ms.get(queue)
         estimate_ms = clock.to_milliseconds(step.estimate)
         if estimate_ms < SHORTEST_MS:
@@ -40,9 +44,17 @@
             return step.estimate
         return clock.milliseconds(math.exp((learned + math.log(estimate_ms)) / 2))
 
+    def estimated(self, queue: str, step: jobs.Step) -> None:
+        """Learn from a client's estimate."""
+        estimate_ms = clock.to_milliseconds(step.estimate)
+        if estimate_ms >= SHORTEST_MS:
+            value = math.log(estimate_ms)
+            known = self._queue_log_ms.get(queue, value)
+            self._queue_log_ms[queue] = known + QUEUE_RATE * (value - known)
+
     def speed(self, report: runs.WorkerReport) -> float:
         """Return the speed of a worker; 1 is that of an average worker."""
-        return math.exp(self._log_speed(report))
+        return math.exp(self._speeds.get(report.worker_id, (0.0, 0))[0])
 
     def on(
         self, expected: datetime.timedelta, report: runs.WorkerReport
@@ -60,29 +72,10 @@
         """Learn from a run that has ended done."""
         took_ms = max(SHORTEST_MS, clock.to_milliseconds(took))
         own_ms = max(SHORTEST_MS, clock.to_milliseconds(self.expected(queue, step)))
-        log_speed = self._log_speed(report)
-        surprise = _bounded(math.log(own_ms / took_ms) - log_speed)
-        for key in _keys(report):
-            known = self._speed_log.get(key, log_speed)
-            self._speed_log[key] = known + RATE * surprise
-        normal = math.log(took_ms) + log_speed
-        known = self._queue_log_ms.get(queue, normal)
-        self._queue_log_ms[queue] = known + RATE * _bounded(normal - known)
-
-    def forget(self, worker_id: str, incarnation: str) -> None:
-        """Drop what was learned of one life of a worker."""
-        self._speed_log.pop(f"life {worker_id} {incarnation}", None)
-
-    def _log_speed(self, report: runs.WorkerReport) -> float:
-        for key in _keys(report):
-            if key in self._speed_log:
-                return self._speed_log[key]
-        return 0.0
-
-
-def _keys(report: runs.WorkerReport) -> tuple[str, ...]:
-    kind = ",".join(label for label in report.labels if label != report.rack)
-    return f"life {report.worker_id} {report.incarnation}", f"kind {kind}"
+        known, count = self._speeds.get(report.worker_id, (0.0, 0))
+        surprise = _bounded(math.log(own_ms / took_ms) - known)
+        rate = max(SPEED_RATE, 1.0 / (count + 2))
+        self._speeds[report.worker_id] = (known + rate * surprise, count + 1)
 
 
 def _bounded(value: float) -> float:
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -3,7 +3,7 @@
 import datetime
 import typing
 
-from carawaysail_holding import held, jobstate, lengths
+from carawaysail_holding import events, held, jobstate, lengths
 from carawaysail_types import registry
 
 
@@ -32,17 +32,35 @@
         """Return the key of a job."""
 
 
+class View(typing.NamedTuple):
+    """What a choice of a worker may depend on.
+
+    Parameters
+    ----------
+    job : jobstate.JobState
+        The task's job.
+    least : datetime.timedelta
+        Expected run time on the fastest worker, whether it has room or not.
+    utilisation : float
+        Share of the processors in use.
+    now : datetime.datetime
+        Present instant.
+    """
+
+    job: jobstate.JobState
+    least: datetime.timedelta
+    utilisation: float
+    now: datetime.datetime
+
+
 class Choice(typing.Protocol):
     """Chooses among workers that have room for a task."""
 
-    def choose(
-        self,
-        candidates: list[Candidate],
-        job: jobstate.JobState,
-        utilisation: float,
-        now: datetime.datetime,
-    ) -> Candidate:
-        """Return one of the candidates, of which there is at least one."""
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
+        """Return one of the candidates, of which there is at least one.
+
+        ``None`` lets the task wait for another worker.
+        """
 
 
 class Outlook(typing.NamedTuple):
@@ -117,14 +135,12 @@
 class _Fastest:
     """The worker that is expected to finish first, then the tightest fit."""
 
-    def choose(
-        self,
-        candidates: list[Candidate],
-        job: jobstate.JobState,
-        utilisation: float,
-        now: datetime.datetime,
-    ) -> Candidate:
-        return min(candidates, key=lambda found: (found.takes, found.spare_milli))
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
+        return _fastest(candidates)
+
+
+def _fastest(candidates: list[Candidate]) -> Candidate:
+    return min(candidates, key=lambda found: (found.takes, found.spare_milli))
 
 
 CROWDED = 0.5
@@ -134,35 +150,26 @@
 class _FitToDue:
     """The fastest worker while there is room; the slowest that is in time when not.
 
-    Fast workers are then left for long tasks, which a slow one would finish late.
+    A task that is late on each worker with room, but not on a faster one, waits for
+    that; a slow worker would only make it late.
     """
 
-    def choose(
-        self,
-        candidates: list[Candidate],
-        job: jobstate.JobState,
-        utilisation: float,
-        now: datetime.datetime,
-    ) -> Candidate:
-        fastest = _Fastest().choose(candidates, job, utilisation, now)
-        if utilisation < CROWDED:
-            return fastest
-        in_time = [x for x in candidates if now + x.takes <= job.schedule.due]
-        if not in_time:
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
+        fastest = _fastest(candidates)
+        due = view.job.schedule.due
+        if view.now + fastest.takes > due:
+            is_hopeless = view.now + view.least > due
+            return fastest if is_hopeless else None
+        if view.utilisation < CROWDED:
             return fastest
+        in_time = [x for x in candidates if view.now + x.takes <= due]
         return max(in_time, key=lambda found: (found.takes, -found.spare_milli))
 
 
 class _MostRoom:
     """The worker with the most room left."""
 
-    def choose(
-        self,
-        candidates: list[Candidate],
-        job: jobstate.JobState,
-        utilisation: float,
-        now: datetime.datetime,
-    ) -> Candidate:
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
         return max(candidates, key=lambda found: found.spare_milli)
 
 
@@ -204,7 +211,7 @@
 
 
 def schedule(
-    known: lengths.Lengths, submission: typing.Any, now: datetime.datetime
+    known: lengths.Lengths, submission: events.Submission
 ) -> jobstate.Schedule:
     """Return when a submission is due.
 
@@ -214,8 +221,6 @@
         Learned run times.
     submission : events.Submission
         The submission.
-    now : datetime.datetime
-        Present instant.
     """
     queue, steps = submission.queue, submission.job.steps
     chains: list[datetime.timedelta] = []
--- a/libs/carawaysail_holding/src/carawaysail_holding/tenure.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/tenure.py
@@ -68,12 +68,17 @@
     ----------
     me : daemons.Daemon
         This daemon.
+    places : tuple of str
+        All data centres.
     now : datetime.datetime
         Present instant.
     """
 
-    def __init__(self, me: daemons.Daemon, now: datetime.datetime) -> None:
+    def __init__(
+        self, me: daemons.Daemon, places: tuple[str, ...], now: datetime.datetime
+    ) -> None:
         self.me = me
+        self._places = places
         self.is_leaving = False
         self._born = now
         self._peers: dict[str, _Peer] = {}
@@ -249,6 +254,12 @@
         since = peer.heard or peer.first_seen + (SETTLE - SUSPECT)
         return now - since < SUSPECT
 
+    def has_orphans(self, now: datetime.datetime) -> bool:
+        """Tell whether some data centre may have no daemon of its own."""
+        if now - self._born < HOME_AFTER:
+            return False
+        return any(self._is_deserted(place, now) for place in self._places)
+
     def _is_orphaned(self, place: str, now: datetime.datetime) -> bool:
         """Tell whether a data centre has workers and no daemon of its own."""
         seen = self._workers_seen.get(place)
@@ -256,6 +267,11 @@
             return False
         if now - self._born < HOME_AFTER:
             return False
+        return self._is_deserted(place, now)
+
+    def _is_deserted(self, place: str, now: datetime.datetime) -> bool:
+        if place == self.me.data_centre and not self.is_leaving:
+            return False
         return not any(
             peer.daemon.data_centre == place and self._may_live(peer, now)
             for peer in self._peers.values()
--- a/libs/carawaysail_platform/src/carawaysail_platform/errors.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/errors.py
@@ -57,3 +57,18 @@
     def __str__(self) -> str:
         """Return a sentence with the source and what is wrong."""
         return f"{self.source} answered with something unusable: {self.detail}"
+
+
+@dataclasses.dataclass(eq=False)
+class HistoryLostError(errors.CarawaysailError):
+    """A watch asked for changes that the key-value service has forgotten."""
+
+    prefix: str
+    after: int
+
+    def __str__(self) -> str:
+        """Return a sentence with the prefix and the revision."""
+        return (
+            f"the changes under {self.prefix} after revision {self.after} are "
+            "forgotten: read all keys anew"
+        )
--- a/libs/carawaysail_platform/src/carawaysail_platform/http.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/http.py
@@ -13,9 +13,9 @@
 import urllib3.connection
 import urllib3.exceptions
 
-KEEPALIVE_IDLE_S = 3
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 3
+KEEPALIVE_COUNT = 2
 SILENT_S = KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_COUNT
 
 _SocketOption = tuple[int, int, int]
