Share a job's tasks out over data centres by the room that brokers report

Cause: a job went to one data centre, whose 14 slots are rarely free for eight tasks at once; 24 of 1,177 jobs were refused while slots were free elsewhere. Gateways now plan each task on a board of all reports (free room and speed by worker, expected ends), and hand parts to brokers, which stay the authority on their workers.

Ruled out: one broker for all data centres, since a data centre that is cut off would lose its workers.

What fails is long jobs with a task that takes over 1.5 s; looked at next.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -18,7 +18,7 @@
     storetasks,
     workerlinks,
 )
-from carawaysail_holding import broker, events, gateway, tenure
+from carawaysail_holding import broker, events, gateway, loads, tenure
 from carawaysail_runtime import inbox, logs
 from carawaysail_streams import errors, transport
 from carawaysail_streams import messages as stream_messages
@@ -111,7 +111,7 @@
         self._feeds: dict[str, transport.Feed] = {}
         self._heard: dict[str, datetime.datetime] = {}
         self._restarted: dict[str, datetime.datetime] = {}
-        self._told: tuple[tuple[str, tuple[broker.Load, ...]], ...] = ()
+        self._told: tuple[tuple[str, tuple[loads.Load, ...]], ...] = ()
         self._next_heartbeat = now
         self._next_load = now
 
@@ -231,8 +231,8 @@
         self.tenures.heard(sender, beat.is_leaving, now)
         for known in beat.tenures:
             self.learn(known, now)
-        for place, loads in beat.loads:
-            self.gateway.took_load(place, loads)
+        for place, reported in beat.loads:
+            self.gateway.took_load(place, reported)
         feed = self._feeds.get(sender.vm)
         if feed is None or feed.peer != sender:
             self.update_feeds()
@@ -288,8 +288,8 @@
         if now >= self._next_load and self.broker.tokens():
             self._next_load = now + LOAD_EVERY
             by_place = self.broker.loads_by_place(now)
-            for place, loads in by_place:
-                self.gateway.took_load(place, loads)
+            for place, measured in by_place:
+                self.gateway.took_load(place, measured)
             if by_place != self._told:
                 self._told = by_place
                 self._next_heartbeat = now
@@ -496,6 +496,8 @@
         message.queue,
         now - clock.milliseconds(message.age_ms),
         now + clock.milliseconds(message.left_ms),
+        message.part,
+        message.tasks,
         message.is_resumed,
     )
     waiter = events.Waiter(sender.vm, sender.incarnation)
@@ -505,13 +507,15 @@
 @handlers.register("Withdraw")
 def _withdraw(desk: Desk, sent: _Sent, now: datetime.datetime) -> None:
     waiter = events.Waiter(sent[0].vm, sent[0].incarnation)
-    desk.perform(desk.broker.withdraw(sent[1].job_id, waiter, now), now)
+    part = events.PartId(sent[1].job_id, sent[1].part, waiter)
+    desk.perform(desk.broker.withdraw(part, now), now)
 
 
 @handlers.register("Outcome")
 def _outcome(desk: Desk, sent: _Sent, now: datetime.datetime) -> None:
     message = sent[1]
-    desk.perform(desk.gateway.replied(sent[0], message.job_id, message.outcome), now)
+    taken = desk.gateway.replied(sent[0], message.job_id, message.part, message.outcome)
+    desk.perform(taken, now)
 
 
 # Actions
@@ -534,9 +538,12 @@
 
 @performers.register("Reply")
 def _reply(desk: Desk, action: events.Reply, now: datetime.datetime) -> None:
-    daemon = desk.tenures.daemon(action.waiter.vm, action.waiter.incarnation)
+    part = action.part
+    daemon = desk.tenures.daemon(part.waiter.vm, part.waiter.incarnation)
     if daemon is not None:
-        desk.send(daemon, stream_messages.Outcome(action.job_id, action.outcome))
+        desk.send(
+            daemon, stream_messages.Outcome(part.job_id, part.part, action.outcome)
+        )
 
 
 @performers.register("Fenced")
@@ -561,7 +568,7 @@
 def _send_withdrawal(
     desk: Desk, action: gateway.SendWithdrawal, now: datetime.datetime
 ) -> None:
-    desk.send(action.daemon, stream_messages.Withdraw(action.job_id))
+    desk.send(action.daemon, stream_messages.Withdraw(action.job_id, action.part))
 
 
 @performers.register("Answer")
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -16,6 +16,7 @@
     held,
     jobstate,
     lengths,
+    loads,
     memory,
     policies,
 )
@@ -28,27 +29,6 @@
 _PROVEN_UNSTARTED = frozenset(set(runs.Answer) - {runs.Answer.TAKEN, runs.Answer.LOST})
 
 
-class Load(typing.NamedTuple):
-    """How busy a broker's workers are, for one service.
-
-    Parameters
-    ----------
-    service : str
-        The service.
-    free_milli : int
-        Thousandths of a core that are free on workers that take work.
-    room_milli : int
-        Thousandths of a core of those workers.
-    wait_ms : float
-        Expected time until a new task would start, in milliseconds.
-    """
-
-    service: str
-    free_milli: int
-    room_milli: int
-    wait_ms: float
-
-
 class Broker:
     """Jobs and workers of the data centres that this daemon holds.
 
@@ -66,12 +46,12 @@
         self._terms = terms
         self._order = policies.orders.get(names.order)
         self._choice = policies.choices.get(names.choice)
-        self._admission = policies.admissions.get(names.admission)
         self.lengths = lengths.Lengths()
         self._tokens: dict[str, int] = {}
         self._reports: dict[str, runs.WorkerReport] = {}
         self._workers: dict[str, held.HeldWorker] = {}
-        self._jobs: dict[str, jobstate.JobState] = {}
+        self._jobs: dict[events.PartId, jobstate.JobState] = {}
+        self._by_task: dict[runs.Task, jobstate.JobState] = {}
         self._memory = memory.Memory()
         self._foreign = foreign.ForeignRuns()
         self._out: list[events.Action] = []
@@ -123,9 +103,15 @@
             worker = self._workers.get(state.worker_id)
             if state.phase is jobstate.Phase.PLACED and worker is not None:
                 self._stop(worker, runs.Run(state.task, state.last_number), now)
-        self._jobs.pop(job.job_id, None)
+        self._forget(job)
         self._note("moved", job.job_id, begun=job.has_ordered)
 
+    def _forget(self, job: jobstate.JobState) -> None:
+        self._jobs.pop(job.part, None)
+        for task in job.tasks:
+            if self._by_task.get(task) is job:
+                del self._by_task[task]
+
     # Workers
 
     def update(
@@ -323,7 +309,7 @@
     ) -> None:
         worker.ledger.claim(run, state.step.room, now)
         state.place(run, worker.report.worker_id, now)
-        self._jobs[run.task.job_id].has_ordered = True
+        self._by_task[run.task].has_ordered = True
         self._note("claimed", run.task.job_id, run=_name(run))
 
     def _ended(
@@ -354,13 +340,12 @@
         if state is None:
             self._memory.done(run.task, now)
             return
-        job = self._jobs[run.task.job_id]
-        is_current = state.last_number == run.number and state.started is not None
-        if is_current and state.started is not None:
-            self.lengths.observe(
-                job.submission.queue.name, state.step, worker.report,
-                now - state.started,
-            )  # fmt: skip
+        job = self._by_task[run.task]
+        if state.last_number == run.number and state.started is not None:
+            took = now - state.started
+            queue = job.submission.queue.name
+            self.lengths.observe(queue, state.step, worker.report, took)
+            job.observe(took * self.lengths.speed(worker.report))
         state.phase = jobstate.Phase.DONE
         state.worker_id = ""
         if job.is_done():
@@ -381,7 +366,7 @@
         state.failures += 1
         state.avoid.add(worker_id)
         self._run_gone(run, worker_id)
-        job = self._jobs[run.task.job_id]
+        job = self._by_task[run.task]
         if state.failures >= job.submission.queue.max_attempts:
             outcome = jobs.JobOutcome(jobs.Verdict.FAILED, jobs.Reason.TASK_FAILED)
             self._finish(job, outcome, now)
@@ -399,8 +384,8 @@
             state.release()
 
     def _state(self, run: runs.Run) -> jobstate.TaskState | None:
-        job = self._jobs.get(run.task.job_id)
-        return job.tasks.get(run.task) if job is not None else None
+        job = self._by_task.get(run.task)
+        return job.tasks[run.task] if job is not None else None
 
     # Jobs
 
@@ -410,58 +395,66 @@
         waiter: events.Waiter,
         now: datetime.datetime,
     ) -> list[events.Action]:
-        """Take a job, join it to the copy that is under way, or refuse it."""
-        job_id = submission.job.job_id
-        known = self._jobs.get(job_id)
-        outcome = self._memory.outcome(job_id, now)
-        if known is not None:
-            if waiter not in known.waiters:
-                known.waiters.append(waiter)
-            self._note("joined", job_id, waiter=waiter.vm)
+        """Take a part of a job, or refuse it; one that is known is left as it is."""
+        part = events.PartId(submission.job.job_id, submission.part, waiter)
+        outcome = self._memory.outcome(part, now)
+        if part in self._jobs:
+            self._note("joined", part.job_id, waiter=waiter.vm, part=part.part)
         elif outcome is not None:
-            self._note("remembered", job_id, verdict=outcome.verdict.value)
-            self._out.append(events.Reply(waiter, job_id, outcome))
+            self._note("remembered", part.job_id, verdict=outcome.verdict.value)
+            self._out.append(events.Reply(part, outcome))
         else:
-            self._admit(submission, waiter, now)
+            self._admit(part, submission, now)
         return self._take()
 
     def _admit(
         self,
+        part: events.PartId,
         submission: events.Submission,
-        waiter: events.Waiter,
         now: datetime.datetime,
     ) -> None:
         for step in submission.job.steps:
             self.lengths.estimated(submission.queue.name, step)
         schedule = policies.schedule(self.lengths, submission)
-        job = jobstate.JobState(submission, schedule)
-        job.waiters.append(waiter)
+        job = jobstate.JobState(part, submission, schedule)
+        self._supersede(job, now)
+        self._jobs[part] = job
+        for task in job.tasks:
+            self._by_task[task] = job
         self._recall(job, now)
-        reason, outlook = self._objection(job, now)
         fields = {
             "queue": submission.queue.name,
-            "waiter": waiter.vm,
+            "waiter": part.waiter.vm,
+            "part": part.part,
             "tasks": len(job.tasks),
             "length_ms": round(clock.to_milliseconds(schedule.length)),
-            "finish_ms": round(clock.to_milliseconds(outlook.finish - now)),
             "due_ms": round(clock.to_milliseconds(schedule.due - now)),
             "resumed": submission.is_resumed,
         }
+        reason = self._objection(job, now)
         if reason is not jobs.Reason.NONE and not job.has_ordered:
-            outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, outlook.drained)
-            self._note("refused", submission.job.job_id, reason=reason.value, **fields)
-            self._out.append(events.Reply(waiter, submission.job.job_id, outcome))
+            self._note("refused", part.job_id, reason=reason.value, **fields)
+            self._forget(job)
+            outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, FIRST_RETURN)
+            self._out.append(events.Reply(part, outcome))
             return
-        self._note("admitted", submission.job.job_id, **fields)
-        self._jobs[job.job_id] = job
+        self._note("admitted", part.job_id, **fields)
         if job.is_done():
             self._finish(job, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
         self._place(now)
 
+    def _supersede(self, job: jobstate.JobState, now: datetime.datetime) -> None:
+        """End an earlier copy of the same tasks, which a client has given up."""
+        for task in job.tasks:
+            earlier = self._by_task.get(task)
+            if earlier is not None:
+                reason = jobs.Reason.SUPERSEDED
+                outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason)
+                self._finish(earlier, outcome, now)
+
     def _recall(self, job: jobstate.JobState, now: datetime.datetime) -> None:
         """Give a job what earlier copies of it have left behind."""
         job.has_ordered = job.submission.is_resumed
-        self._jobs[job.job_id] = job
         for task, state in job.tasks.items():
             state.last_number = self._memory.last_number(task)
             if self._memory.is_done(task, now):
@@ -472,30 +465,16 @@
                 if worker is not None and state.phase is jobstate.Phase.WAITING:
                     self._foreign.drop_run(run)
                     self._claim(worker, run, state, now)
-        del self._jobs[job.job_id]
-
-    def _objection(
-        self, job: jobstate.JobState, now: datetime.datetime
-    ) -> tuple[jobs.Reason, policies.Outlook]:
-        """Return why a job cannot be taken, and what it can expect."""
-        queue = job.submission.queue
-        workers = self._usable(queue.service, now)
-        outlook = estimates.outlook(
-            job, workers, self._jobs.values(), self._order, self.lengths, now
-        )
+
+    def _objection(self, job: jobstate.JobState, now: datetime.datetime) -> jobs.Reason:
+        """Return why a job cannot be taken."""
         if job.submission.job.missing_features():
-            return jobs.Reason.UNSUPPORTED, outlook._replace(
-                drained=datetime.timedelta()
-            )
-        if not workers:
-            return jobs.Reason.NO_WORKERS, outlook
+            return jobs.Reason.UNSUPPORTED
         if not self._can_ever_fit(job):
-            return jobs.Reason.NEVER_FITS, outlook._replace(
-                drained=datetime.timedelta()
-            )
-        if not self._admission.admits(job, outlook, now):
-            return jobs.Reason.OVERLOADED, outlook
-        return jobs.Reason.NONE, outlook
+            return jobs.Reason.NEVER_FITS
+        if not self._usable(job.submission.queue.service, now):
+            return jobs.Reason.NO_WORKERS
+        return jobs.Reason.NONE
 
     def _can_ever_fit(self, job: jobstate.JobState) -> bool:
         service = job.submission.queue.service
@@ -506,31 +485,28 @@
         )
 
     def withdraw(
-        self, job_id: str, waiter: events.Waiter, now: datetime.datetime
+        self, part: events.PartId, now: datetime.datetime
     ) -> list[events.Action]:
-        """Forget a waiter; a job that nobody waits for is stopped."""
-        job = self._jobs.get(job_id)
-        if job is not None and waiter in job.waiters:
-            job.waiters.remove(waiter)
-            if not job.waiters:
-                reason = jobs.Reason.WITHDRAWN
-                self._finish(job, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason), now)
-                self._place(now)
+        """Stop a part that nobody waits for any more."""
+        job = self._jobs.get(part)
+        if job is not None:
+            reason = jobs.Reason.WITHDRAWN
+            self._finish(job, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason), now)
+            self._place(now)
         return self._take()
 
     def waiters_lost(self, vm: str, now: datetime.datetime) -> list[events.Action]:
-        """Withdraw all jobs of a daemon that is not heard any more."""
+        """Withdraw all parts of a daemon that is not heard any more."""
         taken: list[events.Action] = []
-        for job in list(self._jobs.values()):
-            for waiter in [x for x in job.waiters if x.vm == vm]:
-                taken.extend(self.withdraw(job.job_id, waiter, now))
+        for part in [x for x in self._jobs if x.waiter.vm == vm]:
+            taken.extend(self.withdraw(part, now))
         return taken
 
     def _finish(
         self, job: jobstate.JobState, outcome: jobs.JobOutcome, now: datetime.datetime
     ) -> None:
-        """Tell all waiters, and stop what still runs for the job."""
-        del self._jobs[job.job_id]
+        """Tell the waiter, and stop what still runs for the part."""
+        self._forget(job)
         for state in job.tasks.values():
             if state.last_number:
                 self._memory.used(state.task, state.last_number, now)
@@ -538,15 +514,14 @@
             if state.phase is jobstate.Phase.PLACED and worker is not None:
                 self._stop(worker, runs.Run(state.task, state.last_number), now)
         if outcome.verdict in (jobs.Verdict.COMPLETED, jobs.Verdict.FAILED):
-            self._memory.ended(job.job_id, outcome, now)
+            self._memory.ended(job.part, outcome, now)
         self._note(
             "finished", job.job_id, verdict=outcome.verdict.value,
             reason=outcome.reason.value, queue=job.submission.queue.name,
             age_ms=round(clock.to_milliseconds(now - job.submission.arrived)),
             late_ms=round(clock.to_milliseconds(now - job.schedule.due)),
         )  # fmt: skip
-        for waiter in job.waiters:
-            self._out.append(events.Reply(waiter, job.job_id, outcome))
+        self._out.append(events.Reply(job.part, outcome))
 
     # Placing
 
@@ -594,7 +569,7 @@
                 candidates = self._candidates(job, state, usable, now, strict=False)
             if not candidates or self._is_unresolved(state.task):
                 continue
-            expected = self.lengths.expected(job.submission.queue.name, state.step)
+            expected = job.expected(self.lengths, state.step)
             view = policies.View(
                 job,
                 min(self.lengths.on(expected, x.report) for x in usable),
@@ -622,7 +597,7 @@
         strict: bool = True,
     ) -> list[policies.Candidate]:
         step = state.step
-        expected = self.lengths.expected(job.submission.queue.name, step)
+        expected = job.expected(self.lengths, step)
         found = []
         for worker in usable:
             free = worker.ledger.free()
@@ -725,25 +700,22 @@
 
     def loads_by_place(
         self, now: datetime.datetime
-    ) -> tuple[tuple[str, tuple[Load, ...]], ...]:
+    ) -> tuple[tuple[str, tuple[loads.Load, ...]], ...]:
         """Return how busy the held workers are, by data centre and service."""
         return tuple((place, self._loads(place, now)) for place in sorted(self._tokens))
 
-    def _loads(self, place: str, now: datetime.datetime) -> tuple[Load, ...]:
-        held_here = [x for x in self._workers.values() if x.report.data_centre == place]
-        found = []
-        for service in sorted({x.report.service for x in held_here}):
-            usable = [
-                x for x in held_here if x.report.service == service and x.accepts(now)
-            ]
-            free = sum(x.ledger.free().processor_milli for x in usable)
-            room = sum(x.report.room.processor_milli for x in usable)
-            wait = estimates.wait(
-                self._usable(service, now), self._jobs.values(), service,
-                self.lengths, now,
-            )  # fmt: skip
-            found.append(Load(service, free, room, clock.to_milliseconds(wait)))
-        return tuple(found)
+    def _loads(self, place: str, now: datetime.datetime) -> tuple[loads.Load, ...]:
+        here = [x for x in self._workers.values() if x.report.data_centre == place]
+        return tuple(
+            loads.measure(
+                service,
+                [x for x in here if x.report.service == service and x.accepts(now)],
+                self._jobs.values(),
+                self.lengths,
+                now,
+            )
+            for service in sorted({x.report.service for x in here})
+        )
 
     def worker_ids(self) -> frozenset[str]:
         """Return the workers that are held."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/events.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/events.py
@@ -34,8 +34,26 @@
     incarnation: str
 
 
+class PartId(typing.NamedTuple):
+    """Names the tasks of a job that one daemon has handed to one broker.
+
+    Parameters
+    ----------
+    job_id : str
+        The job.
+    part : int
+        Number of the part at that daemon.
+    waiter : Waiter
+        The daemon, whose client waits.
+    """
+
+    job_id: str
+    part: int
+    waiter: Waiter
+
+
 class Submission(typing.NamedTuple):
-    """A job handed to the broker of a data centre.
+    """Tasks of a job, handed to the broker of a data centre.
 
     Parameters
     ----------
@@ -45,6 +63,10 @@
         Its queue, in the version that the client's daemon knows.
     arrived, deadline : datetime.datetime
         When the client sent it and until when it waits.
+    part : int
+        Number of this part of the job.
+    tasks : tuple of int
+        Numbers of the tasks of the only step; empty for all tasks of all steps.
     is_resumed : bool
         Whether another broker may have begun it.
     """
@@ -53,6 +75,8 @@
     queue: jobs.Queue
     arrived: datetime.datetime
     deadline: datetime.datetime
+    part: int = 0
+    tasks: tuple[int, ...] = ()
     is_resumed: bool = False
 
 
@@ -113,10 +137,9 @@
 
 
 class Reply(typing.NamedTuple):
-    """Tell a daemon what became of a job that its client waits for."""
+    """Tell a daemon what became of a part that its client waits for."""
 
-    waiter: Waiter
-    job_id: str
+    part: PartId
     outcome: jobs.JobOutcome
 
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -1,26 +1,36 @@
 """The gateway of a daemon: looks after the jobs whose clients wait here.
 
-Each job is with one broker at a time. A broker that is replaced is followed: the job
-is handed to the next holder of the same workers, which finds what runs of it. It is
-never handed to other workers once its broker may have begun it.
+A job is shared out in parts, each with one broker at a time. A broker that is replaced
+is followed: its parts are handed to the next holder of the same workers, which finds
+what runs of them. A part is never handed to other workers once it may have begun.
 """
 
 import datetime
+import random
 import typing
 
-from carawaysail_holding import broker, events
-from carawaysail_types import clock, daemons, jobs
-
-AWAY_PENALTY = clock.milliseconds(4)
-"""Preference for the own data centre: a round trip to another one."""
+from carawaysail_holding import events, lengths, loads, planning
+from carawaysail_types import clock, daemons, jobs, registry
 
 SUCCESSION = clock.milliseconds(900)
-"""How long a job waits for the next holder of its workers: a silent holder's are
+"""How long a part waits for the next holder of its workers: a silent holder's are
 taken over within this."""
 
+RETURN_AFTER_LOSS = clock.milliseconds(2000)
+"""A data centre without a broker has one again within this."""
+
+ANSWER_MARGIN = clock.milliseconds(20)
+"""Time for the broker's own answer at the deadline to arrive first."""
+
+LEAST_RETURN = clock.milliseconds(1000)
+"""A refused client comes back after at least this: the least whole second."""
+
+RETURN_SPREAD_S = 2.0
+"""Refused clients are spread over so many seconds, not to come back together."""
+
 
 class Target(typing.NamedTuple):
-    """A broker that jobs can be handed to.
+    """A broker that parts can be handed to.
 
     Parameters
     ----------
@@ -35,17 +45,18 @@
 
 
 class SendJob(typing.NamedTuple):
-    """Hand a job to a broker."""
+    """Hand a part to a broker."""
 
     daemon: daemons.Daemon
     submission: events.Submission
 
 
 class SendWithdrawal(typing.NamedTuple):
-    """Tell a broker that nobody waits for a job any more."""
+    """Tell a broker that nobody waits for a part any more."""
 
     daemon: daemons.Daemon
     job_id: str
+    part: int
 
 
 class Answer(typing.NamedTuple):
@@ -59,12 +70,77 @@
 Action = SendJob | SendWithdrawal | Answer | events.Note
 
 
+class Prospect(typing.NamedTuple):
+    """What a job can expect on arrival.
+
+    Parameters
+    ----------
+    need : planning.Need
+        What it needs, and until when.
+    plan : planning.Plan
+        Where its tasks would go.
+    patience_ms : float
+        How long its client waits, in milliseconds.
+    """
+
+    need: planning.Need
+    plan: planning.Plan
+    patience_ms: float
+
+
+class Admission(typing.Protocol):
+    """Decides whether a job is taken."""
+
+    def __call__(self, prospect: Prospect) -> bool:
+        """Tell whether a job is taken."""
+
+
+admissions: registry.Registry[Admission] = registry.Registry("admission policies")
+
+
+@admissions.register("objective")
+def _keeps_objective(prospect: Prospect) -> bool:
+    """Take what is expected to keep its response-time objective."""
+    return not prospect.plan.queued or prospect.plan.finish_ms <= prospect.need.due_ms
+
+
+@admissions.register("deadline")
+def _keeps_deadline(prospect: Prospect) -> bool:
+    """Take what is expected to be done while its client waits."""
+    return prospect.plan.finish_ms <= prospect.patience_ms
+
+
+@admissions.register("all")
+def _takes_all(prospect: Prospect) -> bool:
+    """Take everything."""
+    return True
+
+
+class _Part:
+    def __init__(self, number: int, tasks: tuple[int, ...], target: Target) -> None:
+        self.number = number
+        self.tasks = tasks
+        self.target = target
+        self.is_resumed = False
+        self.is_done = False
+        self.lost_since: datetime.datetime | None = None
+
+
 class _Call:
     def __init__(self, submission: events.Submission, reply: int) -> None:
         self.submission = submission
         self.replies = [reply]
-        self.target: Target | None = None
-        self.lost_since: datetime.datetime | None = None
+        self.parts: dict[int, _Part] = {}
+        self.avoided: set[str] = set()
+
+    @property
+    def job_id(self) -> str:
+        return self.submission.job.job_id
+
+    def submission_of(self, part: _Part) -> events.Submission:
+        return self.submission._replace(
+            part=part.number, tasks=part.tasks, is_resumed=part.is_resumed
+        )
 
 
 class Gateway:
@@ -74,31 +150,40 @@
     ----------
     me : daemons.Daemon
         This daemon.
+    admission : str
+        Name of the admission policy.
+    random_state : int
+        Seeds the spread of refused clients' return.
     """
 
-    def __init__(self, me: daemons.Daemon) -> None:
+    def __init__(
+        self,
+        me: daemons.Daemon,
+        admission: str = "objective",
+        random_state: int | None = None,
+    ) -> None:
         self._me = me
+        self._admits = admissions.get(admission)
+        self._random = random.Random(random_state)
         self._calls: dict[str, _Call] = {}
         self._targets: dict[str, Target] = {}
-        self._loads: dict[tuple[str, str], broker.Load] = {}
+        self._board = planning.Board(me.data_centre)
+        self._lengths = lengths.Lengths()
 
     def open_calls(self) -> int:
         """Return how many jobs have clients that wait."""
         return len(self._calls)
 
-    def targets(self) -> tuple[Target, ...]:
-        """Return the brokers that jobs can be handed to."""
-        return tuple(self._targets.values())
+    # Brokers
 
-    def took_load(self, data_centre: str, loads: tuple[broker.Load, ...]) -> None:
+    def took_load(self, place: str, found: tuple[loads.Load, ...]) -> None:
         """Take how busy a data centre's workers are."""
-        for load in loads:
-            self._loads[data_centre, load.service] = load
+        self._board.take(place, found)
 
     def took_targets(
         self, targets: dict[str, Target], now: datetime.datetime
     ) -> list[Action]:
-        """Take which brokers can be reached; hand jobs on to new holders.
+        """Take which brokers can be reached; hand parts on to new holders.
 
         Parameters
         ----------
@@ -110,34 +195,47 @@
         if targets == self._targets:
             return []
         self._targets = dict(targets)
+        self._board.keep(self._targets)
         out: list[Action] = []
-        for call in list(self._calls.values()):
-            self._follow(call, now, out)
+        for call in self._calls.values():
+            for part in call.parts.values():
+                if not part.is_done:
+                    self._follow(call, part, now, out)
         return out
 
-    def _follow(self, call: _Call, now: datetime.datetime, out: list[Action]) -> None:
-        if call.target is None:
-            return
-        present = self._targets.get(call.target.tenure.data_centre)
-        if present == call.target:
-            call.lost_since = None
-        elif present is not None and present.tenure.token > call.target.tenure.token:
-            call.target = present
-            call.lost_since = None
-            resumed = call.submission._replace(is_resumed=True)
-            call.submission = resumed
+    def _follow(
+        self, call: _Call, part: _Part, now: datetime.datetime, out: list[Action]
+    ) -> None:
+        present = self._targets.get(part.target.tenure.data_centre)
+        if present == part.target:
+            part.lost_since = None
+        elif present is not None and present.tenure.token > part.target.tenure.token:
+            part.target = present
+            part.lost_since = None
+            part.is_resumed = True
             out.append(
-                _note("resubmitted", call, to=present.daemon.vm,
+                _note("resubmitted", call, part=part.number, to=present.daemon.vm,
                       token=present.tenure.token)
             )  # fmt: skip
-            out.append(SendJob(present.daemon, resumed))
-        elif call.lost_since is None:
-            call.lost_since = now
+            out.append(SendJob(present.daemon, call.submission_of(part)))
+        elif part.lost_since is None:
+            part.lost_since = now
+
+    def reconnected(self, daemon: daemons.Daemon) -> list[Action]:
+        """Send again what is with a broker: messages may have been lost."""
+        return [
+            SendJob(daemon, call.submission_of(part))
+            for call in self._calls.values()
+            for part in call.parts.values()
+            if part.target.daemon == daemon and not part.is_done
+        ]
+
+    # Jobs
 
     def posted(
         self, submission: events.Submission, reply: int, now: datetime.datetime
     ) -> list[Action]:
-        """Take a job from a client.
+        """Take a job from a client, or refuse it.
 
         Parameters
         ----------
@@ -148,81 +246,164 @@
         now : datetime.datetime
             Present instant.
         """
-        job_id = submission.job.job_id
-        known = self._calls.get(job_id)
+        known = self._calls.get(submission.job.job_id)
         if known is not None:
             known.replies.append(reply)
             return [_note("joined_call", known)]
         call = _Call(submission, reply)
-        target = self._choose(submission)
-        if target is None:
-            reason = jobs.Reason.NO_BROKER
-            outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, RETURN_AFTER_LOSS)
-            return [_note("refused", call, reason=reason.value),
-                    Answer(reply, job_id, outcome)]  # fmt: skip
-        call.target = target
-        self._calls[job_id] = call
-        return [
-            _note("routed", call, to=target.tenure.data_centre, vm=target.daemon.vm),
-            SendJob(target.daemon, submission),
+        if submission.job.missing_features():
+            return self._refuse(call, jobs.Reason.UNSUPPORTED, datetime.timedelta())
+        prospect = self._prospect(call)
+        if prospect is None:
+            return self._submit_whole(call)
+        fields = {
+            "queue": submission.queue.name,
+            "tasks": prospect.need.width,
+            "length_ms": round(prospect.need.length_ms),
+            "finish_ms": round(prospect.plan.finish_ms),
+            "due_ms": round(prospect.need.due_ms),
+            "queued": prospect.plan.queued,
+        }
+        if not self._admits(prospect):
+            after = self._return_after(submission.queue.service)
+            return self._refuse(call, jobs.Reason.OVERLOADED, after, **fields)
+        out: list[Action] = [
+            _note("routed", call, shares=prospect.plan.shares, **fields)
         ]
+        self._calls[call.job_id] = call
+        width = sum(step.width for step in submission.job.steps)
+        self._share_out(call, tuple(range(width)), prospect.plan.shares, out)
+        return out
 
-    def _choose(self, submission: events.Submission) -> Target | None:
-        """Return the broker where the job is expected to wait least."""
-        best: tuple[datetime.timedelta, str] | None = None
-        for place in self._targets:
-            wait = self._expected_wait(place, submission)
-            if wait is not None and (best is None or (wait, place) < best):
-                best = (wait, place)
-        if best is None:
-            return self._targets.get(self._me.data_centre)
-        self._charge(best[1], submission)
-        return self._targets[best[1]]
-
-    def _expected_wait(
-        self, place: str, submission: events.Submission
-    ) -> datetime.timedelta | None:
-        load = self._loads.get((place, submission.queue.service))
-        if load is None or not load.room_milli:
-            return None
-        wait = clock.milliseconds(max(0.0, load.wait_ms))
-        shortage = max(0, _needs(submission.job) - load.free_milli)
-        wait += _length(submission.job) * (shortage / load.room_milli)
-        if place != self._me.data_centre:
-            wait += AWAY_PENALTY
-        return wait
-
-    def _charge(self, place: str, submission: events.Submission) -> None:
-        """Count a job as taken until the broker's next report."""
-        key = (place, submission.queue.service)
-        load = self._loads[key]
-        needs = _needs(submission.job)
-        shortage = max(0, needs - load.free_milli)
-        more = _length(submission.job) * (shortage / load.room_milli)
-        self._loads[key] = load._replace(
-            free_milli=max(0, load.free_milli - needs),
-            wait_ms=load.wait_ms + clock.to_milliseconds(more),
+    def _prospect(self, call: _Call) -> Prospect | None:
+        """Return what a job can expect; ``None`` if no load is known."""
+        submission = call.submission
+        queue, steps = submission.queue, submission.job.steps
+        for step in steps:
+            self._lengths.estimated(queue.name, step)
+        length = max(self._lengths.expected(queue.name, step) for step in steps)
+        due = length * queue.stretch + queue.objective
+        need = planning.Need(
+            sum(step.width for step in steps),
+            max((step.room for step in steps), key=lambda x: x.processor_milli),
+            clock.to_milliseconds(length),
+            clock.to_milliseconds(due),
         )
+        plan = self._board.plan(queue.service, need, call.avoided)
+        if plan is None:
+            return None
+        left = submission.deadline - submission.arrived
+        return Prospect(need, plan, clock.to_milliseconds(left))
+
+    def _submit_whole(self, call: _Call) -> list[Action]:
+        """Hand a job to the own data centre's broker where no load is known."""
+        home = self._me.data_centre
+        if home not in self._targets or home in call.avoided:
+            return self._refuse(call, jobs.Reason.NO_BROKER, RETURN_AFTER_LOSS)
+        self._calls[call.job_id] = call
+        out: list[Action] = [_note("routed", call, shares={home: 0})]
+        self._add_part(call, (), home, out)
+        return out
+
+    def _share_out(
+        self,
+        call: _Call,
+        tasks: tuple[int, ...],
+        shares: dict[str, int],
+        out: list[Action],
+    ) -> None:
+        """Hand tasks to brokers; jobs of several steps stay whole."""
+        if len(call.submission.job.steps) > 1:
+            place = max(shares, key=lambda x: (shares[x], x == self._me.data_centre))
+            self._add_part(call, (), place, out)
+            return
+        rest = tasks
+        for place, count in shares.items():
+            self._add_part(call, rest[:count], place, out)
+            rest = rest[count:]
+
+    def _add_part(
+        self, call: _Call, tasks: tuple[int, ...], place: str, out: list[Action]
+    ) -> None:
+        number = len(call.parts)
+        part = call.parts[number] = _Part(number, tasks, self._targets[place])
+        out.append(SendJob(part.target.daemon, call.submission_of(part)))
+
+    def _refuse(
+        self,
+        call: _Call,
+        reason: jobs.Reason,
+        after: datetime.timedelta,
+        **fields: typing.Any,
+    ) -> list[Action]:
+        outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, after)
+        return [
+            _note("refused", call, reason=reason.value, **fields),
+            *(Answer(reply, call.job_id, outcome) for reply in call.replies),
+        ]
+
+    def _return_after(self, service: str) -> datetime.timedelta:
+        backlog = clock.milliseconds(self._board.backlog_ms(service))
+        spread = datetime.timedelta(seconds=self._random.uniform(0, RETURN_SPREAD_S))
+        return LEAST_RETURN + backlog + spread
+
+    # Outcomes
 
     def replied(
-        self, daemon: daemons.Daemon, job_id: str, outcome: jobs.JobOutcome
+        self,
+        daemon: daemons.Daemon,
+        job_id: str,
+        number: int,
+        outcome: jobs.JobOutcome,
     ) -> list[Action]:
-        """Take what a broker says of a job."""
+        """Take what a broker says of a part."""
         call = self._calls.get(job_id)
-        if call is None or call.target is None or call.target.daemon != daemon:
+        part = call.parts.get(number) if call is not None else None
+        if call is None or part is None or part.target.daemon != daemon:
             return []
-        if outcome.verdict is jobs.Verdict.REFUSED and call.submission.is_resumed:
-            outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
-        return self._answer(call, outcome)
-
-    def reconnected(self, daemon: daemons.Daemon) -> list[Action]:
-        """Send again what is with a broker: messages may have been lost."""
+        if part.is_done:
+            return []
+        if outcome.verdict is jobs.Verdict.COMPLETED:
+            part.is_done = True
+            is_complete = all(x.is_done for x in call.parts.values())
+            return self._answer(call, outcome) if is_complete else []
+        if outcome.verdict is jobs.Verdict.REFUSED:
+            return self._part_refused(call, part, outcome)
+        return self._end(call, outcome)
+
+    def _part_refused(
+        self, call: _Call, part: _Part, outcome: jobs.JobOutcome
+    ) -> list[Action]:
+        """Hand a part that has not run to another broker, if there is one."""
+        place = part.target.tenure.data_centre
+        is_whole = len(call.parts) == 1
+        if part.is_resumed or outcome.reason is not jobs.Reason.NO_WORKERS:
+            if not is_whole or part.is_resumed:
+                outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
+            return self._end(call, outcome, part)
+        call.avoided.add(place)
+        others = [x for x in self._targets if x not in call.avoided]
+        if not others:
+            if not is_whole:
+                outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
+            return self._end(call, outcome, part)
+        part.target = self._targets[min(others)]
         return [
-            SendJob(daemon, call.submission)
-            for call in self._calls.values()
-            if call.target is not None and call.target.daemon == daemon
+            _note("rerouted", call, part=part.number, to=part.target.daemon.vm),
+            SendJob(part.target.daemon, call.submission_of(part)),
         ]
 
+    def _end(
+        self, call: _Call, outcome: jobs.JobOutcome, but: _Part | None = None
+    ) -> list[Action]:
+        """Answer a call and withdraw what is still under way."""
+        withdrawals = [
+            SendWithdrawal(part.target.daemon, call.job_id, part.number)
+            for part in call.parts.values()
+            if part is not but and not part.is_done
+        ]
+        return [*withdrawals, *self._answer(call, outcome)]
+
     def client_left(self, job_id: str, reply: int) -> list[Action]:
         """Take note that a client has gone; withdraw a job nobody waits for."""
         call = self._calls.get(job_id)
@@ -231,33 +412,24 @@
         call.replies.remove(reply)
         if call.replies:
             return []
-        del self._calls[job_id]
-        out: list[Action] = [_note("client_left", call)]
-        if call.target is not None:
-            out.append(SendWithdrawal(call.target.daemon, job_id))
-        return out
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
+        return self._end(call, outcome)
 
     def tick(self, now: datetime.datetime) -> list[Action]:
         """Answer calls whose time is up or whose broker stays away."""
         out: list[Action] = []
         for call in list(self._calls.values()):
-            lost = call.lost_since
             if now >= call.submission.deadline + ANSWER_MARGIN:
                 reason = jobs.Reason.TIMED_OUT
-            elif lost is not None and now - lost > SUCCESSION:
+            elif any(_is_lost(part, now) for part in call.parts.values()):
                 reason = jobs.Reason.BROKER_LOST
             else:
                 continue
-            target = call.target
-            out.extend(
-                self._answer(call, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason))
-            )
-            if target is not None:
-                out.append(SendWithdrawal(target.daemon, call.submission.job.job_id))
+            out.extend(self._end(call, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason)))
         return out
 
     def _answer(self, call: _Call, outcome: jobs.JobOutcome) -> list[Action]:
-        del self._calls[call.submission.job.job_id]
+        del self._calls[call.job_id]
         out: list[Action] = [
             _note(
                 "answered",
@@ -267,25 +439,14 @@
             )  # fmt: skip
         ]
         for reply in call.replies:
-            out.append(Answer(reply, call.submission.job.job_id, outcome))
+            out.append(Answer(reply, call.job_id, outcome))
         return out
 
 
-RETURN_AFTER_LOSS = clock.milliseconds(2000)
-"""A data centre without a broker has one again within this."""
-
-ANSWER_MARGIN = clock.milliseconds(20)
-"""Time for the broker's own answer at the deadline to arrive first."""
-
-
-def _needs(job: jobs.Job) -> int:
-    first = [step for step in job.steps if not step.after]
-    return sum(step.width * step.room.processor_milli for step in first)
-
-
-def _length(job: jobs.Job) -> datetime.timedelta:
-    return max((step.estimate for step in job.steps), default=datetime.timedelta())
+def _is_lost(part: _Part, now: datetime.datetime) -> bool:
+    since = part.lost_since
+    return not part.is_done and since is not None and now - since > SUCCESSION
 
 
 def _note(name: str, call: _Call, **fields: typing.Any) -> events.Note:
-    return events.Note(name, call.submission.job.job_id, fields)
+    return events.Note(name, call.job_id, fields)
--- a/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
@@ -1,11 +1,12 @@
-"""One job at its broker: tasks, runs, attempts, and what it is due."""
+"""One part of a job at its broker: tasks, runs, attempts, and what it is due."""
 
 import datetime
 import enum
+import math
 import typing
 
-from carawaysail_holding import events
-from carawaysail_types import jobs, runs
+from carawaysail_holding import events, lengths
+from carawaysail_types import clock, jobs, runs
 
 
 class Phase(enum.Enum):
@@ -74,24 +75,29 @@
 
 
 class JobState:
-    """One job.
+    """One part of a job; the whole of it where it has several steps.
 
     Parameters
     ----------
+    part : events.PartId
+        Names the part.
     submission : events.Submission
         What was submitted.
     schedule : Schedule
         When it is due.
     """
 
-    def __init__(self, submission: events.Submission, schedule: Schedule) -> None:
+    def __init__(
+        self, part: events.PartId, submission: events.Submission, schedule: Schedule
+    ) -> None:
+        self.part = part
         self.submission = submission
         self.schedule = schedule
-        self.waiters: list[events.Waiter] = []
         self.has_ordered = False
         self.tasks: dict[runs.Task, TaskState] = {}
+        self._observed_log_ms: list[float] = []
         for number, step in enumerate(submission.job.steps):
-            for index in range(step.width):
+            for index in submission.tasks or range(step.width):
                 task = runs.Task(submission.job.job_id, 0, number, index)
                 self.tasks[task] = TaskState(task, step)
 
@@ -100,6 +106,21 @@
         """The job's identifier."""
         return self.submission.job.job_id
 
+    def observe(self, length: datetime.timedelta) -> None:
+        """Take note of what a task took, as on an average worker."""
+        length_ms = max(lengths.SHORTEST_MS, clock.to_milliseconds(length))
+        self._observed_log_ms.append(math.log(length_ms))
+
+    def expected(self, known: lengths.Lengths, step: jobs.Step) -> datetime.timedelta:
+        """Return the expected length of a task on an average worker.
+
+        Tasks of one step are alike, so those that are done tell more than estimates.
+        """
+        seen = self._observed_log_ms
+        if seen and len(self.submission.job.steps) == 1:
+            return clock.milliseconds(math.exp(sum(seen) / len(seen)))
+        return known.expected(self.submission.queue.name, step)
+
     def is_done(self) -> bool:
         """Tell whether every task is done."""
         return all(state.phase is Phase.DONE for state in self.tasks.values())
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -0,0 +1,109 @@
+"""How busy the workers of a data centre are, as brokers tell gateways."""
+
+import datetime
+import typing
+
+from carawaysail_holding import held, jobstate, lengths
+from carawaysail_types import clock
+
+MAX_ROWS = 48
+"""Rows of one report; keeps a report below 2 KB whatever the number of workers."""
+
+LEAST_LEFT = 0.2
+"""Share of its expected length that a run is taken to need still, at least."""
+
+
+class Slot(typing.NamedTuple):
+    """Room on one worker.
+
+    Parameters
+    ----------
+    free_milli : int
+        Thousandths of a core that are free.
+    speed : float
+        Its speed; 1 is that of an average worker.
+    """
+
+    free_milli: int
+    speed: float
+
+
+class Load(typing.NamedTuple):
+    """How busy a broker's workers are, for one service.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    slots : tuple of Slot
+        Room on workers that take work, most first.
+    speeds : tuple of float
+        Speeds of those workers, one for each run that would fit into its whole room.
+    frees_ms : tuple of float
+        When runs are expected to end, in milliseconds from now, soonest first.
+    waiting : int
+        Tasks that wait for a worker.
+    waiting_ms : float
+        Their expected work on average workers, in milliseconds.
+    """
+
+    service: str
+    slots: tuple[Slot, ...]
+    speeds: tuple[float, ...]
+    frees_ms: tuple[float, ...]
+    waiting: int
+    waiting_ms: float
+
+
+def measure(
+    service: str,
+    workers: list[held.HeldWorker],
+    jobs: typing.Collection[jobstate.JobState],
+    known: lengths.Lengths,
+    now: datetime.datetime,
+) -> Load:
+    """Return how busy some workers are.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    workers : list of held.HeldWorker
+        Those of its workers that take work.
+    jobs : collection of jobstate.JobState
+        All jobs of the broker.
+    known : lengths.Lengths
+        Learned run times.
+    now : datetime.datetime
+        Present instant.
+    """
+    slots = sorted(
+        (
+            Slot(x.ledger.free().processor_milli, round(known.speed(x.report), 2))
+            for x in workers
+            if x.ledger.free().processor_milli > 0
+        ),
+        reverse=True,
+    )
+    speeds = sorted((round(known.speed(x.report), 2) for x in workers), reverse=True)
+    frees: list[float] = []
+    waiting, work = 0, datetime.timedelta()
+    names = {x.report.worker_id: x.report for x in workers}
+    for job in jobs:
+        queue = job.submission.queue
+        if queue.service != service:
+            continue
+        for state in job.tasks.values():
+            expected = job.expected(known, state.step)
+            if state.phase is jobstate.Phase.WAITING:
+                waiting += 1
+                work += expected
+            elif state.worker_id in names and state.started is not None:
+                takes = known.on(expected, names[state.worker_id])
+                left = max(takes - (now - state.started), takes * LEAST_LEFT)
+                frees.append(round(clock.to_milliseconds(left)))
+    return Load(
+        service, tuple(slots[:MAX_ROWS]), tuple(speeds[:MAX_ROWS]),
+        tuple(sorted(frees)[:MAX_ROWS]), waiting,
+        round(clock.to_milliseconds(work)),
+    )  # fmt: skip
--- a/libs/carawaysail_holding/src/carawaysail_holding/memory.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/memory.py
@@ -1,7 +1,8 @@
-"""What a broker remembers of jobs that are over, for clients that send them again."""
+"""What a broker remembers of jobs that are over, for messages that were lost."""
 
 import datetime
 
+from carawaysail_holding import events
 from carawaysail_types import clock, jobs, runs
 
 KEPT = clock.milliseconds(10_000)
@@ -14,20 +15,24 @@
     """Outcomes, run numbers and found ends, each kept for ``KEPT``."""
 
     def __init__(self) -> None:
-        self._outcomes: dict[str, tuple[jobs.JobOutcome, datetime.datetime]] = {}
+        self._outcomes: dict[
+            events.PartId, tuple[jobs.JobOutcome, datetime.datetime]
+        ] = {}
         self._numbers: dict[runs.Task, tuple[int, datetime.datetime]] = {}
         self._done: dict[runs.Task, datetime.datetime] = {}
         self._pruned: datetime.datetime | None = None
 
     def ended(
-        self, job_id: str, outcome: jobs.JobOutcome, now: datetime.datetime
+        self, part: events.PartId, outcome: jobs.JobOutcome, now: datetime.datetime
     ) -> None:
-        """Remember how a job ended."""
-        self._outcomes[job_id] = (outcome, now)
-
-    def outcome(self, job_id: str, now: datetime.datetime) -> jobs.JobOutcome | None:
-        """Return how a job ended, if that is remembered."""
-        found = self._outcomes.get(job_id)
+        """Remember how a part ended."""
+        self._outcomes[part] = (outcome, now)
+
+    def outcome(
+        self, part: events.PartId, now: datetime.datetime
+    ) -> jobs.JobOutcome | None:
+        """Return how a part ended, if that is remembered."""
+        found = self._outcomes.get(part)
         return found[0] if found is not None and now - found[1] < KEPT else None
 
     def used(self, task: runs.Task, number: int, now: datetime.datetime) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -1,4 +1,4 @@
-"""Policies that settings choose: which job goes first, which worker, who is refused."""
+"""Policies that settings choose: which job goes first, and which worker it gets."""
 
 import datetime
 import typing
@@ -63,33 +63,8 @@
         """
 
 
-class Outlook(typing.NamedTuple):
-    """What a job can expect on arrival.
-
-    Parameters
-    ----------
-    finish : datetime.datetime
-        When it is expected to be done.
-    drained : datetime.timedelta
-        When the work ahead is expected to be done.
-    """
-
-    finish: datetime.datetime
-    drained: datetime.timedelta
-
-
-class Admission(typing.Protocol):
-    """Decides whether a job is taken."""
-
-    def admits(
-        self, job: jobstate.JobState, outlook: Outlook, now: datetime.datetime
-    ) -> bool:
-        """Tell whether a job is taken."""
-
-
 orders: registry.Registry[Order] = registry.Registry("order policies")
 choices: registry.Registry[Choice] = registry.Registry("worker choice policies")
-admissions: registry.Registry[Admission] = registry.Registry("admission policies")
 
 
 class PolicyNames(typing.NamedTuple):
@@ -97,7 +72,6 @@
 
     order: str = "latest_start"
     choice: str = "fit_to_due"
-    admission: str = "objective"
 
 
 class _LatestStart:
@@ -147,6 +121,10 @@
 """Share of the room in use from which fast workers are kept for long tasks."""
 
 
+NEAR = 1.3
+"""A worker that takes at most so many times as long is as good as the fastest."""
+
+
 class _FitToDue:
     """The fastest worker while there is room; the slowest that is in time when not.
 
@@ -157,9 +135,12 @@
     def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
         fastest = _fastest(candidates)
         due = view.job.schedule.due
+        if view.now + view.least > due:
+            due = view.job.submission.deadline
         if view.now + fastest.takes > due:
             is_hopeless = view.now + view.least > due
-            return fastest if is_hopeless else None
+            is_near = fastest.takes <= view.least * NEAR
+            return fastest if is_hopeless and is_near else None
         if view.utilisation < CROWDED:
             return fastest
         in_time = [x for x in candidates if view.now + x.takes <= due]
@@ -178,38 +159,6 @@
 choices.register("most_room")(_MostRoom())
 
 
-class _Objective:
-    """Takes what is expected to keep its response-time objective."""
-
-    def admits(
-        self, job: jobstate.JobState, outlook: Outlook, now: datetime.datetime
-    ) -> bool:
-        return outlook.finish <= job.schedule.due
-
-
-class _Deadline:
-    """Takes what is expected to be done while its client waits."""
-
-    def admits(
-        self, job: jobstate.JobState, outlook: Outlook, now: datetime.datetime
-    ) -> bool:
-        return outlook.finish <= job.submission.deadline
-
-
-class _All:
-    """Takes everything."""
-
-    def admits(
-        self, job: jobstate.JobState, outlook: Outlook, now: datetime.datetime
-    ) -> bool:
-        return True
-
-
-admissions.register("objective")(_Objective())
-admissions.register("deadline")(_Deadline())
-admissions.register("all")(_All())
-
-
 def schedule(
     known: lengths.Lengths, submission: events.Submission
 ) -> jobstate.Schedule:
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
@@ -108,12 +108,12 @@
     return destination
 
 
-def tell(part: str, text: str, **fields: typing.Any) -> None:
+def tell(part: str, text: str, /, **fields: typing.Any) -> None:
     """Log what happened in a part."""
     eliot.log_message(message_type=f"{PREFIX}:{part}:info", text=text, **fields)
 
 
-def fault(part: str, text: str, exc: BaseException, **fields: typing.Any) -> None:
+def fault(part: str, text: str, exc: BaseException, /, **fields: typing.Any) -> None:
     """Log an error with its type and text."""
     eliot.log_message(
         message_type=f"{PREFIX}:{part}:error",
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from carawaysail_holding import broker, events
+from carawaysail_holding import events, loads
 from carawaysail_streams import errors
 from carawaysail_types import daemons, jobs, registry
 
@@ -24,7 +24,7 @@
         Whether it is about to end.
     tenures : tuple of daemons.Tenure
         All tenures that it knows.
-    loads : tuple of (str, tuple of broker.Load)
+    loads : tuple of (str, tuple of loads.Load)
         How busy the workers are that it holds, by data centre.
     heard_ms : float
         Age of the receiver's last message to the sender; negative for none.
@@ -34,14 +34,14 @@
 
     is_leaving: bool
     tenures: tuple[daemons.Tenure, ...]
-    loads: tuple[tuple[str, tuple[broker.Load, ...]], ...]
+    loads: tuple[tuple[str, tuple[loads.Load, ...]], ...]
     heard_ms: float
     version: int
 
 
 @kinds.register("submit")
 class Submit(typing.NamedTuple):
-    """Hand a job to a broker.
+    """Hand a part of a job to a broker.
 
     Parameters
     ----------
@@ -51,6 +51,10 @@
         Its queue.
     age_ms, left_ms : float
         Time since the client sent it, and until the client stops waiting.
+    part : int
+        Number of this part of the job.
+    tasks : tuple of int
+        Numbers of its tasks; empty for all.
     is_resumed : bool
         Whether another broker may have begun it.
     """
@@ -59,21 +63,25 @@
     queue: jobs.Queue
     age_ms: float
     left_ms: float
+    part: int
+    tasks: tuple[int, ...]
     is_resumed: bool
 
 
 @kinds.register("withdraw")
 class Withdraw(typing.NamedTuple):
-    """Tell a broker that nobody waits for a job here any more."""
+    """Tell a broker that nobody waits for a part here any more."""
 
     job_id: str
+    part: int
 
 
 @kinds.register("outcome")
 class Outcome(typing.NamedTuple):
-    """Tell a daemon what became of a job that its client waits for."""
+    """Tell a daemon what became of a part that its client waits for."""
 
     job_id: str
+    part: int
     outcome: jobs.JobOutcome
 
 
@@ -125,5 +133,6 @@
 def submit(submission: events.Submission, age_ms: float, left_ms: float) -> Submit:
     """Return the message that hands on a submission."""
     return Submit(
-        submission.job, submission.queue, age_ms, left_ms, submission.is_resumed
-    )
+        submission.job, submission.queue, age_ms, left_ms, submission.part,
+        submission.tasks, submission.is_resumed,
+    )  # fmt: skip
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -219,7 +219,7 @@
     TIMED_OUT = "timed_out"
     WITHDRAWN = "withdrawn"
     TASK_FAILED = "task_failed"
-    STOPPING = "stopping"
+    SUPERSEDED = "superseded"
     NO_CONFIGURATION = "no_configuration"
 
 
