Let a task wait for a worker that is expected to be done with it earlier

Reports now carry the speed with each expected end; a slot counts as in time only with a margin for rough estimates; otherwise the task waits for the earliest expected end.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -560,6 +560,7 @@
         usable: list[held.HeldWorker],
         now: datetime.datetime,
     ) -> None:
+        taken = 0
         largest = max((x.ledger.free().processor_milli for x in usable), default=0)
         for state in job.ready():
             if state.step.room.processor_milli > largest:
@@ -572,13 +573,55 @@
             expected = job.expected(self.lengths, state.step)
             view = policies.View(
                 job,
-                min(self.lengths.on(expected, x.report) for x in usable),
+                self._next_end(expected, state.step, usable, taken, now),
                 estimates.utilisation(usable),
                 now,
             )
             chosen = self._choice.choose(candidates, view)
             if chosen is not None:
                 self._start(job, state, chosen, now)
+            else:
+                taken += 1
+
+    def _next_end(
+        self,
+        expected: datetime.timedelta,
+        step: jobs.Step,
+        usable: list[held.HeldWorker],
+        taken: int,
+        now: datetime.datetime,
+    ) -> datetime.timedelta | None:
+        """Return when a task is expected to be done if it waits for a worker.
+
+        Parameters
+        ----------
+        expected : datetime.timedelta
+            Its length on an average worker.
+        step : jobs.Step
+            What it needs.
+        usable : list of held.HeldWorker
+            Workers that take work.
+        taken : int
+            Tasks of the same job that wait already, each for a worker of its own.
+        now : datetime.datetime
+            Present instant.
+        """
+        ends = []
+        for worker in usable:
+            if worker.ledger.free().holds(step.room):
+                continue
+            for run in worker.ledger.entries():
+                owner = self._by_task.get(run.task)
+                if owner is None:
+                    continue
+                state = owner.tasks[run.task]
+                takes = self.lengths.on(
+                    owner.expected(self.lengths, state.step), worker.report
+                )
+                left = loads.time_left(state, takes, now)
+                ends.append(left + self.lengths.on(expected, worker.report))
+        ends.sort()
+        return ends[taken] if taken < len(ends) else None
 
     def _is_unresolved(self, task: runs.Task) -> bool:
         """Tell whether a run of the task still counts on some worker."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -79,13 +79,10 @@
         What it needs, and until when.
     plan : planning.Plan
         Where its tasks would go.
-    patience_ms : float
-        How long its client waits, in milliseconds.
     """
 
     need: planning.Need
     plan: planning.Plan
-    patience_ms: float
 
 
 class Admission(typing.Protocol):
@@ -107,7 +104,7 @@
 @admissions.register("deadline")
 def _keeps_deadline(prospect: Prospect) -> bool:
     """Take what is expected to be done while its client waits."""
-    return prospect.plan.finish_ms <= prospect.patience_ms
+    return prospect.plan.finish_ms <= prospect.need.patience_ms
 
 
 @admissions.register("all")
@@ -288,12 +285,10 @@
             max((step.room for step in steps), key=lambda x: x.processor_milli),
             clock.to_milliseconds(length),
             clock.to_milliseconds(due),
+            clock.to_milliseconds(submission.deadline - submission.arrived),
         )
         plan = self._board.plan(queue.service, need, call.avoided)
-        if plan is None:
-            return None
-        left = submission.deadline - submission.arrived
-        return Prospect(need, plan, clock.to_milliseconds(left))
+        return Prospect(need, plan) if plan is not None else None
 
     def _submit_whole(self, call: _Call) -> list[Action]:
         """Hand a job to the own data centre's broker where no load is known."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/loads.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -28,6 +28,21 @@
     speed: float
 
 
+class Free(typing.NamedTuple):
+    """A run that is expected to end.
+
+    Parameters
+    ----------
+    after_ms : float
+        When, in milliseconds from now.
+    speed : float
+        Speed of its worker.
+    """
+
+    after_ms: float
+    speed: float
+
+
 class Load(typing.NamedTuple):
     """How busy a broker's workers are, for one service.
 
@@ -38,9 +53,9 @@
     slots : tuple of Slot
         Room on workers that take work, most first.
     speeds : tuple of float
-        Speeds of those workers, one for each run that would fit into its whole room.
-    frees_ms : tuple of float
-        When runs are expected to end, in milliseconds from now, soonest first.
+        Speeds of those workers, highest first.
+    frees : tuple of Free
+        Runs that are expected to end, soonest first.
     waiting : int
         Tasks that wait for a worker.
     waiting_ms : float
@@ -50,7 +65,7 @@
     service: str
     slots: tuple[Slot, ...]
     speeds: tuple[float, ...]
-    frees_ms: tuple[float, ...]
+    frees: tuple[Free, ...]
     waiting: int
     waiting_ms: float
 
@@ -86,24 +101,42 @@
         reverse=True,
     )
     speeds = sorted((round(known.speed(x.report), 2) for x in workers), reverse=True)
-    frees: list[float] = []
+    frees: list[Free] = []
     waiting, work = 0, datetime.timedelta()
-    names = {x.report.worker_id: x.report for x in workers}
+    reports = {x.report.worker_id: x.report for x in workers}
     for job in jobs:
-        queue = job.submission.queue
-        if queue.service != service:
+        if job.submission.queue.service != service:
             continue
         for state in job.tasks.values():
             expected = job.expected(known, state.step)
             if state.phase is jobstate.Phase.WAITING:
                 waiting += 1
                 work += expected
-            elif state.worker_id in names and state.started is not None:
-                takes = known.on(expected, names[state.worker_id])
-                left = max(takes - (now - state.started), takes * LEAST_LEFT)
-                frees.append(round(clock.to_milliseconds(left)))
+            elif state.worker_id in reports:
+                report = reports[state.worker_id]
+                left = time_left(state, known.on(expected, report), now)
+                after_ms = round(clock.to_milliseconds(left))
+                frees.append(Free(after_ms, round(known.speed(report), 2)))
     return Load(
         service, tuple(slots[:MAX_ROWS]), tuple(speeds[:MAX_ROWS]),
         tuple(sorted(frees)[:MAX_ROWS]), waiting,
         round(clock.to_milliseconds(work)),
     )  # fmt: skip
+
+
+def time_left(
+    state: jobstate.TaskState, takes: datetime.timedelta, now: datetime.datetime
+) -> datetime.timedelta:
+    """Return how long a run is expected to last still.
+
+    Parameters
+    ----------
+    state : jobstate.TaskState
+        The task.
+    takes : datetime.timedelta
+        What it takes on its worker.
+    now : datetime.datetime
+        Present instant.
+    """
+    ran = now - state.started if state.started is not None else datetime.timedelta()
+    return max(takes - ran, takes * LEAST_LEFT)
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -30,12 +30,15 @@
         Expected run time on an average worker, in milliseconds.
     due_ms : float
         Until when an answer keeps the objective, in milliseconds from now.
+    patience_ms : float
+        Until when the client waits, in milliseconds from now.
     """
 
     width: int
     room: jobs.Room
     length_ms: float
     due_ms: float
+    patience_ms: float
 
 
 class Plan(typing.NamedTuple):
@@ -57,6 +60,7 @@
 
 
 class _Option(typing.NamedTuple):
+    start_ms: float
     takes_ms: float
     distance_ms: float
     place: str
@@ -64,7 +68,7 @@
 
     @property
     def end_ms(self) -> float:
-        return self.takes_ms + self.distance_ms
+        return self.start_ms + self.takes_ms + self.distance_ms
 
 
 def _quickest(option: _Option) -> tuple[float, str]:
@@ -123,22 +127,21 @@
         }
         if not places:
             return None
-        options = self._options(places, need)
-        taken = options[: need.width]
+        free = self._free(places, need)
+        safe = [x for x in free if _is_safe(x, need)]
+        busy = sum(len(load.frees) for load in places.values())
+        is_crowded = busy > CROWDED * (busy + len(free))
+        taken = sorted(safe, key=_slowest if is_crowded else _quickest)[: need.width]
+        queued = self._queued(places, need, need.width - len(taken))
+        chosen = [*taken, *queued]
         shares: dict[str, int] = {}
-        finish_ms = max((x.end_ms for x in taken), default=0.0)
-        for option in taken:
+        for option in chosen:
             shares[option.place] = shares.get(option.place, 0) + 1
+        for option in taken:
             self._use(option, service, need)
-        queued = need.width - len(taken)
-        for _ in range(queued):
-            end_ms, place = min(
-                (self._end_of_queue(place, service, need), place) for place in places
-            )
-            finish_ms = max(finish_ms, end_ms)
-            shares[place] = shares.get(place, 0) + 1
-            self._enqueue(place, service, need)
-        return Plan(shares, finish_ms, queued)
+        for option in queued:
+            self._enqueue(option.place, service, need)
+        return Plan(shares, max(x.end_ms for x in chosen), len(queued))
 
     def backlog_ms(self, service: str) -> float:
         """Return how long the shortest queue is expected to last."""
@@ -149,23 +152,34 @@
         ]
         return min(found, default=0.0)
 
-    def _options(self, places: dict[str, loads.Load], need: Need) -> list[_Option]:
-        """Return the slots that are free and in time, the best first."""
+    def _free(self, places: dict[str, loads.Load], need: Need) -> list[_Option]:
+        """Return the slots that are free."""
         milli = max(1, need.room.processor_milli)
         found: list[_Option] = []
-        busy = 0
         for place, load in places.items():
-            busy += len(load.frees_ms)
             distance_ms = self._distance_ms(place)
             for number, slot in enumerate(load.slots):
                 takes_ms = need.length_ms / slot.speed
-                option = _Option(takes_ms, distance_ms, place, number)
+                option = _Option(0.0, takes_ms, distance_ms, place, number)
                 found.extend([option] * (slot.free_milli // milli))
-        in_time = [x for x in found if x.end_ms <= need.due_ms]
-        is_crowded = busy > CROWDED * (busy + len(found))
-        if is_crowded and len(in_time) >= need.width:
-            return sorted(in_time, key=_slowest)
-        return sorted(in_time, key=_quickest)
+        return found
+
+    def _queued(
+        self, places: dict[str, loads.Load], need: Need, count: int
+    ) -> list[_Option]:
+        """Return where tasks that find no free slot are expected to be done first."""
+        options: list[_Option] = []
+        for place, load in places.items():
+            distance_ms = self._distance_ms(place)
+            frees = load.frees or (loads.Free(0.0, max(load.speeds)),)
+            mean_ms = load.waiting_ms / load.waiting if load.waiting else 0.0
+            for number in range(count):
+                rounds, position = divmod(load.waiting + number, len(frees))
+                free = frees[position]
+                start_ms = free.after_ms + rounds * max(mean_ms, need.length_ms)
+                takes_ms = need.length_ms / free.speed
+                options.append(_Option(start_ms, takes_ms, distance_ms, place, -1))
+        return sorted(options, key=_quickest)[:count]
 
     def _distance_ms(self, place: str) -> float:
         return 0.0 if place == self._home else AWAY_MS
@@ -177,24 +191,37 @@
         slots[option.slot] = slot._replace(
             free_milli=slot.free_milli - need.room.processor_milli
         )
-        frees = sorted((*load.frees_ms, option.takes_ms))
+        frees = sorted((*load.frees, loads.Free(option.takes_ms, slot.speed)))
         self._loads[option.place, service] = load._replace(
-            slots=tuple(slots), frees_ms=tuple(frees)
+            slots=tuple(slots), frees=tuple(frees)
         )
 
-    def _end_of_queue(self, place: str, service: str, need: Need) -> float:
-        """Return when a task that joins a queue now is expected to be done."""
-        load = self._loads[place, service]
-        takes_ms = need.length_ms / max(load.speeds) + self._distance_ms(place)
-        if not load.frees_ms:
-            return takes_ms + load.waiting_ms / sum(load.speeds)
-        count = len(load.frees_ms)
-        rounds, position = divmod(load.waiting, count)
-        mean_ms = load.waiting_ms / load.waiting if load.waiting else 0.0
-        return load.frees_ms[position] + rounds * mean_ms + takes_ms
-
     def _enqueue(self, place: str, service: str, need: Need) -> None:
         load = self._loads[place, service]
         self._loads[place, service] = load._replace(
             waiting=load.waiting + 1, waiting_ms=load.waiting_ms + need.length_ms
         )
+
+
+def _is_safe(option: _Option, need: Need) -> bool:
+    return is_safe(option.end_ms, need.due_ms, need.patience_ms)
+
+
+DUE_MARGIN = 1.05
+"""Run times within a job differ little, and the objective follows their true length."""
+
+PATIENCE_MARGIN = 1.6
+"""Estimates of a job's length are off by a factor of about this, one in six of them."""
+
+
+def is_safe(takes_ms: float, due_ms: float, patience_ms: float) -> bool:
+    """Tell whether a run is expected to be in time, however rough its estimate.
+
+    Parameters
+    ----------
+    takes_ms : float
+        Expected time until it is done, in milliseconds.
+    due_ms, patience_ms : float
+        Until when the answer keeps the objective, and until when the client waits.
+    """
+    return takes_ms * DUE_MARGIN <= due_ms and takes_ms * PATIENCE_MARGIN <= patience_ms
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -3,8 +3,8 @@
 import datetime
 import typing
 
-from carawaysail_holding import events, held, jobstate, lengths
-from carawaysail_types import registry
+from carawaysail_holding import events, held, jobstate, lengths, planning
+from carawaysail_types import clock, registry
 
 
 class Candidate(typing.NamedTuple):
@@ -39,8 +39,9 @@
     ----------
     job : jobstate.JobState
         The task's job.
-    least : datetime.timedelta
-        Expected run time on the fastest worker, whether it has room or not.
+    next_end : datetime.timedelta or None
+        Expected time until the task is done if it waits for the best worker that
+        has no room now.
     utilisation : float
         Share of the processors in use.
     now : datetime.datetime
@@ -48,7 +49,7 @@
     """
 
     job: jobstate.JobState
-    least: datetime.timedelta
+    next_end: datetime.timedelta | None
     utilisation: float
     now: datetime.datetime
 
@@ -117,34 +118,29 @@
     return min(candidates, key=lambda found: (found.takes, found.spare_milli))
 
 
-CROWDED = 0.5
-"""Share of the room in use from which fast workers are kept for long tasks."""
-
-
-NEAR = 1.3
-"""A worker that takes at most so many times as long is as good as the fastest."""
-
-
 class _FitToDue:
     """The fastest worker while there is room; the slowest that is in time when not.
 
-    A task that is late on each worker with room, but not on a faster one, waits for
-    that; a slow worker would only make it late.
+    Fast workers are then left for long tasks. A task that a worker with room would
+    make late waits for one that is expected to be done with it earlier.
     """
 
     def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
         fastest = _fastest(candidates)
-        due = view.job.schedule.due
-        if view.now + view.least > due:
-            due = view.job.submission.deadline
-        if view.now + fastest.takes > due:
-            is_hopeless = view.now + view.least > due
-            is_near = fastest.takes <= view.least * NEAR
-            return fastest if is_hopeless and is_near else None
-        if view.utilisation < CROWDED:
-            return fastest
-        in_time = [x for x in candidates if view.now + x.takes <= due]
-        return max(in_time, key=lambda found: (found.takes, -found.spare_milli))
+        due_ms = clock.to_milliseconds(view.job.schedule.due - view.now)
+        left_ms = clock.to_milliseconds(view.job.submission.deadline - view.now)
+        safe = [
+            x
+            for x in candidates
+            if planning.is_safe(clock.to_milliseconds(x.takes), due_ms, left_ms)
+        ]
+        if safe and view.utilisation < planning.CROWDED:
+            return _fastest(safe)
+        if safe:
+            return max(safe, key=lambda found: (found.takes, -found.spare_milli))
+        if view.next_end is not None and view.next_end < fastest.takes:
+            return None
+        return fastest
 
 
 class _MostRoom:
