--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -373,7 +373,9 @@
 @handlers.register("Posted")
 def _posted(desk: Desk, message: messages.Posted, now: datetime.datetime) -> None:
     req = message.request
-    submission = events.Submission(req.job, req.queue, now, now + req.patience)
+    submission = events.Submission(
+        req.job, req.queue, desk.me.data_centre, now, now + req.patience
+    )
     desk.perform(desk.gateway.posted(submission, message.reply, now), now)
 
 
@@ -494,6 +496,7 @@
     submission = events.Submission(
         message.job,
         message.queue,
+        message.place,
         now - clock.milliseconds(message.age_ms),
         now + clock.milliseconds(message.left_ms),
         message.part,
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -86,25 +86,10 @@
         for worker_id in gone:
             del self._workers[worker_id]
             self._foreign.drop_worker(worker_id)
-        moved = [
-            job
-            for job in self._jobs.values()
-            if any(state.worker_id in gone for state in job.tasks.values())
-        ]
-        for job in moved:
-            self._move(job, now)
-        if not self._tokens:
-            for job in list(self._jobs.values()):
-                self._move(job, now)
-
-    def _move(self, job: jobstate.JobState, now: datetime.datetime) -> None:
-        """Forget a job whose workers another broker holds by now."""
-        for state in job.tasks.values():
-            worker = self._workers.get(state.worker_id)
-            if state.phase is jobstate.Phase.PLACED and worker is not None:
-                self._stop(worker, runs.Run(state.task, state.last_number), now)
-        self._forget(job)
-        self._note("moved", job.job_id, begun=job.has_ordered)
+        for job in list(self._jobs.values()):
+            if job.submission.place == data_centre:
+                self._forget(job)
+                self._note("moved", job.job_id, begun=job.has_ordered)
 
     def _forget(self, job: jobstate.JobState) -> None:
         self._jobs.pop(job.part, None)
@@ -472,7 +457,7 @@
             return jobs.Reason.UNSUPPORTED
         if not self._can_ever_fit(job):
             return jobs.Reason.NEVER_FITS
-        if not self._usable(job.submission.queue.service, now):
+        if not self._usable(job.submission, now):
             return jobs.Reason.NO_WORKERS
         return jobs.Reason.NONE
 
@@ -525,33 +510,40 @@
 
     # Placing
 
-    def _usable(self, service: str, now: datetime.datetime) -> list[held.HeldWorker]:
+    def _usable(
+        self, submission: events.Submission, now: datetime.datetime
+    ) -> list[held.HeldWorker]:
+        return [x for x in self._suitable(submission) if x.accepts(now)]
+
+    def _suitable(self, submission: events.Submission) -> list[held.HeldWorker]:
+        """Return the held workers that a part is meant for."""
+        service = submission.queue.service
         return [
-            worker
-            for worker in self._workers.values()
-            if worker.report.service == service and worker.accepts(now)
+            x
+            for x in self._workers.values()
+            if x.report.service == service and x.report.data_centre == submission.place
         ]
 
     def _place(self, now: datetime.datetime) -> None:
         """Order as many waiting tasks as fit, the most urgent job first."""
         waiting = [job for job in self._jobs.values() if job.waiting()]
-        if not waiting:
-            return
-        usable: dict[str, list[held.HeldWorker]] = {}
+        usable: dict[tuple[str, str], list[held.HeldWorker]] = {}
         for job in sorted(waiting, key=lambda x: self._order.key(x, now)):
-            service = job.submission.queue.service
-            if service not in usable:
-                usable[service] = self._usable(service, now)
-            if job.submission.is_resumed and self._is_unlisted(service, now):
+            submission = job.submission
+            key = (submission.queue.service, submission.place)
+            if key not in usable:
+                usable[key] = self._usable(submission, now)
+            if submission.is_resumed and self._is_unlisted(submission, now):
                 continue
-            self._place_job(job, usable[service], now)
+            self._place_job(job, usable[key], now)
 
-    def _is_unlisted(self, service: str, now: datetime.datetime) -> bool:
+    def _is_unlisted(
+        self, submission: events.Submission, now: datetime.datetime
+    ) -> bool:
         """Tell whether runs of an earlier holder may still be unknown."""
         return any(
             not worker.ledger.is_listed and not worker.has_lapsed(self._terms, now)
-            for worker in self._workers.values()
-            if worker.report.service == service
+            for worker in self._suitable(submission)
         )
 
     def _place_job(
--- a/libs/carawaysail_holding/src/carawaysail_holding/events.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/events.py
@@ -61,6 +61,8 @@
         The job.
     queue : jobs.Queue
         Its queue, in the version that the client's daemon knows.
+    place : str
+        Data centre whose workers are to run it.
     arrived, deadline : datetime.datetime
         When the client sent it and until when it waits.
     part : int
@@ -73,6 +75,7 @@
 
     job: jobs.Job
     queue: jobs.Queue
+    place: str
     arrived: datetime.datetime
     deadline: datetime.datetime
     part: int = 0
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -136,7 +136,10 @@
 
     def submission_of(self, part: _Part) -> events.Submission:
         return self.submission._replace(
-            part=part.number, tasks=part.tasks, is_resumed=part.is_resumed
+            part=part.number,
+            tasks=part.tasks,
+            place=part.target.tenure.data_centre,
+            is_resumed=part.is_resumed,
         )
 
 
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -49,6 +49,8 @@
         The job.
     queue : jobs.Queue
         Its queue.
+    place : str
+        Data centre whose workers are to run it.
     age_ms, left_ms : float
         Time since the client sent it, and until the client stops waiting.
     part : int
@@ -61,6 +63,7 @@
 
     job: jobs.Job
     queue: jobs.Queue
+    place: str
     age_ms: float
     left_ms: float
     part: int
@@ -133,6 +136,12 @@
 def submit(submission: events.Submission, age_ms: float, left_ms: float) -> Submit:
     """Return the message that hands on a submission."""
     return Submit(
-        submission.job, submission.queue, age_ms, left_ms, submission.part,
-        submission.tasks, submission.is_resumed,
-    )  # fmt: skip
+        submission.job,
+        submission.queue,
+        submission.place,
+        age_ms,
+        left_ms,
+        submission.part,
+        submission.tasks,
+        submission.is_resumed,
+    )
