--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -20,6 +20,7 @@
     workerlinks,
 )
 from carawaysail_runtime import inbox, logs
+from carawaysail_streams import messages as stream_messages
 from carawaysail_streams import transport
 from carawaysail_types import clock, daemons
 
@@ -111,7 +112,7 @@
         )
         self._inbox: inbox.Inbox[messages.Message] = inbox.Inbox(loop, desk.INBOX_BOUND)
         self._replies = replies.Replies()
-        self._desk = desk.Desk(cfg, self._me, self._inbox, self._clock)
+        self._desk = desk.Desk(cfg, self._me, self._inbox, self._clock, self._open_feed)
         out, seed = self._inbox, secrets.randbits(32)
         claims = storetasks.ClaimTask(adapter.store(), self._me, out, seed)
         reports = storetasks.ReportsTask(adapter.store(), adapter.directory, out, seed)
@@ -132,6 +133,18 @@
         self._peers = transport.Server(desk.PeerReceiver(out))
         self._servers = self._make_servers()
 
+    def _open_feed(self, peer: daemons.Daemon) -> transport.Feed:
+        def encode(taken: list[typing.Any]) -> bytes:
+            return stream_messages.encode(self._me, taken)
+
+        def opened(peer: daemons.Daemon) -> None:
+            self._inbox.put(messages.StreamOpened(peer))
+
+        def refused(peer: daemons.Daemon) -> None:
+            self._inbox.put(messages.Refused(peer))
+
+        return transport.Feed(peer, encode, opened, refused)
+
     def _make_servers(self) -> list[httpserver.Server]:
         cfg = self._cfg
         self._http = httpserver.Server(cfg.front, self._front.handle, FRONT_THREADS)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -20,7 +20,7 @@
 )
 from carawaysail_holding import broker, events, gateway, loads, tenure
 from carawaysail_runtime import inbox, logs
-from carawaysail_streams import errors, transport
+from carawaysail_streams import errors
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, daemons, jobs, registry, runs
 
@@ -34,6 +34,7 @@
 LOAD_EVERY = clock.milliseconds(25)
 """How often a change of load is told at most; half of a short task's run time."""
 
+SHORTEST_PAUSE = clock.milliseconds(1)
 INBOX_BOUND = 20_000
 UNHEARD_MS = 450.0
 """A peer that has not heard this daemon for so long gets a new stream."""
@@ -46,6 +47,24 @@
 performers: registry.Registry[Handler] = registry.Registry("desk actions")
 
 
+class Feed(typing.Protocol):
+    """A stream of messages to one daemon."""
+
+    peer: daemons.Daemon
+
+    def send(self, message: typing.Any) -> None:
+        """Queue a message."""
+
+    def restart(self) -> None:
+        """Leave the stream, because the peer does not hear it."""
+
+    def close(self) -> None:
+        """End the stream."""
+
+
+OpenFeed = collections.abc.Callable[[daemons.Daemon], Feed]
+
+
 class Links(typing.NamedTuple):
     """What the desk acts through.
 
@@ -86,6 +105,10 @@
         Where messages come in.
     source : clock.Clock
         The clock.
+    open_feed : callable
+        Opens a stream to another daemon.
+    random_state : int, optional
+        Seeds what is drawn at random.
     """
 
     def __init__(
@@ -94,6 +117,8 @@
         me: daemons.Daemon,
         out: "inbox.Inbox[messages.Message]",
         source: clock.Clock,
+        open_feed: OpenFeed,
+        random_state: int | None = None,
     ) -> None:
         now = source.now()
         self.cfg = cfg
@@ -101,14 +126,15 @@
         self.inbox = out
         self.clock = source
         self.broker = broker.Broker(cfg.terms)
-        self.gateway = gateway.Gateway(me)
+        self.gateway = gateway.Gateway(me, random_state=random_state)
         self.tenures = tenure.Tenures(me, cfg.data_centres, now)
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
         self.has_ended = asyncio.Event()
         self.on_limits: collections.abc.Callable[[jobs.Limits], None] = _ignore
         self._links: Links | None = None
-        self._feeds: dict[str, transport.Feed] = {}
+        self._open_feed = open_feed
+        self._feeds: dict[str, Feed] = {}
         self._heard: dict[str, datetime.datetime] = {}
         self._restarted: dict[str, datetime.datetime] = {}
         self._told: tuple[tuple[str, tuple[loads.Load, ...]], ...] = ()
@@ -129,28 +155,31 @@
         """Handle messages and time until cancelled."""
         while True:
             try:
-                async with asyncio.timeout(self._pause_s()):
+                async with asyncio.timeout(self.pause().total_seconds()):
                     taken = await self.inbox.drain()
             except TimeoutError:
                 taken = []
             for message in taken:
-                self._handle(message)
-            self._pass_time()
+                self.handle(message)
+            self.pass_time()
 
-    def _pause_s(self) -> float:
+    def pause(self) -> datetime.timedelta:
+        """Return how long to wait for messages at most."""
         is_busy = self.gateway.open_calls() or self.broker.counts()["jobs"]
         tick = TICK if is_busy else IDLE_TICK
         left = self._next_heartbeat - self.clock.now()
-        return max(0.001, min(tick, left).total_seconds())
+        return max(SHORTEST_PAUSE, min(tick, left))
 
-    def _handle(self, message: messages.Message) -> None:
+    def handle(self, message: messages.Message) -> None:
+        """Handle one message; a failure is logged and leaves the desk as it is."""
         try:
             handler = handlers.get(type(message).__name__)
             handler(self, message, self.clock.now())
         except Exception as exc:
             logs.fault("desk", "Message failed.", exc, kind=type(message).__name__)
 
-    def _pass_time(self) -> None:
+    def pass_time(self) -> None:
+        """Do what is due."""
         now = self.clock.now()
         self.perform(self.broker.tick(now), now)
         self._drop_silent(now)
@@ -203,18 +232,7 @@
                 self._feeds.pop(vm).close()
         for vm, peer in wanted.items():
             if vm not in self._feeds:
-                self._feeds[vm] = transport.Feed(
-                    peer, self._encode, self._stream_opened, self._stream_refused
-                )
-
-    def _encode(self, taken: list[typing.Any]) -> bytes:
-        return stream_messages.encode(self.me, taken)
-
-    def _stream_opened(self, peer: daemons.Daemon) -> None:
-        self.inbox.put(messages.StreamOpened(peer))
-
-    def _stream_refused(self, peer: daemons.Daemon) -> None:
-        self.inbox.put(messages.Refused(peer))
+                self._feeds[vm] = self._open_feed(peer)
 
     def heard(
         self,
--- /dev/null
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -0,0 +1,275 @@
+"""Daemons of the model: a real desk whose links are parts of the model."""
+
+import collections
+import collections.abc
+import datetime
+import typing
+
+from carawaysail_fleet import desk, messages, ports
+from carawaysail_holding import events
+from carawaysail_model import engine, store, workers
+from carawaysail_types import clock, daemons, jobs, runs
+
+READ_TAKES = clock.milliseconds(9)
+MEMBERS_EVERY = clock.milliseconds(300)
+REPORTS_EVERY = clock.milliseconds(700)
+ORDER_WAIT = clock.milliseconds(300)
+LISTING_MARGIN = clock.milliseconds(250)
+
+
+class Network(typing.Protocol):
+    """Who reaches whom, and how long it takes."""
+
+    def delay(self, first: str, second: str) -> datetime.timedelta | None:
+        """Return the time from one VM or worker to another; ``None`` if cut."""
+
+    def node(self, vm: str) -> "Node | None":
+        """Return the daemon of a VM, if it runs."""
+
+    def worker(self, worker_id: str) -> workers.Worker:
+        """Return a worker."""
+
+
+class _Feed:
+    def __init__(self, node: "Node", peer: daemons.Daemon) -> None:
+        self.peer = peer
+        self._node = node
+
+    def send(self, message: typing.Any) -> None:
+        self._node.send(self.peer, message)
+
+    def restart(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class _WorkerLinks:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def start(self, order: events.StartRun) -> None:
+        self._node.order(order, workers.Worker.start, messages.Started)
+
+    def stop(self, order: events.StopRun) -> None:
+        self._node.order(order, workers.Worker.stop, messages.Stopped)
+
+    def hold(self, order: events.Hold) -> None:
+        self._node.hold(order)
+
+    def keep(self, worker_ids: frozenset[str]) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class _Claims:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def claim(self, data_centre: str, token: int) -> None:
+        self._node.claim(data_centre, token)
+
+
+class _Reports:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def want(self, is_wanted: bool) -> None:
+        self._node.wants_reports = is_wanted
+
+
+class _Replies:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def put(self, number: int, outcome: jobs.JobOutcome) -> None:
+        self._node.on_answer(number, outcome)
+
+    def waiting(self) -> int:
+        return 0
+
+
+class _Meters:
+    def decided(self, name: str, outcome: str) -> None:
+        pass
+
+    def sizes(self, sizes: dict[str, int]) -> None:
+        pass
+
+
+class _Front:
+    def configure(self, configuration: jobs.Configuration) -> None:
+        pass
+
+
+class Node:
+    """One daemon.
+
+    Parameters
+    ----------
+    me : daemons.Daemon
+        Its name and life.
+    cfg : ports.Settings
+        Its settings.
+    world : engine.Engine
+        Time.
+    network : Network
+        Everybody else.
+    shared : store.Store
+        The store.
+    on_answer : callable
+        Takes the answers to clients, by the number of the reply.
+    random_state : int
+        Seeds the desk.
+    """
+
+    def __init__(
+        self,
+        me: daemons.Daemon,
+        cfg: ports.Settings,
+        world: engine.Engine,
+        network: Network,
+        shared: store.Store,
+        on_answer: collections.abc.Callable[[int, jobs.JobOutcome], None],
+        random_state: int,
+    ) -> None:
+        self.me = me
+        self.is_alive = True
+        self.frozen_until = world.now()
+        self.wants_reports = False
+        self.on_answer = on_answer
+        self._world = world
+        self._network = network
+        self._store = shared
+        self._held_back: collections.deque[messages.Message] = collections.deque()
+        self.desk = desk.Desk(
+            cfg, me, typing.cast(typing.Any, self), world.clock,
+            lambda peer: _Feed(self, peer), random_state,
+        )  # fmt: skip
+        links: typing.Any = desk.Links(
+            *(
+                typing.cast(typing.Any, x)
+                for x in (
+                    _WorkerLinks(self), _Claims(self), _Reports(self),
+                    _Replies(self), _Meters(), _Front(),
+                )
+            )
+        )  # fmt: skip
+        self.desk.connect(links)
+        shared.daemons[me.vm] = me
+        self._read_members()
+        self._read_reports()
+        self._tick()
+
+    # The desk's inbox
+
+    def put(self, message: messages.Message) -> None:
+        """Let the desk handle a message in an event of its own."""
+        self._world.after(datetime.timedelta(), lambda: self._handle(message))
+
+    def _handle(self, message: messages.Message) -> None:
+        if not self.is_alive:
+            return
+        if self._world.now() < self.frozen_until:
+            self._world.at(self.frozen_until, lambda: self._handle(message))
+            return
+        self.desk.handle(message)
+        self.desk.pass_time()
+
+    def _tick(self) -> None:
+        if not self.is_alive:
+            return
+        if self._world.now() < self.frozen_until:
+            self._world.at(self.frozen_until, self._tick)
+            return
+        self.desk.pass_time()
+        self._world.after(self.desk.pause(), self._tick)
+
+    # Other daemons
+
+    def send(self, peer: daemons.Daemon, message: typing.Any) -> None:
+        """Send a message to another daemon, if there is a way."""
+        delay = self._network.delay(self.me.vm, peer.vm)
+        if delay is None:
+            return
+
+        def arrive() -> None:
+            node = self._network.node(peer.vm)
+            if node is None:
+                self.put(messages.Refused(peer))
+            elif node.me == peer:
+                node.put(messages.Received(self.me, (message,)))
+
+        self._world.after(delay, arrive)
+
+    # Workers
+
+    def order(
+        self,
+        order: typing.Any,
+        method: collections.abc.Callable[[workers.Worker, typing.Any], runs.Answer],
+        made: collections.abc.Callable[..., messages.Message],
+    ) -> None:
+        """Send an order; what gets no answer is told as lost."""
+        worker_id = order.worker.worker_id
+        delay = self._network.delay(self.me.vm, worker_id)
+        worker = self._network.worker(worker_id)
+        if delay is None or not worker.is_reachable:
+            lost = made(order.worker, order.run, runs.Answer.LOST)
+            self._world.after(ORDER_WAIT, lambda: self.put(lost))
+            return
+
+        def arrive() -> None:
+            answer = method(worker, order)
+            back = made(order.worker, order.run, answer)
+            self._world.after(delay, lambda: self.put(back))
+
+        self._world.after(delay, arrive)
+
+    def hold(self, order: events.Hold) -> None:
+        """Ask for a listing; what gets no answer is told as lost."""
+        worker_id = order.worker.worker_id
+        delay = self._network.delay(self.me.vm, worker_id)
+        worker = self._network.worker(worker_id)
+        asked = self._world.now()
+        if delay is None or not worker.is_reachable:
+            lost = messages.Listed(order.worker, runs.Answer.LOST, asked)
+            wait = order.wait + LISTING_MARGIN
+            self._world.after(wait, lambda: self.put(lost))
+            return
+
+        def respond(answer: runs.Listing | runs.Answer) -> None:
+            back = messages.Listed(order.worker, answer, asked)
+            self._world.after(delay, lambda: self.put(back))
+
+        self._world.after(delay, lambda: worker.hold(order, respond))
+
+    # The store
+
+    def claim(self, data_centre: str, token: int) -> None:
+        """Try to take a tenure."""
+
+        def arrive() -> None:
+            if self._store.is_up and self.is_alive:
+                taken = self._store.claim(self.me, data_centre, token)
+                self.put(messages.Claimed(data_centre, taken))
+
+        self._world.after(READ_TAKES, arrive)
+
+    def _read_members(self) -> None:
+        if self._store.is_up and self.is_alive:
+            found = tuple(self._store.daemons.values())
+            self.put(messages.Members(found, tuple(self._store.tenures.values())))
+        if self.is_alive:
+            self._world.after(MEMBERS_EVERY, self._read_members)
+
+    def _read_reports(self) -> None:
+        if self._store.is_up and self.wants_reports and self.is_alive:
+            reports = tuple(self._store.reports.values())
+            beating = frozenset(x.data_centre for x in reports)
+            self.put(messages.Reports(reports, beating))
+        if self.is_alive:
+            self._world.after(REPORTS_EVERY, self._read_reports)
--- /dev/null
+++ b/libs/carawaysail_model/src/carawaysail_model/workers.py
@@ -0,0 +1,185 @@
+"""Workers of the model: fences, leases, run numbers and lists of ends.
+
+Like the real ones they start whatever they are told to start, whether it fits or not.
+"""
+
+import collections.abc
+import datetime
+import typing
+
+from carawaysail_holding import events
+from carawaysail_model import engine, history
+from carawaysail_types import clock, jobs, runs
+
+STOP_TAKES = clock.milliseconds(30)
+
+Respond = collections.abc.Callable[[typing.Any], None]
+
+
+class _Running(typing.NamedTuple):
+    room: jobs.Room
+    token: object
+
+
+class Worker:
+    """One worker.
+
+    Parameters
+    ----------
+    report : runs.WorkerReport
+        What it says of itself.
+    factor : float
+        How many times as long as on an average worker its runs take.
+    world : engine.Engine
+        Time.
+    seen : history.History
+        What is checked.
+    length_of : callable
+        Returns room and true length of a task on an average worker.
+    """
+
+    def __init__(
+        self,
+        report: runs.WorkerReport,
+        factor: float,
+        world: engine.Engine,
+        seen: history.History,
+        length_of: collections.abc.Callable[
+            [runs.Task], tuple[jobs.Room, datetime.timedelta]
+        ],
+    ) -> None:
+        self.report = report
+        self.factor = factor
+        self.fails_all = False
+        self.is_reachable = True
+        self.draining_since: datetime.datetime | None = None
+        self._world = world
+        self._history = seen
+        self._length_of = length_of
+        self._reset()
+
+    def _reset(self) -> None:
+        self._began = self._world.now()
+        self._fence = 0
+        self._running: dict[runs.Run, _Running] = {}
+        self._ends: list[runs.RunEnd] = []
+        self._last_end = 0
+        self._highest: dict[runs.Task, int] = {}
+        self._lease_end = self._world.now()
+        self._waiting: list[tuple[object, Respond]] = []
+
+    def restart(self) -> None:
+        """End this life and begin another under the same name."""
+        for run in list(self._running):
+            self._history.ended(run, self.report.worker_id, runs.Ending.LAPSED)
+        life = str(int(self.report.incarnation) + 1)
+        self.report = self.report._replace(incarnation=life)
+        self._reset()
+
+    def _clock(self) -> datetime.timedelta:
+        return self._world.now() - self._began
+
+    # Orders
+
+    def start(self, order: events.StartRun) -> runs.Answer:
+        """Start a run."""
+        if order.token < self._fence:
+            return runs.Answer.FENCED
+        self._fence = order.token
+        if order.run in self._running:
+            return runs.Answer.TAKEN
+        if order.run.number <= self._highest.get(order.run.task, 0):
+            return runs.Answer.OLD
+        if order.expires <= self._clock():
+            return runs.Answer.LATE
+        self._extend(order.expires)
+        room, length = self._length_of(order.run.task)
+        token = object()
+        self._running[order.run] = _Running(room, token)
+        self._highest[order.run.task] = order.run.number
+        self._check(order.run)
+        ending = runs.Ending.FAILED if self.fails_all else runs.Ending.DONE
+        takes = clock.milliseconds(5) if self.fails_all else length * self.factor
+        self._world.after(takes, lambda: self._end_if(order.run, token, ending))
+        return runs.Answer.TAKEN
+
+    def _check(self, run: runs.Run) -> None:
+        taken = jobs.NO_ROOM
+        for found in self._running.values():
+            taken = taken.plus(found.room)
+        now = self._world.now()
+        self._history.started(run, self.report.worker_id, taken, self.report.room, now)
+        since = self.draining_since
+        if since is not None and now - since > DRAIN_BOUND:
+            self._history.draining_used(self.report.worker_id, now)
+
+    def stop(self, order: events.StopRun) -> runs.Answer:
+        """Stop a run, or make sure that it never begins."""
+        if order.token < self._fence:
+            return runs.Answer.FENCED
+        self._fence = order.token
+        found = self._running.get(order.run)
+        highest = self._highest.get(order.run.task, 0)
+        self._highest[order.run.task] = max(highest, order.run.number)
+        if found is not None:
+            self._world.after(
+                STOP_TAKES,
+                lambda: self._end_if(order.run, found.token, runs.Ending.STOPPED),
+            )
+        return runs.Answer.TAKEN
+
+    def hold(self, order: events.Hold, respond: Respond) -> None:
+        """Renew the lease; respond with a listing, at the latest after the wait."""
+        if order.token < self._fence:
+            respond(runs.Answer.FENCED)
+            return
+        self._fence = order.token
+        self._ends = [x for x in self._ends if x.sequence > order.acknowledged]
+        if order.expires is not None:
+            self._extend(order.expires)
+        if self._ends or not order.wait:
+            respond(self._listing())
+            return
+        token = object()
+        self._waiting.append((token, respond))
+        self._world.after(order.wait, lambda: self._respond(token))
+
+    def _respond(self, token: object) -> None:
+        for entry in list(self._waiting):
+            if entry[0] is token:
+                self._waiting.remove(entry)
+                entry[1](self._listing())
+
+    def _listing(self) -> runs.Listing:
+        return runs.Listing(
+            self.report.incarnation, self._clock(), tuple(self._running),
+            tuple(self._ends),
+        )  # fmt: skip
+
+    # Ends
+
+    def _extend(self, expires: datetime.timedelta) -> None:
+        end = min(self._began + expires, self._world.now() + MAX_LEASE)
+        self._lease_end = max(self._lease_end, end)
+        self._world.at(self._lease_end, self._lapse)
+
+    def _lapse(self) -> None:
+        if self._world.now() >= self._lease_end:
+            for run, found in list(self._running.items()):
+                self._end_if(run, found.token, runs.Ending.LAPSED)
+
+    def _end_if(self, run: runs.Run, token: object, ending: runs.Ending) -> None:
+        found = self._running.get(run)
+        if found is None or found.token is not token:
+            return
+        del self._running[run]
+        self._history.ended(run, self.report.worker_id, ending)
+        self._last_end += 1
+        self._ends.append(runs.RunEnd(self._last_end, run, ending))
+        waiting, self._waiting = self._waiting, []
+        for _, respond in waiting:
+            respond(self._listing())
+
+
+MAX_LEASE = clock.milliseconds(1000)
+DRAIN_BOUND = clock.milliseconds(2000)
