Never start a refused or withdrawn part, nor what a worker's next life may run

The runs began 20 ms apart at two brokers just after a cut had healed. A part that one broker refused is handed to another; a repeated message revived the refused one. Outcomes of all parts are now remembered, a withdrawal also stops a submission that comes later, and a part that is handed on gets a number of its own.

Found beside it: orders under way at a worker's restart may reach its next life under the same name; their room and task are now kept until a listing or a stop settles them.

Ruled out: parts that share a task (their sum is the job's width); a copy by the client (it comes 1.3 s later).

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -15,6 +15,7 @@
     foreign,
     held,
     jobstate,
+    ledger,
     lengths,
     loads,
     memory,
@@ -54,6 +55,8 @@
         self._by_task: dict[runs.Task, jobstate.JobState] = {}
         self._memory = memory.Memory()
         self._foreign = foreign.ForeignRuns()
+        self._carried: dict[str, dict[runs.Run, ledger.Entry]] = {}
+        self._ended_lives: dict[str, str] = {}
         self._out: list[events.Action] = []
 
     # Tenure
@@ -115,7 +118,7 @@
                 continue
             worker.missing_since = None
             if report.incarnation != worker.report.incarnation:
-                self._drop(worker_id, "restarted", now)
+                self._restarted(worker_id)
             elif report.is_draining and not worker.is_draining:
                 worker.is_draining = True
                 self._note("worker_draining", worker_id)
@@ -128,16 +131,36 @@
             token = self._tokens.get(report.data_centre)
             if token is None or worker_id in self._workers:
                 continue
+            if self._ended_lives.get(worker_id) == report.incarnation:
+                continue
             worker = held.HeldWorker(report, token, now)
             self._workers[worker_id] = worker
+            for run, entry in self._carried.pop(worker_id, {}).items():
+                worker.ledger.carry(run, entry.room, now)
             self._out.append(worker.next_hold(self._terms, now))
 
-    def _drop(self, worker_id: str, why: str, now: datetime.datetime) -> None:
-        """Forget a life of a worker that is over, with all that ran there."""
+    def _restarted(self, worker_id: str) -> None:
+        """Begin with a worker's next life; orders under way may have reached that."""
+        worker = self._workers[worker_id]
+        unseen = worker.ledger.unseen()
+        self._ended_lives[worker_id] = worker.report.incarnation
+        self._drop(worker_id, "restarted", keep=unseen)
+        if unseen:
+            self._carried[worker_id] = unseen
+
+    def _drop(
+        self,
+        worker_id: str,
+        why: str,
+        keep: collections.abc.Collection[runs.Run] = (),
+    ) -> None:
+        """Forget a life of a worker that is over, with what ran there."""
         worker = self._workers.pop(worker_id)
         self._foreign.drop_worker(worker_id)
-        lost = list(worker.ledger.entries())
-        self._note("worker_dropped", worker_id, why=why, runs=len(lost))
+        lost = [run for run in worker.ledger.entries() if run not in keep]
+        self._note(
+            "worker_dropped", worker_id, why=why, runs=len(lost), carried=len(keep)
+        )
         for run in lost:
             self._run_gone(run, worker_id)
 
@@ -150,7 +173,11 @@
     ) -> list[events.Action]:
         """Take a worker's listing; answered by the next request for one."""
         worker = self._workers.get(worker_id)
-        if worker is None or listing.incarnation != worker.report.incarnation:
+        if worker is None:
+            return self._take()
+        if listing.incarnation != worker.report.incarnation:
+            self._restarted(worker_id)
+            self._adopt_reports(now)
             return self._take()
         if worker.standing.is_silent:
             self._note("worker_answers", worker_id)
@@ -421,6 +448,7 @@
             self._note("refused", part.job_id, reason=reason.value, **fields)
             self._forget(job)
             outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, FIRST_RETURN)
+            self._memory.ended(part, outcome, now)
             self._out.append(events.Reply(part, outcome))
             return
         self._note("admitted", part.job_id, **fields)
@@ -474,10 +502,13 @@
     ) -> list[events.Action]:
         """Stop a part that nobody waits for any more."""
         job = self._jobs.get(part)
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
         if job is not None:
-            reason = jobs.Reason.WITHDRAWN
-            self._finish(job, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason), now)
+            self._finish(job, outcome, now)
             self._place(now)
+        else:
+            # A submission that comes after its withdrawal must not run.
+            self._memory.ended(part, outcome, now)
         return self._take()
 
     def waiters_lost(self, vm: str, now: datetime.datetime) -> list[events.Action]:
@@ -498,8 +529,7 @@
             worker = self._workers.get(state.worker_id)
             if state.phase is jobstate.Phase.PLACED and worker is not None:
                 self._stop(worker, runs.Run(state.task, state.last_number), now)
-        if outcome.verdict in (jobs.Verdict.COMPLETED, jobs.Verdict.FAILED):
-            self._memory.ended(job.part, outcome, now)
+        self._memory.ended(job.part, outcome, now)
         self._note(
             "finished", job.job_id, verdict=outcome.verdict.value,
             reason=outcome.reason.value, queue=job.submission.queue.name,
@@ -721,15 +751,16 @@
                 self._note("lease_lost", run.task.job_id, run=_name(run))
                 self._run_gone(run, worker_id)
             if worker.missing_since is not None:
-                self._drop(worker_id, "missing and silent", now)
+                self._drop(worker_id, "missing and silent")
                 return
         missing = worker.missing_since
         is_overdue = missing is not None and now - missing > MISSING_GRACE
         if is_overdue and not worker.ledger.entries():
-            self._drop(worker_id, "missing in the store", now)
+            self._drop(worker_id, "missing in the store")
             return
-        for run in worker.ledger.uncertain():
-            self._stop(worker, run, now)
+        if worker.ledger.is_listed:
+            for run in worker.ledger.uncertain():
+                self._stop(worker, run, now)
 
     # Load
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -128,6 +128,7 @@
         self.submission = submission
         self.replies = [reply]
         self.parts: dict[int, _Part] = {}
+        self.next_part = 0
         self.avoided: set[str] = set()
 
     @property
@@ -323,7 +324,8 @@
     def _add_part(
         self, call: _Call, tasks: tuple[int, ...], place: str, out: list[Action]
     ) -> None:
-        number = len(call.parts)
+        number = call.next_part
+        call.next_part += 1
         part = call.parts[number] = _Part(number, tasks, self._targets[place])
         out.append(SendJob(part.target.daemon, call.submission_of(part)))
 
@@ -385,11 +387,13 @@
             if not is_whole:
                 outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
             return self._end(call, outcome, part)
-        part.target = self._targets[min(others)]
-        return [
-            _note("rerouted", call, part=part.number, to=part.target.daemon.vm),
-            SendJob(part.target.daemon, call.submission_of(part)),
+        # A number of its own: late messages of the refused part must not meet it.
+        del call.parts[part.number]
+        out: list[Action] = [
+            _note("rerouted", call, part=part.number, refused_by=place)
         ]
+        self._add_part(call, part.tasks, min(others), out)
+        return out
 
     def _end(
         self, call: _Call, outcome: jobs.JobOutcome, but: _Part | None = None
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -81,6 +81,7 @@
         self.acknowledged = 0
         self._entries: dict[runs.Run, Entry] = {}
         self._free: jobs.Room | None = None
+        self._seen: set[runs.Run] = set()
 
     def entries(self) -> dict[runs.Run, Entry]:
         """Return the runs that count against the worker's room."""
@@ -111,6 +112,7 @@
     def _remove(self, run: runs.Run) -> None:
         if self._entries.pop(run, None) is not None:
             self._free = None
+            self._seen.discard(run)
 
     def tasks_of(self, job_id: str, step: int) -> int:
         """Return how many runs of a job's step count here."""
@@ -175,7 +177,10 @@
             self.acknowledged = max(self.acknowledged, end.sequence)
         for run in running:
             entry = self._entries.get(run)
-            if entry is not None and entry.state is State.UNCERTAIN:
+            if entry is None:
+                continue
+            self._seen.add(run)
+            if entry.state is State.UNCERTAIN:
                 self._set(run, Entry(State.RUNNING, entry.room, asked))
         vanished = [
             run
@@ -192,6 +197,19 @@
             self._set(run, Entry(State.RUNNING, None, asked))
         return Findings(ends, tuple(vanished), foreign)
 
+    def unseen(self) -> dict[runs.Run, Entry]:
+        """Return the runs that no listing has shown.
+
+        After a restart of the worker their orders may have reached its next life.
+        """
+        return {k: v for k, v in self._entries.items() if k not in self._seen}
+
+    def carry(
+        self, run: runs.Run, room: jobs.Room | None, now: datetime.datetime
+    ) -> None:
+        """Take room for an order that an earlier life of the worker was given."""
+        self._set(run, Entry(State.UNCERTAIN, room, now))
+
     def lapse(self) -> tuple[runs.Run, ...]:
         """Drop what has lost its lease; return it.
 
