Resume a part only when every worker of its data centre has answered the new holder

A worker that had not answered the new holder still followed the old one, yet its lease was taken to have lapsed, counted from the takeover; a resubmitted task ran twice. Both ends are mended: parts wait for all listings, and a data centre that comes back is left to its daemons for 2 s.

Ruled out: a late order (run 1 on both workers, answered).

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -563,18 +563,16 @@
             key = (submission.queue.service, submission.place)
             if key not in usable:
                 usable[key] = self._usable(submission, now)
-            if submission.is_resumed and self._is_unlisted(submission, now):
+            if submission.is_resumed and self._is_unlisted(submission):
                 continue
             self._place_job(job, usable[key], now)
 
-    def _is_unlisted(
-        self, submission: events.Submission, now: datetime.datetime
-    ) -> bool:
-        """Tell whether runs of an earlier holder may still be unknown."""
-        return any(
-            not worker.ledger.is_listed and not worker.has_lapsed(self._terms, now)
-            for worker in self._suitable(submission)
-        )
+    def _is_unlisted(self, submission: events.Submission) -> bool:
+        """Tell whether runs of an earlier holder may still be unknown.
+
+        A worker that has not answered this holder may still follow the earlier one.
+        """
+        return any(not x.ledger.is_listed for x in self._suitable(submission))
 
     def _place_job(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/tenure.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/tenure.py
@@ -31,6 +31,10 @@
 FRESH_WORKERS = clock.milliseconds(2500)
 """Workers whose report changed within this reach the store."""
 
+DESERTED_AFTER = clock.milliseconds(2000)
+"""Time for the daemons of a data centre that was cut off to be back in the store,
+once its workers are."""
+
 
 class Claim(typing.NamedTuple):
     """Try to take a tenure by a conditional write.
@@ -58,7 +62,6 @@
         self.is_leaving = False
         self.is_refusing = False
         self.is_listed = True
-        self.unlisted_since: datetime.datetime | None = None
 
 
 class Tenures:
@@ -86,6 +89,7 @@
         self._changed: dict[str, datetime.datetime] = {}
         self._vacant_since: dict[str, datetime.datetime] = {}
         self._workers_seen: dict[str, datetime.datetime] = {}
+        self._workers_since: dict[str, datetime.datetime] = {}
         self._asked: dict[str, datetime.datetime] = {}
 
     # What is learned
@@ -103,10 +107,6 @@
         listed = {(daemon.vm, daemon.incarnation) for daemon in found}
         for peer in self._peers.values():
             peer.is_listed = (peer.daemon.vm, peer.daemon.incarnation) in listed
-            if peer.is_listed:
-                peer.unlisted_since = None
-            elif peer.unlisted_since is None:
-                peer.unlisted_since = now
         for tenure in tenures:
             self.learn(tenure, now)
 
@@ -133,6 +133,9 @@
 
     def workers_seen(self, data_centre: str, now: datetime.datetime) -> None:
         """Take note that workers of a data centre report to the store."""
+        seen = self._workers_seen.get(data_centre)
+        if seen is None or now - seen > FRESH_WORKERS:
+            self._workers_since[data_centre] = now
         self._workers_seen[data_centre] = now
 
     def learn(self, tenure: daemons.Tenure, now: datetime.datetime) -> bool:
@@ -267,7 +270,15 @@
             return False
         if now - self._born < HOME_AFTER:
             return False
-        return self._is_deserted(place, now)
+        if not self._is_deserted(place, now):
+            return False
+        has_seen_all = now - self._workers_since[place] >= DESERTED_AFTER
+        return has_seen_all or self._has_ended(place)
+
+    def _has_ended(self, place: str) -> bool:
+        """Tell whether the daemons of a data centre certainly do not run."""
+        there = [x for x in self._peers.values() if x.daemon.data_centre == place]
+        return bool(there) and all(x.is_refusing or x.is_leaving for x in there)
 
     def _is_deserted(self, place: str, now: datetime.datetime) -> bool:
         if place == self.me.data_centre and not self.is_leaving:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -263,6 +263,16 @@
         self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
         self.assertEqual([], self.starts(self.list(report, running=[run])))
 
+    def test_resumed_job_waits_for_a_worker_that_does_not_answer(self):
+        """The earlier holder may still reach it and keep its runs alive."""
+        self.found()
+        self.broker.update([make_report(0), make_report(1)], self.now)
+        self.list(make_report(1))
+        self.submit(self.make(is_resumed=True))
+        self.broker.hold_failed("w-0", "1", runs.Answer.LOST, self.now)
+        self.clock.advance(MS(1200))
+        self.assertEqual([], self.starts(self.broker.tick(self.now)))
+
     def test_worker_with_unknown_runs_gets_nothing(self):
         report, run = self.found()
         self.list(report, running=[run])
--- a/libs/carawaysail_model/src/carawaysail_model/faults.py
+++ b/libs/carawaysail_model/src/carawaysail_model/faults.py
@@ -14,6 +14,9 @@
 """When a fault begins: some time after the first clients came."""
 
 LASTING = clock.milliseconds(4000)
+CUT_LASTING = clock.milliseconds(5500)
+"""Long enough for leases in the store to end."""
+
 RESTART_AFTER = clock.milliseconds(1500)
 SECOND_PLACE = "dc-1"
 
@@ -71,9 +74,9 @@
 
 @faults.register("data_centre_cut")
 def _data_centre_cut(world: sites.World) -> None:
-    """Cut a data centre off from the others for some time."""
+    """Cut a data centre off from the others and the store for some time."""
     world.cut(SECOND_PLACE)
-    world.engine.after(LASTING, world.heal)
+    world.engine.after(CUT_LASTING, world.heal)
 
 
 @faults.register("workers_silent")
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -159,7 +159,6 @@
             )
         )  # fmt: skip
         self.desk.connect(links)
-        shared.daemons[me.vm] = me
         self._read_members()
         self._read_reports()
         self._tick()
@@ -253,22 +252,30 @@
         """Try to take a tenure."""
 
         def arrive() -> None:
-            if self._store.is_up and self.is_alive:
+            if self._store.reaches(self.me.data_centre) and self.is_alive:
                 taken = self._store.claim(self.me, data_centre, token)
                 self.put(messages.Claimed(data_centre, taken))
 
         self._world.after(READ_TAKES, arrive)
 
     def _read_members(self) -> None:
-        if self._store.is_up and self.is_alive:
-            found = tuple(self._store.daemons.values())
+        now = self._world.now()
+        is_awake = self.is_alive and now >= self.frozen_until
+        if self._store.reaches(self.me.data_centre) and is_awake:
+            self._store.renew(self.me, now)
+            found = self._store.listed(now)
             self.put(messages.Members(found, tuple(self._store.tenures.values())))
         if self.is_alive:
             self._world.after(MEMBERS_EVERY, self._read_members)
 
     def _read_reports(self) -> None:
-        if self._store.is_up and self.wants_reports and self.is_alive:
-            reports = tuple(self._store.reports.values())
+        has_store = self._store.reaches(self.me.data_centre)
+        if has_store and self.wants_reports and self.is_alive:
+            reports = tuple(
+                x
+                for x in self._store.reports.values()
+                if self._store.reaches(x.data_centre)
+            )
             beating = frozenset(x.data_centre for x in reports)
             self.put(messages.Reports(reports, beating))
         if self.is_alive:
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -266,7 +266,8 @@
         return self._nodes[name].me.data_centre
 
     def cut(self, place: str) -> None:
-        """Cut a data centre off from the others."""
+        """Cut a data centre off from the others and from the store."""
+        self.store.cut_places.add(place)
         for number in range(self.site.places):
             if f"dc-{number}" != place:
                 self.cuts.add(frozenset((place, f"dc-{number}")))
@@ -274,6 +275,7 @@
     def heal(self) -> None:
         """End all cuts."""
         self.cuts.clear()
+        self.store.cut_places.clear()
 
     def node(self, vm: str) -> nodes.Node | None:
         """Return the daemon of a VM, if it runs."""
--- a/libs/carawaysail_model/src/carawaysail_model/store.py
+++ b/libs/carawaysail_model/src/carawaysail_model/store.py
@@ -1,8 +1,11 @@
 """The store of the model: daemons, tenures and reports, without its protocol."""
 
+import datetime
 import itertools
 
-from carawaysail_types import daemons, runs
+from carawaysail_types import clock, daemons, runs
+
+LEASE = clock.milliseconds(3000)
 
 
 class Store:
@@ -10,11 +13,24 @@
 
     def __init__(self) -> None:
         self.is_up = True
-        self.daemons: dict[str, daemons.Daemon] = {}
+        self.cut_places: set[str] = set()
+        self._renewed: dict[str, tuple[daemons.Daemon, datetime.datetime]] = {}
         self.tenures: dict[str, daemons.Tenure] = {}
         self.reports: dict[str, runs.WorkerReport] = {}
         self._revisions = itertools.count(2)
 
+    def reaches(self, place: str) -> bool:
+        """Tell whether a data centre reaches the store."""
+        return self.is_up and place not in self.cut_places
+
+    def renew(self, daemon: daemons.Daemon, now: datetime.datetime) -> None:
+        """Keep a daemon's entry for the length of a lease."""
+        self._renewed[daemon.vm] = (daemon, now)
+
+    def listed(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
+        """Return the daemons whose lease holds."""
+        return tuple(x for x, at in self._renewed.values() if now - at < LEASE)
+
     def claim(
         self, me: daemons.Daemon, data_centre: str, token: int
     ) -> daemons.Tenure | None:
