--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -205,7 +205,8 @@
         for task in self._store_tasks:
             task.stop()
         await asyncio.to_thread(self._lease.deregister)
-        await asyncio.to_thread(self._http.stop)
+        stops = [asyncio.to_thread(server.stop) for server in self._servers]
+        await asyncio.gather(*stops)
         self._desk.close()
         logs.tell("daemon", "Ended.")
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -483,10 +483,10 @@
         """Return why a job cannot be taken."""
         if job.submission.job.missing_features():
             return jobs.Reason.UNSUPPORTED
-        if not self._can_ever_fit(job):
-            return jobs.Reason.NEVER_FITS
         if not self._usable(job.submission, now):
             return jobs.Reason.NO_WORKERS
+        if not self._can_ever_fit(job):
+            return jobs.Reason.NEVER_FITS
         return jobs.Reason.NONE
 
     def _can_ever_fit(self, job: jobstate.JobState) -> bool:
--- a/libs/carawaysail_holding/src/carawaysail_holding/loads.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -129,6 +129,8 @@
 ) -> datetime.timedelta:
     """Return how long a run is expected to last still.
 
+    A run that is overdue is taken to need as long again as it is overdue.
+
     Parameters
     ----------
     state : jobstate.TaskState
@@ -139,4 +141,4 @@
         Present instant.
     """
     ran = now - state.started if state.started is not None else datetime.timedelta()
-    return max(takes - ran, takes * LEAST_LEFT)
+    return max(abs(takes - ran), takes * LEAST_LEFT)
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -173,7 +173,7 @@
             real(self, job, outcome, now)
 
         self.vary(broker.Broker, "_finish", finish)
-        self.assert_broken("true refusals", play("none", rate=2.0))
+        self.assert_broken("true refusals", play("workers_slow", rate=1.0))
 
     def test_answer_before_all_tasks_are_done(self):
         def is_done(self):
