--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -22,7 +22,7 @@
 from carawaysail_runtime import inbox, logs
 from carawaysail_streams import messages as stream_messages
 from carawaysail_streams import transport
-from carawaysail_types import clock, daemons
+from carawaysail_types import clock, daemons, errors
 
 SWITCH_INTERVAL_S = 0.001
 FRONT_THREADS = 96
@@ -36,6 +36,9 @@
 ROTATION = clock.milliseconds(2600)
 """Time for the balancer to stop sending: two misses of a check each second."""
 
+SETTINGS_EVERY = clock.milliseconds(1000)
+"""How often the settings file is looked at."""
+
 EXIT_MARGIN = clock.milliseconds(700)
 """Time left for stopping when the grace is nearly over."""
 
@@ -55,6 +58,8 @@
         Formats of clients' requests.
     reload : callable
         Reads the settings file again.
+    settings_version : callable
+        Returns what changes whenever the settings file does.
     """
 
     store: collections.abc.Callable[[], ports.Store]
@@ -62,6 +67,7 @@
     directory: ports.Directory
     codec: ports.ClientCodec
     reload: collections.abc.Callable[[], ports.Settings]
+    settings_version: collections.abc.Callable[[], object]
 
 
 class Daemon:
@@ -92,9 +98,12 @@
         self._wire(asyncio.get_running_loop())
         self._watch_signals(asyncio.get_running_loop())
         await self._peers.start(cfg.peer)
-        desk_task = asyncio.create_task(self._desk.run())
-        for task in self._store_tasks:
-            task.start()
+        tasks = [
+            asyncio.create_task(self._desk.run()),
+            asyncio.create_task(self._follow_settings()),
+        ]
+        for store_task in self._store_tasks:
+            store_task.start()
         for server in self._servers:
             server.start()
         logs.tell(
@@ -103,7 +112,8 @@
         )  # fmt: skip
         await self._leaving.wait()
         await self._end()
-        desk_task.cancel()
+        for task in tasks:
+            task.cancel()
 
     def _wire(self, loop: asyncio.AbstractEventLoop) -> None:
         cfg, adapter = self._cfg, self._adapter
@@ -175,17 +185,29 @@
             loop.add_signal_handler(number, self._leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
+    async def _follow_settings(self) -> None:
+        """Read the settings again when the file changes without a signal."""
+        known = self._adapter.settings_version()
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY.total_seconds())
+            found = self._adapter.settings_version()
+            if found != known:
+                known = found
+                self._reload()
+
     def _reload(self) -> None:
-        """Read the settings again; what is bound at the start stays as it is."""
+        """Read the settings again; addresses stay as they were at the start."""
         try:
             found = self._adapter.reload()
-        except Exception as exc:
+        except errors.CarawaysailError as exc:
             logs.fault("daemon", "Settings not reloaded.", exc)
             return
         changed = [
             name for name in found._fields
             if getattr(found, name) != getattr(self._cfg, name)
         ]  # fmt: skip
+        self._cfg = self._cfg._replace(terms=found.terms, grace=found.grace)
+        self._inbox.put(messages.Reloaded(found.terms))
         logs.tell("daemon", "Settings reloaded.", changed=changed)
 
     async def _end(self) -> None:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -125,8 +125,8 @@
         self.me = me
         self.inbox = out
         self.clock = source
-        self.broker = broker.Broker(cfg.terms)
-        self.gateway = gateway.Gateway(me, random_state=random_state)
+        self.broker = broker.Broker(cfg.terms, cfg.policy_names)
+        self.gateway = gateway.Gateway(me, cfg.admission, random_state)
         self.tenures = tenure.Tenures(me, cfg.data_centres, now)
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
@@ -493,6 +493,11 @@
         handlers.get(type(item).__name__)(desk, (message.sender, item), now)
 
 
+@handlers.register("Reloaded")
+def _reloaded(desk: Desk, message: messages.Reloaded, now: datetime.datetime) -> None:
+    desk.broker.set_terms(message.terms)
+
+
 @handlers.register("Leave")
 def _leave(desk: Desk, message: messages.Leave, now: datetime.datetime) -> None:
     desk.leave(now)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -4,6 +4,7 @@
 import typing
 
 from carawaysail_fleet import ports
+from carawaysail_holding import events
 from carawaysail_types import daemons, jobs, runs
 
 
@@ -91,11 +92,17 @@
     messages: tuple[typing.Any, ...]
 
 
+class Reloaded(typing.NamedTuple):
+    """The settings were read again."""
+
+    terms: events.Terms
+
+
 class Leave(typing.NamedTuple):
     """The daemon is asked to end."""
 
 
 Message = (
     Posted | ClientLeft | Listed | Started | Stopped | Configured | Reports | Members
-    | Claimed | StreamOpened | Refused | Received | Leave
+    | Claimed | StreamOpened | Refused | Received | Reloaded | Leave
 )  # fmt: skip
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -6,7 +6,7 @@
 import datetime
 import typing
 
-from carawaysail_holding import events
+from carawaysail_holding import events, policies
 from carawaysail_types import errors, jobs, runs
 
 
@@ -133,6 +133,10 @@
         Figures that decisions rest on.
     grace : datetime.timedelta
         Time between the request to end and the kill.
+    policy_names : policies.PolicyNames
+        Policies of brokers.
+    admission : str
+        Admission policy of the gateway.
     """
 
     vm: str
@@ -144,6 +148,8 @@
     data_centres: tuple[str, ...]
     terms: events.Terms
     grace: datetime.timedelta
+    policy_names: policies.PolicyNames = policies.PolicyNames()
+    admission: str = "objective"
 
 
 class Request(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -59,6 +59,10 @@
         self._ended_lives: dict[str, str] = {}
         self._out: list[events.Action] = []
 
+    def set_terms(self, terms: events.Terms) -> None:
+        """Take over changed figures of the deployment."""
+        self._terms = terms
+
     # Tenure
 
     def tokens(self) -> dict[str, int]:
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -7,7 +7,7 @@
 import typing
 
 from carawaysail_fleet import messages, ports
-from carawaysail_holding import events
+from carawaysail_holding import events, policies
 from carawaysail_model import engine, history, nodes, store, workers
 from carawaysail_types import clock, daemons, jobs, runs
 
@@ -80,6 +80,8 @@
         Spread of jobs' lengths, as a logarithm.
     tail : float
         Share of jobs that take seven times as long.
+    order, choice, admission : str
+        Names of the policies.
     """
 
     places: int = 4
@@ -101,6 +103,9 @@
     estimate_spread: float = 0.4
     length_spread: float = 0.4
     tail: float = 0.03
+    order: str = "latest_start"
+    choice: str = "fit_to_due"
+    admission: str = "objective"
 
 
 TAIL_FACTOR = 7.0
@@ -205,6 +210,8 @@
         cfg = ports.Settings(
             vm, place, "", "", me.address, "", places, events.Terms(),
             clock.milliseconds(6000),
+            policies.PolicyNames(self.site.order, self.site.choice),
+            self.site.admission,
         )  # fmt: skip
         node = nodes.Node(
             me, cfg, self.engine, self, self.store, self._answered,
