Resume a part only with fresh reports and the workers that it was begun on

Change: a broker tells the daemon which workers its part is ordered to, a resubmission names them, and the new holder waits until each has listed, and until it has read the reports after its tenure began; that first read is fresh. Three tests fail first. The variant that mixes data centres is now held back by this; its test also silences it.

Ruled out: leases that lapse late (the old holder still extended them, rightly); waiting out the longest lease, since clients wait 1.5 s and most handovers are planned.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -125,7 +125,9 @@
         self._desk = desk.Desk(cfg, self._me, self._inbox, self._clock, self._open_feed)
         out, seed = self._inbox, secrets.randbits(32)
         claims = storetasks.ClaimTask(adapter.store(), self._me, out, seed)
-        reports = storetasks.ReportsTask(adapter.store(), adapter.directory, out, seed)
+        reports = storetasks.ReportsTask(
+            adapter.store(), adapter.directory, out, seed, self._clock
+        )
         members = storetasks.MembersTask(adapter.store(), out, seed)
         self._lease = storetasks.LeaseTask(adapter.store(), self._me, out, seed)
         configuration = storetasks.ConfigurationTask(
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -279,6 +279,7 @@
         )
         if self.tenures.is_mine(known):
             self.perform(self.broker.hold(place, known.token, now), now)
+            self.links.reports.refresh()
         elif place in self.broker.tokens():
             self.perform(self.broker.release(place, now), now)
         self.holding_changed()
@@ -459,7 +460,7 @@
 def _reports(desk: Desk, message: messages.Reports, now: datetime.datetime) -> None:
     for place in message.beating:
         desk.tenures.workers_seen(place, now)
-    desk.perform(desk.broker.update(message.reports, now), now)
+    desk.perform(desk.broker.update(message.reports, now, message.asked), now)
     desk.links.workers.keep(desk.broker.worker_ids())
 
 
@@ -525,6 +526,7 @@
         message.part,
         message.tasks,
         message.is_resumed,
+        message.workers,
     )
     waiter = events.Waiter(sender.vm, sender.incarnation)
     desk.perform(desk.broker.submit(submission, waiter, now), now)
@@ -537,6 +539,12 @@
     desk.perform(desk.broker.withdraw(part, now), now)
 
 
+@handlers.register("Begun")
+def _begun(desk: Desk, sent: _Sent, now: datetime.datetime) -> None:
+    message = sent[1]
+    desk.gateway.begun(sent[0], message.job_id, message.part, message.workers)
+
+
 @handlers.register("Outcome")
 def _outcome(desk: Desk, sent: _Sent, now: datetime.datetime) -> None:
     message = sent[1]
@@ -572,6 +580,14 @@
         )
 
 
+@performers.register("Begun")
+def _tell_begun(desk: Desk, action: events.Begun, now: datetime.datetime) -> None:
+    part = action.part
+    daemon = desk.tenures.daemon(part.waiter.vm, part.waiter.incarnation)
+    if daemon is not None:
+        desk.send(daemon, stream_messages.Begun(part.job_id, part.part, action.workers))
+
+
 @performers.register("Fenced")
 def _fenced(desk: Desk, action: events.Fenced, now: datetime.datetime) -> None:
     desk.holding_changed()
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -57,6 +57,7 @@
 
     reports: tuple[runs.WorkerReport, ...]
     beating: frozenset[str]
+    asked: datetime.datetime
 
 
 class Members(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
@@ -226,22 +226,30 @@
         directory: ports.Directory,
         out: "inbox.Inbox[messages.Message]",
         seed: int,
+        source: clock.Clock,
     ) -> None:
         super().__init__(store, out, seed)
         self._directory = directory
+        self._clock = source
         self._beats: dict[str, int] = {}
         self._revision = 0
+        self._is_fresh_wanted = False
         self._wanted = threading.Event()
         self._now = threading.Event()
 
     def want(self, is_wanted: bool) -> None:
         """Say whether reports are needed; the first ones are read at once."""
         if is_wanted and not self._wanted.is_set():
-            self._now.set()
+            self.refresh()
             self._wanted.set()
         elif not is_wanted:
             self._wanted.clear()
 
+    def refresh(self) -> None:
+        """Read at once, and not from a stale copy."""
+        self._is_fresh_wanted = True
+        self._now.set()
+
     def stop(self) -> None:
         """Tell the thread to end."""
         super().stop()
@@ -252,7 +260,9 @@
         self._wanted.wait()
         if self._ending.is_set():
             return 0.0
+        self._now.clear()
         found, beating = [], set()
+        asked = self._clock.now()
         for item in self._read().items:
             decoded = self._directory.report(item)
             if decoded is None:
@@ -262,15 +272,16 @@
             if self._beats.get(report.worker_id) != beat:
                 beating.add(report.data_centre)
             self._beats[report.worker_id] = beat
-        self._out.put(messages.Reports(tuple(found), frozenset(beating)))
-        self._now.clear()
+        self._out.put(messages.Reports(tuple(found), frozenset(beating), asked))
         self._now.wait(REPORTS_EVERY.total_seconds())
         return 0.0
 
     def _read(self) -> ports.Snapshot:
         """Read cheaply, and fresh where the cheap answer is older than the last."""
         prefix = self._directory.reports_prefix
-        snapshot = self._store.list(prefix, is_stale_fine=bool(self._revision))
+        is_stale_fine = bool(self._revision) and not self._is_fresh_wanted
+        self._is_fresh_wanted = False
+        snapshot = self._store.list(prefix, is_stale_fine)
         if snapshot.revision <= self._revision:
             snapshot = self._store.list(prefix)
         self._revision = max(self._revision, snapshot.revision)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -57,6 +57,8 @@
         self._foreign = foreign.ForeignRuns()
         self._carried: dict[str, dict[runs.Run, ledger.Entry]] = {}
         self._ended_lives: dict[str, str] = {}
+        self._unread: set[str] = set()
+        self._held_since: dict[str, datetime.datetime] = {}
         self._out: list[events.Action] = []
 
     def set_terms(self, terms: events.Terms) -> None:
@@ -75,6 +77,8 @@
         """Begin to hold a data centre's workers."""
         self._release(data_centre, now)
         self._tokens[data_centre] = token
+        self._held_since[data_centre] = now
+        self._unread.add(data_centre)
         self._adopt_reports(now)
         return self._take()
 
@@ -110,8 +114,21 @@
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
         now: datetime.datetime,
+        asked: datetime.datetime | None = None,
     ) -> list[events.Action]:
-        """Take over what the store says of all workers."""
+        """Take over what the store says of all workers.
+
+        Parameters
+        ----------
+        reports : iterable of runs.WorkerReport
+            All reports.
+        now : datetime.datetime
+            Present instant.
+        asked : datetime.datetime, optional
+            When the store was asked; the present instant by default.
+        """
+        for place in [x for x in self._unread if self._held_since[x] <= (asked or now)]:
+            self._unread.discard(place)
         self._reports = {report.worker_id: report for report in reports}
         for worker_id, worker in list(self._workers.items()):
             report = self._reports.get(worker_id)
@@ -325,7 +342,9 @@
     ) -> None:
         worker.ledger.claim(run, state.step.room, now)
         state.place(run, worker.report.worker_id, now)
-        self._by_task[run.task].has_ordered = True
+        job = self._by_task[run.task]
+        job.has_ordered = True
+        self._out.append(events.Begun(job.part, (worker.report.worker_id,)))
         self._note("claimed", run.task.job_id, run=_name(run))
 
     def _ended(
@@ -575,8 +594,13 @@
         """Tell whether runs of an earlier holder may still be unknown.
 
         A worker that has not answered this holder may still follow the earlier one.
+        Reports older than the tenure may leave out workers that were cut off.
         """
-        return any(not x.ledger.is_listed for x in self._suitable(submission))
+        if submission.place in self._unread:
+            return True
+        if any(not x.ledger.is_listed for x in self._suitable(submission)):
+            return True
+        return any(x not in self._workers for x in submission.workers)
 
     def _place_job(
         self,
@@ -585,6 +609,7 @@
         now: datetime.datetime,
     ) -> None:
         taken = 0
+        begun: set[str] = set()
         largest = max((x.ledger.free().processor_milli for x in usable), default=0)
         for state in job.ready():
             if state.step.room.processor_milli > largest:
@@ -604,8 +629,11 @@
             chosen = self._choice.choose(candidates, view)
             if chosen is not None:
                 self._start(job, state, chosen, now)
+                begun.add(chosen.worker.report.worker_id)
             else:
                 taken += 1
+        if begun:
+            self._out.append(events.Begun(job.part, tuple(sorted(begun))))
 
     def _next_end(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/events.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/events.py
@@ -71,6 +71,8 @@
         Numbers of the tasks of the only step; empty for all tasks of all steps.
     is_resumed : bool
         Whether another broker may have begun it.
+    workers : tuple of str
+        Workers that it was begun on, as far as the daemon was told.
     """
 
     job: jobs.Job
@@ -81,6 +83,7 @@
     part: int = 0
     tasks: tuple[int, ...] = ()
     is_resumed: bool = False
+    workers: tuple[str, ...] = ()
 
 
 class StartRun(typing.NamedTuple):
@@ -146,6 +149,13 @@
     outcome: jobs.JobOutcome
 
 
+class Begun(typing.NamedTuple):
+    """Tell a daemon which workers its part has been ordered to, with this order."""
+
+    part: PartId
+    workers: tuple[str, ...]
+
+
 class Fenced(typing.NamedTuple):
     """A worker follows a holder with a higher token."""
 
@@ -171,4 +181,4 @@
     fields: dict[str, typing.Any]
 
 
-Action = StartRun | StopRun | Hold | Reply | Fenced | Note
+Action = StartRun | StopRun | Hold | Reply | Begun | Fenced | Note
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -120,6 +120,7 @@
         self.target = target
         self.is_resumed = False
         self.is_done = False
+        self.workers: set[str] = set()
         self.lost_since: datetime.datetime | None = None
 
 
@@ -141,6 +142,7 @@
             tasks=part.tasks,
             place=part.target.tenure.data_centre,
             is_resumed=part.is_resumed,
+            workers=tuple(sorted(part.workers)) if part.is_resumed else (),
         )
 
 
@@ -349,6 +351,15 @@
 
     # Outcomes
 
+    def begun(
+        self, daemon: daemons.Daemon, job_id: str, number: int, found: tuple[str, ...]
+    ) -> None:
+        """Take note of the workers that a part was begun on."""
+        call = self._calls.get(job_id)
+        part = call.parts.get(number) if call is not None else None
+        if part is not None and part.target.daemon == daemon:
+            part.workers.update(found)
+
     def replied(
         self,
         daemon: daemons.Daemon,
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -273,6 +273,34 @@
         self.clock.advance(MS(1200))
         self.assertEqual([], self.starts(self.broker.tick(self.now)))
 
+    def test_resumed_job_waits_for_reports_that_are_newer_than_the_tenure(self):
+        """Reports read before, or during a cut, may leave workers out."""
+        late = make_report(1)
+        self.broker.update([make_report(0)], self.now)
+        self.clock.advance(MS(100))
+        self.broker.hold(HERE, 9, self.now)
+        self.list(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        run = runs.Run(runs.Task(f"{1:016x}", 0, 0, 0), 1)
+        self.broker.update([make_report(0), late], self.now)
+        self.assertEqual([], self.starts(self.list(late, running=[run])))
+
+    def test_resumed_job_waits_for_the_workers_it_was_begun_on(self):
+        self.broker.hold(HERE, 9, self.now)
+        self.broker.update([make_report(0)], self.now)
+        self.list(make_report(0))
+        resumed = self.make(is_resumed=True, workers=("w-1",))
+        self.assertEqual([], self.starts(self.submit(resumed)))
+        self.broker.update([make_report(0), make_report(1)], self.now)
+        self.assertEqual(1, len(self.starts(self.list(make_report(1)))))
+
+    def test_daemon_is_told_where_its_part_was_begun(self):
+        self.hold(make_report())
+        submission = self.make(width=2)
+        actions = self.submit(submission)
+        part = events.PartId(submission.job.job_id, 0, ME)
+        self.assertIn(events.Begun(part, ("w-0",)), actions)
+
     def test_worker_with_unknown_runs_gets_nothing(self):
         report, run = self.found()
         self.list(report, running=[run])
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -80,6 +80,9 @@
     def want(self, is_wanted: bool) -> None:
         self._node.wants_reports = is_wanted
 
+    def refresh(self) -> None:
+        self._node.refresh_reports()
+
 
 class _Replies:
     def __init__(self, node: "Node") -> None:
@@ -268,7 +271,17 @@
         if self.is_alive:
             self._world.after(MEMBERS_EVERY, self._read_members)
 
+    def refresh_reports(self) -> None:
+        """Read the reports at once."""
+        self._world.after(READ_TAKES, self._take_reports)
+
     def _read_reports(self) -> None:
+        self._take_reports()
+        if self.is_alive:
+            self._world.after(REPORTS_EVERY, self._read_reports)
+
+    def _take_reports(self) -> None:
+        now = self._world.now()
         has_store = self._store.reaches(self.me.data_centre)
         if has_store and self.wants_reports and self.is_alive:
             reports = tuple(
@@ -277,6 +290,4 @@
                 if self._store.reaches(x.data_centre)
             )
             beating = frozenset(x.data_centre for x in reports)
-            self.put(messages.Reports(reports, beating))
-        if self.is_alive:
-            self._world.after(REPORTS_EVERY, self._read_reports)
+            self.put(messages.Reports(reports, beating, now))
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from carawaysail_holding import broker, ledger
+from carawaysail_holding import broker, gateway, ledger
 from carawaysail_model import faults, results, sites
 from carawaysail_types import clock, jobs, runs
 
@@ -157,6 +157,8 @@
     def test_broker_that_mixes_data_centres(self):
         self.assertEqual([], self.hand_back())
         self.vary(broker.Broker, "_suitable", suitable)
+        # What a part was begun on would otherwise hold its copy back.
+        self.vary(gateway.Gateway, "begun", lambda *args: None)
         self.assertIn("one run at a time", self.hand_back())
 
     def test_broker_that_uses_draining_workers(self):
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -59,6 +59,8 @@
         Numbers of its tasks; empty for all.
     is_resumed : bool
         Whether another broker may have begun it.
+    workers : tuple of str
+        Workers that it was begun on, as far as the sender was told.
     """
 
     job: jobs.Job
@@ -69,6 +71,16 @@
     part: int
     tasks: tuple[int, ...]
     is_resumed: bool
+    workers: tuple[str, ...] = ()
+
+
+@kinds.register("begun")
+class Begun(typing.NamedTuple):
+    """Tell a daemon which workers its part has just been ordered to."""
+
+    job_id: str
+    part: int
+    workers: tuple[str, ...]
 
 
 @kinds.register("withdraw")
@@ -88,7 +100,7 @@
     outcome: jobs.JobOutcome
 
 
-Message = Heartbeat | Submit | Withdraw | Outcome
+Message = Heartbeat | Submit | Begun | Withdraw | Outcome
 
 _names = {kind: name for name, kind in kinds.items()}
 _decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
@@ -144,4 +156,5 @@
         submission.part,
         submission.tasks,
         submission.is_resumed,
+        submission.workers,
     )
