Never number two parts of a daemon alike

Parts of the copy were numbered from 0 as before, and a broker gave the remembered outcome of the first copy's part, which had other tasks: the job was shown as completed although a task had not run. Numbers are now never used again by a daemon.

--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import itertools
 import random
 import typing
 
@@ -129,7 +130,6 @@
         self.submission = submission
         self.replies = [reply]
         self.parts: dict[int, _Part] = {}
-        self.next_part = 0
         self.avoided: set[str] = set()
 
     @property
@@ -169,6 +169,7 @@
         self._admits = admissions.get(admission)
         self._random = random.Random(random_state)
         self._calls: dict[str, _Call] = {}
+        self._part_numbers = itertools.count()
         self._targets: dict[str, Target] = {}
         self._board = planning.Board(me.data_centre)
         self._lengths = lengths.Lengths()
@@ -326,8 +327,8 @@
     def _add_part(
         self, call: _Call, tasks: tuple[int, ...], place: str, out: list[Action]
     ) -> None:
-        number = call.next_part
-        call.next_part += 1
+        # Never used again: brokers remember parts of earlier copies of a job.
+        number = next(self._part_numbers)
         part = call.parts[number] = _Part(number, tasks, self._targets[place])
         out.append(SendJob(part.target.daemon, call.submission_of(part)))
 
@@ -380,7 +381,7 @@
             return self._answer(call, outcome) if is_complete else []
         if outcome.verdict is jobs.Verdict.REFUSED:
             return self._part_refused(call, part, outcome)
-        return self._end(call, outcome)
+        return self._end(call, outcome, part)
 
     def _part_refused(
         self, call: _Call, part: _Part, outcome: jobs.JobOutcome
--- /dev/null
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -0,0 +1,220 @@
+"""The gateway: parts, brokers that change, and what clients are told."""
+
+import testtools
+
+from carawaysail_holding import events, gateway, loads
+from carawaysail_types import clock, daemons, jobs
+
+MS = clock.milliseconds
+ME = daemons.Daemon("vm-0", "home", "vm-0-1", "vm-0:1")
+FAR = daemons.Daemon("vm-1", "away", "vm-1-1", "vm-1:1")
+DONE = jobs.JobOutcome(jobs.Verdict.COMPLETED)
+
+
+def make_target(daemon, token, place=None):
+    """Return a broker."""
+    place = place or daemon.data_centre
+    tenure = daemons.Tenure(place, daemon.vm, daemon.incarnation, token)
+    return gateway.Target(tenure, daemon)
+
+
+def make_load(cores):
+    """Return the report of a data centre with one worker."""
+    return loads.Load("desk", (loads.Slot(cores * 1000, 1.0),), (1.0,), (), 0, 0.0)
+
+
+class GatewayCase(testtools.TestCase):
+    """Helpers around one gateway and two brokers."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.gateway = gateway.Gateway(ME, random_state=1)
+        self.targets = {"home": make_target(ME, 3), "away": make_target(FAR, 4)}
+        self.gateway.took_targets(self.targets, self.now)
+        self.report(home=28, away=28)
+
+    @property
+    def now(self):
+        return self.clock.now()
+
+    def report(self, **cores):
+        for place, free in cores.items():
+            self.gateway.took_load(place, (make_load(free),))
+
+    def post(self, number=1, width=4, reply=1, after=()):
+        step = jobs.Step(width, jobs.Room(14_000, 64, 0), MS(100))
+        steps = (step, *(step._replace(after=x) for x in after))
+        job = jobs.Job(f"{number:016x}", "", steps)
+        queue = jobs.Queue("q", "", "", "desk", 0, 2, 1.6, MS(60), MS(1500))
+        submission = events.Submission(
+            job, queue, "home", self.now, self.now + MS(1500)
+        )
+        return self.gateway.posted(submission, reply, self.now)
+
+    def reply(self, sent, outcome):
+        submission = sent.submission
+        return self.gateway.replied(
+            sent.daemon, submission.job.job_id, submission.part, outcome
+        )
+
+    @staticmethod
+    def sent(actions):
+        return [x for x in actions if isinstance(x, gateway.SendJob)]
+
+    @staticmethod
+    def withdrawn(actions):
+        return [x.part for x in actions if isinstance(x, gateway.SendWithdrawal)]
+
+    def assert_answers(self, expected, actions):
+        found = [x.outcome.verdict for x in actions if isinstance(x, gateway.Answer)]
+        self.assertEqual(expected, found)
+
+
+class TestParts(GatewayCase):
+    """Tasks shared out over brokers."""
+
+    def test_each_task_is_in_one_part(self):
+        parts = self.sent(self.post(width=4))
+        tasks = [n for x in parts for n in x.submission.tasks]
+        self.assertEqual([0, 1, 2, 3], sorted(tasks))
+        self.assertEqual({"home", "away"}, {x.submission.place for x in parts})
+
+    def test_answer_comes_when_all_parts_are_done(self):
+        first, second = self.sent(self.post())
+        self.assert_answers([], self.reply(first, DONE))
+        self.assert_answers([jobs.Verdict.COMPLETED], self.reply(second, DONE))
+
+    def test_failed_part_ends_the_job_and_withdraws_the_others(self):
+        first, second = self.sent(self.post())
+        failed = jobs.JobOutcome(jobs.Verdict.FAILED, jobs.Reason.TASK_FAILED)
+        actions = self.reply(first, failed)
+        self.assert_answers([jobs.Verdict.FAILED], actions)
+        self.assertEqual([second.submission.part], self.withdrawn(actions))
+
+    def test_later_copy_of_a_job_has_parts_of_its_own(self):
+        """Brokers remember parts; a copy may be shared out in another way."""
+        first = self.sent(self.post())
+        self.gateway.client_left(f"{1:016x}", 1)
+        self.report(home=56, away=0)
+        later = self.sent(self.post())
+        self.assertEqual(
+            set(), {x.submission.part for x in first}
+            & {x.submission.part for x in later},
+        )  # fmt: skip
+
+    def test_outcome_of_an_earlier_copy_is_passed_over(self):
+        first = self.sent(self.post())
+        self.gateway.client_left(f"{1:016x}", 1)
+        self.report(home=28, away=28)
+        self.post()
+        for sent in first:
+            self.assert_answers([], self.reply(sent, DONE))
+
+    def test_job_of_several_steps_stays_whole(self):
+        [sent] = self.sent(self.post(width=2, after=((0,),)))
+        self.assertEqual((), sent.submission.tasks)
+
+    def test_second_client_of_a_job_gets_the_same_answer(self):
+        parts = self.sent(self.post(width=1))
+        self.post(width=1, reply=2)
+        actions = self.reply(parts[0], DONE)
+        self.assert_answers([jobs.Verdict.COMPLETED] * 2, actions)
+
+
+class TestRefusals(GatewayCase):
+    """A refusal says that nothing ran."""
+
+    def refused(self, reason=jobs.Reason.NO_WORKERS):
+        return jobs.JobOutcome(jobs.Verdict.REFUSED, reason)
+
+    def test_part_goes_to_another_broker_once(self):
+        self.report(home=28, away=0)
+        [sent] = self.sent(self.post(width=2))
+        [again] = self.sent(self.reply(sent, self.refused()))
+        self.assertEqual("away", again.submission.place)
+        self.assertNotEqual(sent.submission.part, again.submission.part)
+        self.assert_answers([jobs.Verdict.REFUSED], self.reply(again, self.refused()))
+
+    def test_job_with_another_part_under_way_is_unknown(self):
+        first, _ = self.sent(self.post())
+        never = self.refused(jobs.Reason.NEVER_FITS)
+        self.assert_answers([jobs.Verdict.UNKNOWN], self.reply(first, never))
+
+    def test_overload_is_refused_at_once_with_a_time_to_return(self):
+        queue = loads.Load("desk", (), (1.0,), (loads.Free(500.0, 1.0),), 30, 9000.0)
+        for place in ("home", "away"):
+            self.gateway.took_load(place, (queue,))
+        actions = self.post()
+        self.assert_answers([jobs.Verdict.REFUSED], actions)
+        [answer] = [x for x in actions if isinstance(x, gateway.Answer)]
+        self.assertGreaterEqual(answer.outcome.retry_after, MS(9000))
+
+    def test_without_any_broker_it_is_refused(self):
+        self.gateway.took_targets({}, self.now)
+        self.assert_answers([jobs.Verdict.REFUSED], self.post())
+
+
+class TestSuccession(GatewayCase):
+    """Brokers that are replaced or lost."""
+
+    def test_part_follows_its_data_centre_with_what_is_known_of_it(self):
+        parts = self.sent(self.post())
+        [away] = [x for x in parts if x.submission.place == "away"]
+        job_id, number = away.submission.job.job_id, away.submission.part
+        self.gateway.begun(FAR, job_id, number, ("w-2", "w-1"))
+        heir = {"home": self.targets["home"], "away": make_target(ME, 9, "away")}
+        [again] = self.sent(self.gateway.took_targets(heir, self.now))
+        self.assertEqual(number, again.submission.part)
+        self.assertTrue(again.submission.is_resumed)
+        self.assertEqual(("w-1", "w-2"), again.submission.workers)
+
+    def test_lost_broker_without_heir_makes_the_job_unknown(self):
+        self.post()
+        self.gateway.took_targets({"home": self.targets["home"]}, self.now)
+        self.assert_answers([], self.gateway.tick(self.now))
+        self.clock.advance(gateway.SUCCESSION + MS(1))
+        self.assert_answers([jobs.Verdict.UNKNOWN], self.gateway.tick(self.now))
+
+    def test_broker_that_comes_back_goes_on(self):
+        self.post()
+        self.gateway.took_targets({"home": self.targets["home"]}, self.now)
+        self.gateway.took_targets(self.targets, self.now)
+        self.clock.advance(gateway.SUCCESSION + MS(1))
+        self.assert_answers([], self.gateway.tick(self.now))
+
+    def test_refusal_of_a_resumed_part_is_unknown(self):
+        self.report(home=0, away=28)
+        [sent] = self.sent(self.post(width=2))
+        heir = {"away": make_target(ME, 9, "away")}
+        [again] = self.sent(self.gateway.took_targets(heir, self.now))
+        refused = jobs.JobOutcome(jobs.Verdict.REFUSED, jobs.Reason.NO_WORKERS)
+        self.assertEqual(sent.submission.part, again.submission.part)
+        self.assert_answers([jobs.Verdict.UNKNOWN], self.reply(again, refused))
+
+    def test_open_parts_are_sent_again_after_a_reconnection(self):
+        parts = self.sent(self.post())
+        [home] = [x for x in parts if x.submission.place == "home"]
+        self.reply(home, DONE)
+        again = self.sent(self.gateway.reconnected(FAR))
+        self.assertEqual(["away"], [x.submission.place for x in again])
+        self.assertEqual([], self.gateway.reconnected(ME))
+
+
+class TestClients(GatewayCase):
+    """Clients that leave and time that is up."""
+
+    def test_last_client_that_leaves_withdraws_the_job(self):
+        self.post(width=1)
+        self.post(width=1, reply=2)
+        self.assertEqual([], self.gateway.client_left(f"{1:016x}", 1))
+        actions = self.gateway.client_left(f"{1:016x}", 2)
+        self.assertEqual(1, len(self.withdrawn(actions)))
+        self.assertEqual(0, self.gateway.open_calls())
+
+    def test_time_is_up(self):
+        self.post(width=1)
+        self.clock.advance(MS(1530))
+        actions = self.gateway.tick(self.now)
+        self.assert_answers([jobs.Verdict.UNKNOWN], actions)
+        self.assertEqual(1, len(self.withdrawn(actions)))
