--- /dev/null
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -0,0 +1,186 @@
+"""The daemon's front: replies, clients that leave, the HTTP server."""
+
+import socket
+import threading
+
+import testtools
+import urllib3
+
+from carawaysail_fleet import front, httpserver, meters, ports, replies
+from carawaysail_types import clock, errors, jobs
+
+DONE = jobs.JobOutcome(jobs.Verdict.COMPLETED)
+
+
+class TestReplies(testtools.TestCase):
+    """A thread waits for the desk and watches its client."""
+
+    def setUp(self):
+        super().setUp()
+        self.replies = replies.Replies()
+        self.client, self.server = socket.socketpair()
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.server.close)
+
+    def wait(self, prepare, timeout_s=10.0):
+        found = []
+
+        def run():
+            number = self.replies.open()
+            prepare(number)
+            found.append(self.replies.wait(number, self.server, timeout_s))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        thread.join(20)
+        return found[0]
+
+    def test_outcome_is_returned(self):
+        self.assertEqual(DONE, self.wait(lambda n: self.replies.put(n, DONE)))
+        self.assertEqual(0, self.replies.waiting())
+
+    def test_client_that_closes_ends_the_wait(self):
+        self.assertIsNone(self.wait(lambda n: self.client.close()))
+
+    def test_client_that_sends_more_does_not(self):
+        def prepare(number):
+            self.client.send(b"GET / HTTP/1.1")
+            threading.Timer(0.05, self.replies.put, (number, DONE)).start()
+
+        self.assertEqual(DONE, self.wait(prepare))
+
+    def test_time_is_up(self):
+        self.assertIsNone(self.wait(lambda n: None, 0.01))
+
+    def test_answer_for_a_place_that_was_left_is_passed_over(self):
+        self.replies.put(99, DONE)
+        self.assertEqual(0, self.replies.waiting())
+
+    def test_pipe_is_clean_for_the_next_wait_of_the_thread(self):
+        found = []
+
+        def run():
+            for outcome in (DONE, jobs.JobOutcome(jobs.Verdict.FAILED)):
+                number = self.replies.open()
+                self.replies.put(number, outcome)
+                found.append(self.replies.wait(number, self.server, 10.0).verdict)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        thread.join(20)
+        self.assertEqual([jobs.Verdict.COMPLETED, jobs.Verdict.FAILED], found)
+
+
+class Codec:
+    """Understands paths as words."""
+
+    def decode(self, request, configuration):
+        queue = configuration.queue_for(request.host, request.path)
+        if request.path.endswith("bad"):
+            raise errors.BadInputError("path", request.path, "another one")
+        if queue is None:
+            return None
+        job = jobs.Job("a" * 16, "", ())
+        return ports.JobRequest(queue, job, clock.milliseconds(50))
+
+    def outcome(self, outcome):
+        return ports.Response(200, outcome.reason.value.encode())
+
+    def unknown_queue(self):
+        return ports.Response(404)
+
+    def invalid(self, exc):
+        return ports.Response(400, str(exc).encode())
+
+
+class TestFront(testtools.TestCase):
+    """What threads do with requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.posted = []
+        self.front = front.Front(
+            Codec(), self, replies.Replies(), meters.Meters("vm", "dc"),
+            clock.SystemClock(), 1,
+        )  # fmt: skip
+        self.client, self.server = socket.socketpair()
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.server.close)
+
+    def put(self, message):
+        self.posted.append(type(message).__name__)
+
+    def configure(self, version, prefix="/q/"):
+        queue = jobs.Queue(
+            "q", "h", prefix, "s", 0, 1, 1.0, clock.milliseconds(1),
+            clock.milliseconds(1),
+        )  # fmt: skip
+        self.front.configure(jobs.Configuration(version, (queue,), ("s",)))
+
+    def handle(self, path):
+        request = ports.Request("POST", "h", path, {}, b"")
+        return self.front.handle(request, self.server)
+
+    def test_without_a_configuration_nothing_is_taken(self):
+        self.assertEqual(b"no_configuration", self.handle("/q/1").body)
+        self.assertEqual([], self.posted)
+
+    def test_older_configuration_is_passed_over(self):
+        self.configure(5)
+        self.configure(4, "/old/")
+        self.assertEqual(404, self.handle("/old/1").status)
+
+    def test_bad_request_is_told(self):
+        self.configure(1)
+        self.assertEqual(400, self.handle("/q/bad").status)
+
+    def test_job_that_is_not_answered_in_time_is_withdrawn(self):
+        self.configure(1)
+        self.assertEqual(b"timed_out", self.handle("/q/1").body)
+        self.assertEqual(["Posted", "ClientLeft"], self.posted)
+
+    def test_too_many_waiting_clients_are_refused(self):
+        self.configure(1)
+        self.front.places.open()
+        self.assertEqual(b"overloaded", self.handle("/q/1").body)
+        self.assertEqual([], self.posted)
+
+
+class TestServer(testtools.TestCase):
+    """CherryPy's server with one handler."""
+
+    def start(self, handler):
+        with socket.socket() as found:
+            found.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{found.getsockname()[1]}"
+        server = httpserver.Server(address, handler, 2)
+        server.start()
+        self.addCleanup(server.stop)
+        return server, f"http://{address}"
+
+    def test_request_is_handed_on_and_answered(self):
+        def handle(request, client):
+            text = f"{request.method} {request.host} {request.path}"
+            return ports.Response(200, text.encode() + request.body)
+
+        _, url = self.start(handle)
+        with urllib3.PoolManager() as pool:
+            answer = pool.request("POST", f"{url}/a/b?c=d", body=b"!")
+        self.assertEqual(b"POST 127.0.0.1 /a/b!", answer.data)
+
+    def test_large_bodies_and_headers_are_refused(self):
+        server, url = self.start(lambda request, client: ports.Response(200))
+        server.limit(jobs.Limits(max_header_bytes=2_000, max_body_bytes=100))
+        with urllib3.PoolManager(retries=False) as pool:
+            large = pool.request("POST", url, body=b"x" * 200)
+            self.assertEqual(413, large.status)
+            wide = pool.request("GET", url, headers={"X": "y" * 5_000})
+            self.assertIn(wide.status, (413, 431))
+            self.assertEqual(200, pool.request("GET", url).status)
+
+    def test_connections_are_closed_once_the_server_is_about_to_end(self):
+        server, url = self.start(lambda request, client: ports.Response(200))
+        with urllib3.PoolManager() as pool:
+            self.assertNotIn("Connection", pool.request("GET", url).headers)
+            server.close_connections()
+            self.assertEqual("close", pool.request("GET", url).headers["Connection"])
--- /dev/null
+++ b/libs/carawaysail_runtime/tests/test_runtime.py
@@ -0,0 +1,86 @@
+"""Logs that never block, and inboxes."""
+
+import asyncio
+import io
+import json
+import threading
+
+import testtools
+
+from carawaysail_runtime import inbox, logs
+
+
+class Gate(io.StringIO):
+    """A stream that can be held back."""
+
+    def __init__(self):
+        super().__init__()
+        self.open = threading.Event()
+
+    def write(self, text):
+        self.open.wait(10)
+        return super().write(text)
+
+
+class TestBoundedLog(testtools.TestCase):
+    """Lines are written by a thread, or dropped and counted."""
+
+    def lines(self, stream):
+        return [json.loads(x) for x in stream.getvalue().splitlines()]
+
+    def test_lines_are_written_in_order(self):
+        stream = io.StringIO()
+        log = logs.BoundedLog(stream)
+        for number in range(50):
+            log({"n": number, "task_uuid": "left out"})
+        log.close()
+        self.assertEqual(list(range(50)), [x["n"] for x in self.lines(stream)])
+        self.assertNotIn("task_uuid", stream.getvalue())
+
+    def test_full_log_drops_and_says_how_many(self):
+        stream = Gate()
+        log = logs.BoundedLog(stream, bound=10)
+        for number in range(100):
+            log({"n": number})
+        stream.open.set()
+        log.close()
+        found = self.lines(stream)
+        written = [x for x in found if "n" in x]
+        dropped = sum(x["dropped"] for x in found if "dropped" in x)
+        self.assertEqual(100, len(written) + dropped)
+        self.assertGreaterEqual(dropped, 70)
+
+    def test_values_of_any_type_are_shown(self):
+        stream = io.StringIO()
+        log = logs.BoundedLog(stream)
+        log({"value": {1, 2}})
+        log.close()
+        self.assertEqual(1, len(self.lines(stream)))
+
+
+class TestInbox(testtools.TestCase):
+    """Messages from threads to a task."""
+
+    def test_messages_of_many_threads_arrive_once(self):
+        async def run():
+            box = inbox.Inbox(asyncio.get_running_loop(), 1000)
+            threads = [
+                threading.Thread(target=lambda n=n: [box.put(n) for _ in range(100)])
+                for n in range(4)
+            ]
+            for thread in threads:
+                thread.start()
+            found = []
+            while len(found) < 400:
+                found.extend(await box.drain())
+            return found
+
+        found = asyncio.run(run())
+        self.assertEqual([100] * 4, [found.count(n) for n in range(4)])
+
+    def test_full_inbox_refuses(self):
+        async def run():
+            box = inbox.Inbox(asyncio.get_running_loop(), 2)
+            return [box.offer(n) for n in range(3)]
+
+        self.assertEqual([True, True, False], asyncio.run(run()))
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -129,6 +129,8 @@
 def decode(data: bytes) -> tuple[daemons.Daemon, list[Message]]:
     """Return the sender and the messages that bytes hold.
 
+    Messages of a kind that is not known, as a later release may send, are left out.
+
     Raises
     ------
     errors.BadFrameError
@@ -138,8 +140,9 @@
         frame = _frames.decode(data)
         found = []
         for name, raw in frame.messages:
-            kinds.get(name)
-            found.append(_decoders[name].decode(raw))
+            decoder = _decoders.get(name)
+            if decoder is not None:
+                found.append(decoder.decode(raw))
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
         raise errors.BadFrameError(len(data), str(exc)) from exc
     return frame.sender, found
