Tell stragglers by their estimates; let waiting jobs yield to more urgent ones

Change: the run time of a task is a mixture of a usual and a straggling job, with an expected length, a length that four in five exceed and one that nineteen in twenty do not. Workers are chosen, and slots planned, by the last of them against the client's patience; a possible straggler waits for a fast worker. A job whose least length exceeds the patience on the fastest worker is refused at once (too_long, no time to return). Free slots that are not sure now compete with queues. Admission "yielding" (new default) leaves 120 ms to more urgent jobs where a job has to wait.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -149,7 +149,7 @@
     terms: events.Terms
     grace: datetime.timedelta
     policy_names: policies.PolicyNames = policies.PolicyNames()
-    admission: str = "objective"
+    admission: str = "yielding"
 
 
 class Request(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -436,7 +436,7 @@
         self._actions.note(
             "placed", job.job_id, run=actions.name(run), worker=worker.report.worker_id,
             waited_ms=round(clock.to_milliseconds(now - job.submission.arrived)),
-            takes_ms=round(clock.to_milliseconds(chosen.takes)),
+            takes_ms=round(clock.to_milliseconds(chosen.takes.expected)),
             due_ms=round(clock.to_milliseconds(job.schedule.due - now)),
             free_milli=worker.ledger.free().processor_milli,
         )  # fmt: skip
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -23,6 +23,10 @@
 ANSWER_MARGIN = clock.milliseconds(20)
 """Time for the broker's own answer at the deadline to arrive first."""
 
+OVERTAKING_MS = 120.0
+"""What a waiting job loses at a crest to more urgent ones that come after it; two
+rounds of short tasks."""
+
 LEAST_RETURN = clock.milliseconds(1000)
 """A refused client comes back after at least this: the least whole second."""
 
@@ -80,10 +84,21 @@
         What it needs, and until when.
     plan : planning.Plan
         Where its tasks would go.
+    least_ms : float
+        What it takes at least on the fastest worker, in milliseconds.
+    yields : bool
+        Whether jobs of a higher priority have come for the same workers.
     """
 
     need: planning.Need
     plan: planning.Plan
+    least_ms: float
+    yields: bool = False
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the client waits too short a time even for an idle site."""
+        return self.least_ms > self.need.patience_ms
 
 
 class Admission(typing.Protocol):
@@ -99,9 +114,24 @@
 @admissions.register("objective")
 def _keeps_objective(prospect: Prospect) -> bool:
     """Take what is expected to keep its response-time objective."""
+    if prospect.is_too_long:
+        return False
     return not prospect.plan.queued or prospect.plan.finish_ms <= prospect.need.due_ms
 
 
+@admissions.register("yielding")
+def _yields(prospect: Prospect) -> bool:
+    """Take what is expected to keep its objective although others go first.
+
+    More urgent jobs that come later are likely to overtake one that has to wait.
+    """
+    need, plan = prospect.need, prospect.plan
+    is_overtaken = prospect.yields and plan.queued
+    if is_overtaken and plan.finish_ms + OVERTAKING_MS > need.due_ms:
+        return False
+    return _keeps_objective(prospect)
+
+
 @admissions.register("deadline")
 def _keeps_deadline(prospect: Prospect) -> bool:
     """Take what is expected to be done while its client waits."""
@@ -162,7 +192,7 @@
     def __init__(
         self,
         me: daemons.Daemon,
-        admission: str = "objective",
+        admission: str = "yielding",
         random_state: int | None = None,
     ) -> None:
         self._me = me
@@ -173,6 +203,7 @@
         self._targets: dict[str, Target] = {}
         self._board = planning.Board(me.data_centre)
         self._lengths = lengths.Lengths()
+        self._first_priorities: dict[str, int] = {}
 
     def open_calls(self) -> int:
         """Return how many jobs have clients that wait."""
@@ -269,6 +300,9 @@
             "queued": prospect.plan.queued,
         }
         if not self._admits(prospect):
+            if prospect.is_too_long:
+                never = datetime.timedelta()
+                return self._refuse(call, jobs.Reason.TOO_LONG, never, **fields)
             after = self._return_after(submission.queue.service)
             return self._refuse(call, jobs.Reason.OVERLOADED, after, **fields)
         out: list[Action] = [
@@ -285,17 +319,24 @@
         queue, steps = submission.queue, submission.job.steps
         for step in steps:
             self._lengths.estimated(queue.name, step)
-        length = max(self._lengths.expected(queue.name, step) for step in steps)
-        due = length * queue.stretch + queue.objective
+        length = max(self._lengths.length(queue.name, step) for step in steps)
+        due = length.expected * queue.stretch + queue.objective
         need = planning.Need(
             sum(step.width for step in steps),
             max((step.room for step in steps), key=lambda x: x.processor_milli),
-            clock.to_milliseconds(length),
+            clock.to_milliseconds(length.expected),
+            clock.to_milliseconds(length.at_most),
             clock.to_milliseconds(due),
             clock.to_milliseconds(submission.deadline - submission.arrived),
         )
         plan = self._board.plan(queue.service, need, call.avoided)
-        return Prospect(need, plan) if plan is not None else None
+        if plan is None:
+            return None
+        least = clock.to_milliseconds(length.at_least)
+        least_ms = least / self._board.top_speed(queue.service)
+        first = self._first_priorities.get(queue.service, queue.priority)
+        self._first_priorities[queue.service] = min(first, queue.priority)
+        return Prospect(need, plan, least_ms, queue.priority > first)
 
     def _submit_whole(self, call: _Call) -> list[Action]:
         """Hand a job to the own data centre's broker where no load is known."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
@@ -9,6 +9,10 @@
 from carawaysail_types import clock, jobs, runs
 
 
+UNEVEN = 1.3
+"""Tasks of one step exceed their mean by this factor once in twenty."""
+
+
 class Phase(enum.Enum):
     """How far a task is."""
 
@@ -111,15 +115,20 @@
         length_ms = max(lengths.SHORTEST_MS, clock.to_milliseconds(length))
         self._observed_log_ms.append(math.log(length_ms))
 
-    def expected(self, known: lengths.Lengths, step: jobs.Step) -> datetime.timedelta:
-        """Return the expected length of a task on an average worker.
+    def length(self, known: lengths.Lengths, step: jobs.Step) -> lengths.Length:
+        """Return the run time of a task on an average worker.
 
         Tasks of one step are alike, so those that are done tell more than estimates.
         """
         seen = self._observed_log_ms
         if seen and len(self.submission.job.steps) == 1:
-            return clock.milliseconds(math.exp(sum(seen) / len(seen)))
-        return known.expected(self.submission.queue.name, step)
+            mean = clock.milliseconds(math.exp(sum(seen) / len(seen)))
+            return lengths.Length(mean, mean, mean * UNEVEN)
+        return known.length(self.submission.queue.name, step)
+
+    def expected(self, known: lengths.Lengths, step: jobs.Step) -> datetime.timedelta:
+        """Return the expected length of a task on an average worker."""
+        return self.length(known, step).expected
 
     def is_done(self) -> bool:
         """Tell whether every task is done."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -1,18 +1,22 @@
 """Learned run times: what a task takes, and how fast a worker is.
 
-Estimates of clients are rough, each by itself, but not on average. The expected length
-of a task on an average worker is the geometric mean of its own estimate and of those of
-its queue. How fast a worker is follows from its own runs: the labels of workers say
-nothing of it.
+Estimates of clients are rough, each by itself, but not on average. The run time of most
+tasks is best told by the geometric mean of their own estimate and of those of their
+queue. A few jobs are stragglers, many times as long as their queue's others; an estimate
+far above the queue's is more likely one of those than a rough one, and then counts nearly
+whole. How fast a worker is follows from its own runs: the labels of workers say nothing
+of it.
 """
 
 import datetime
 import math
+import statistics
+import typing
 
 from carawaysail_types import clock, jobs, runs
 
 QUEUE_RATE = 0.05
-"""Weight of a new estimate in a queue's average; about the last twenty count."""
+"""Least weight of a new estimate in a queue's average; about the last twenty count."""
 
 SPEED_RATE = 0.15
 """Least weight of a new run in a worker's speed; the last seven or so count."""
@@ -24,33 +28,155 @@
 MAX_LOG_RATIO = math.log(4.0)
 """One run moves an average by at most this, so that stragglers count little."""
 
+FIRST_VARIANCE = 0.32
+"""Variance of log estimates before any was seen: 0.4 of the lengths' spread, and as much
+of the estimates' error."""
+
+LEAST_VARIANCE = 0.02
+"""Below this, differences between estimates tell nothing; 15% either way."""
+
+ERROR_SHARE = 0.5
+"""Share of the variance of a queue's estimates that is error, not length."""
+
+STRAGGLER_SHARE = 0.05
+"""Share of stragglers among jobs, before their estimate is seen; a job in thirty is one
+on the modelled sites."""
+
+STRAGGLER_SPREAD = 1.6
+"""Spread of stragglers above their queue's mean, as a logarithm: five times."""
+
+HIGH_QUANTILE = 0.95
+"""Share of the tasks that take at most what is given as such."""
+
+LOW_QUANTILE = 0.35
+"""Share of the tasks that take less than what is given as the least."""
+
+
+class Length(typing.NamedTuple):
+    """Run time of a task on an average worker.
+
+    Parameters
+    ----------
+    expected : datetime.timedelta
+        What it is expected to take.
+    at_least : datetime.timedelta
+        What four such tasks in five take or exceed.
+    at_most : datetime.timedelta
+        What nineteen such tasks in twenty do not exceed.
+    """
+
+    expected: datetime.timedelta
+    at_least: datetime.timedelta
+    at_most: datetime.timedelta
+
+    def at_speed(self, speed: float) -> "Length":
+        """Return the run time on a worker of some speed."""
+        return self.times(1.0 / speed)
+
+    def after(self, wait: datetime.timedelta) -> "Length":
+        """Return the time until a task is done that begins later."""
+        return Length(self.expected + wait, self.at_least + wait, self.at_most + wait)
+
+    def times(self, factor: float) -> "Length":
+        """Return the run time where everything takes some times as long."""
+        return Length(
+            self.expected * factor, self.at_least * factor, self.at_most * factor
+        )
+
+
+class _Estimates(typing.NamedTuple):
+    """Logarithms of a queue's usual estimates.
+
+    Parameters
+    ----------
+    mean, variance : float
+        Of those seen, the newest counting most.
+    count : float
+        How many were seen, each as far as it is a usual one.
+    """
+
+    mean: float
+    variance: float = FIRST_VARIANCE
+    count: float = 1.0
+
+    def straggling(self, value: float) -> float:
+        """Return how likely an estimate is that of a straggler."""
+        excess = value - self.mean
+        if excess <= 0.0:
+            return 0.0
+        usual = _density(excess, self.variance) * (1.0 - STRAGGLER_SHARE)
+        # Twice: stragglers lie on one side of the mean only.
+        spread = self.variance + STRAGGLER_SPREAD**2
+        straggler = 2.0 * _density(excess, spread) * STRAGGLER_SHARE
+        return straggler / (usual + straggler)
+
+    def length(self, value: float) -> Length:
+        """Return the run time of a task with an estimate."""
+        excess = value - self.mean
+        error = self.variance * ERROR_SHARE
+        chance = self.straggling(value)
+        usual = statistics.NormalDist(
+            self.mean + (1.0 - ERROR_SHARE) * excess,
+            math.sqrt(error * (1.0 - ERROR_SHARE)),
+        )
+        trust = STRAGGLER_SPREAD**2 / (STRAGGLER_SPREAD**2 + error)
+        straggler = statistics.NormalDist(
+            self.mean + trust * excess, math.sqrt(error * trust)
+        )
+        expected = (1.0 - chance) * usual.mean + chance * straggler.mean
+        if chance < 1.0 - LOW_QUANTILE:
+            least = usual.inv_cdf(LOW_QUANTILE / (1.0 - chance))
+        else:
+            least = straggler.inv_cdf(1.0 - (1.0 - LOW_QUANTILE) / chance)
+        most = usual.inv_cdf(HIGH_QUANTILE)
+        if chance > 1.0 - HIGH_QUANTILE:
+            rare = (1.0 - HIGH_QUANTILE) / chance
+            most = max(most, straggler.inv_cdf(1.0 - rare))
+        return Length(_from_log(expected), _from_log(least), _from_log(most))
+
+    def learned(self, value: float) -> "_Estimates":
+        """Return this with one more estimate."""
+        weight = 1.0 - self.straggling(value)
+        count = self.count + weight
+        rate = weight * max(QUEUE_RATE, 1.0 / count)
+        excess = value - self.mean
+        variance = self.variance + QUEUE_RATE * weight * (excess**2 - self.variance)
+        return _Estimates(
+            self.mean + rate * excess, max(LEAST_VARIANCE, variance), count
+        )
+
 
 class Lengths:
-    """Averages of run times by queue, and of speeds by worker and by label."""
+    """Averages of run times by queue, and of speeds by worker."""
 
     def __init__(self) -> None:
-        self._queue_log_ms: dict[str, float] = {}
+        self._estimates: dict[str, _Estimates] = {}
         self._speeds: dict[str, tuple[float, int]] = {}
 
-    def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
-        """Return the expected length of a step's tasks on an average worker."""
-        learned = self._queue_log_ms.get(queue)
+    def length(self, queue: str, step: jobs.Step) -> Length:
+        """Return the run time of a step's tasks on an average worker."""
+        learned = self._estimates.get(queue)
         estimate_ms = clock.to_milliseconds(step.estimate)
-        if estimate_ms < SHORTEST_MS:
-            if learned is None:
-                return DEFAULT_LENGTH
-            return clock.milliseconds(math.exp(learned))
+        if estimate_ms >= SHORTEST_MS:
+            value = math.log(estimate_ms)
+            return (learned or _Estimates(value)).length(value)
         if learned is None:
-            return step.estimate
-        return clock.milliseconds(math.exp((learned + math.log(estimate_ms)) / 2))
+            return _Estimates(_to_log(DEFAULT_LENGTH)).length(_to_log(DEFAULT_LENGTH))
+        return learned.length(learned.mean)
+
+    def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
+        """Return the expected length of a step's tasks on an average worker."""
+        return self.length(queue, step).expected
 
     def estimated(self, queue: str, step: jobs.Step) -> None:
         """Learn from a client's estimate."""
         estimate_ms = clock.to_milliseconds(step.estimate)
         if estimate_ms >= SHORTEST_MS:
             value = math.log(estimate_ms)
-            known = self._queue_log_ms.get(queue, value)
-            self._queue_log_ms[queue] = known + QUEUE_RATE * (value - known)
+            known = self._estimates.get(queue)
+            self._estimates[queue] = (
+                known.learned(value) if known is not None else _Estimates(value)
+            )
 
     def speed(self, report: runs.WorkerReport) -> float:
         """Return the speed of a worker; 1 is that of an average worker."""
@@ -80,3 +206,15 @@
 
 def _bounded(value: float) -> float:
     return max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, value))
+
+
+def _density(excess: float, variance: float) -> float:
+    return math.exp(-(excess**2) / (2.0 * variance)) / math.sqrt(variance)
+
+
+def _to_log(length: datetime.timedelta) -> float:
+    return math.log(max(SHORTEST_MS, clock.to_milliseconds(length)))
+
+
+def _from_log(value: float) -> datetime.timedelta:
+    return clock.milliseconds(math.exp(value))
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -86,9 +86,10 @@
         worker: held.HeldWorker,
     ) -> policies.Candidate:
         step, report = state.step, worker.report
-        takes = self._lengths.on(job.expected(self._lengths, step), report)
+        length = job.length(self._lengths, step)
+        takes = length.at_speed(self._lengths.speed(report))
         if step.preferred_rack and step.preferred_rack not in report.labels:
-            takes *= self.terms.cross_rack_factor
+            takes = takes.times(self.terms.cross_rack_factor)
         free = worker.ledger.free().processor_milli
         return policies.Candidate(worker, takes, free - step.room.processor_milli)
 
@@ -118,8 +119,8 @@
         now : datetime.datetime
             Present instant.
         """
-        expected = job.expected(self._lengths, state.step)
-        ends = self._ends(expected, state.step, usable, now)
+        length = job.length(self._lengths, state.step)
+        ends = self._ends(length, state.step, usable, now)
         view = policies.View(
             job,
             ends[taken] if taken < len(ends) else None,
@@ -130,21 +131,22 @@
 
     def _ends(
         self,
-        expected: datetime.timedelta,
+        length: lengths.Length,
         step: jobs.Step,
         usable: list[held.HeldWorker],
         now: datetime.datetime,
-    ) -> list[datetime.timedelta]:
+    ) -> list[lengths.Length]:
         """Return when a task would be done on workers that are full now."""
         ends = []
         for worker in usable:
             if worker.ledger.free().holds(step.room):
                 continue
-            own = self._lengths.on(expected, worker.report)
+            own = length.at_speed(self._lengths.speed(worker.report))
             for run in worker.ledger.entries():
                 owner = self._owner_of(run.task)
                 if owner is not None:
-                    ends.append(self._time_left(owner, run.task, worker, now) + own)
+                    left = self._time_left(owner, run.task, worker, now)
+                    ends.append(own.after(left))
         return sorted(ends)
 
     def _time_left(
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -28,6 +28,8 @@
         What each takes.
     length_ms : float
         Expected run time on an average worker, in milliseconds.
+    at_most_ms : float
+        What nineteen tasks in twenty do not exceed, in milliseconds.
     due_ms : float
         Until when an answer keeps the objective, in milliseconds from now.
     patience_ms : float
@@ -37,6 +39,7 @@
     width: int
     room: jobs.Room
     length_ms: float
+    at_most_ms: float
     due_ms: float
     patience_ms: float
 
@@ -62,19 +65,29 @@
 class _Option(typing.NamedTuple):
     start_ms: float
     takes_ms: float
+    most_ms: float
     distance_ms: float
     place: str
-    slot: int
+    slot: int | None
 
     @property
     def end_ms(self) -> float:
         return self.start_ms + self.takes_ms + self.distance_ms
 
+    @property
+    def latest_end_ms(self) -> float:
+        return self.start_ms + self.most_ms + self.distance_ms
+
 
 def _quickest(option: _Option) -> tuple[float, str]:
     return option.end_ms, option.place
 
 
+def _surest(option: _Option, patience_ms: float) -> tuple[float, float, str]:
+    excess_ms = max(0.0, option.latest_end_ms - patience_ms)
+    return excess_ms, option.end_ms, option.place
+
+
 def _slowest(option: _Option) -> tuple[float, float, str]:
     return -option.takes_ms, option.distance_ms, option.place
 
@@ -129,19 +142,34 @@
             return None
         free = self._free(places, need)
         safe = [x for x in free if _is_safe(x, need)]
+        unsafe = [x for x in free if not _is_safe(x, need)]
         busy = sum(len(load.frees) for load in places.values())
         is_crowded = busy > CROWDED * (busy + len(free))
         taken = sorted(safe, key=_slowest if is_crowded else _quickest)[: need.width]
-        queued = self._queued(places, need, need.width - len(taken))
-        chosen = [*taken, *queued]
+        missing = need.width - len(taken)
+        others = [*unsafe, *self._queued(places, need, missing)]
+        others.sort(key=lambda x: _surest(x, need.patience_ms))
+        chosen = [*taken, *others[:missing]]
         shares: dict[str, int] = {}
         for option in chosen:
             shares[option.place] = shares.get(option.place, 0) + 1
-        for option in taken:
-            self._use(option, service, need)
-        for option in queued:
-            self._enqueue(option.place, service, need)
-        return Plan(shares, max(x.end_ms for x in chosen), len(queued))
+        for option in chosen:
+            if option.slot is None:
+                self._enqueue(option.place, service, need)
+            else:
+                self._use(option, option.slot, service, need)
+        return Plan(shares, max(x.end_ms for x in chosen), missing)
+
+    def top_speed(self, service: str) -> float:
+        """Return the speed of the fastest worker; 1 is that of an average worker."""
+        return max(
+            (
+                max(load.speeds)
+                for (_, name), load in self._loads.items()
+                if name == service and load.speeds
+            ),
+            default=1.0,
+        )
 
     def backlog_ms(self, service: str) -> float:
         """Return how long the shortest queue is expected to last."""
@@ -159,8 +187,7 @@
         for place, load in places.items():
             distance_ms = self._distance_ms(place)
             for number, slot in enumerate(load.slots):
-                takes_ms = need.length_ms / slot.speed
-                option = _Option(0.0, takes_ms, distance_ms, place, number)
+                option = _option(need, 0.0, slot.speed, distance_ms, place, number)
                 found.extend([option] * (slot.free_milli // milli))
         return found
 
@@ -177,18 +204,19 @@
                 rounds, position = divmod(load.waiting + number, len(frees))
                 free = frees[position]
                 start_ms = free.after_ms + rounds * max(mean_ms, need.length_ms)
-                takes_ms = need.length_ms / free.speed
-                options.append(_Option(start_ms, takes_ms, distance_ms, place, -1))
-        return sorted(options, key=_quickest)[:count]
+                options.append(
+                    _option(need, start_ms, free.speed, distance_ms, place, None)
+                )
+        return options
 
     def _distance_ms(self, place: str) -> float:
         return 0.0 if place == self._home else AWAY_MS
 
-    def _use(self, option: _Option, service: str, need: Need) -> None:
+    def _use(self, option: _Option, number: int, service: str, need: Need) -> None:
         load = self._loads[option.place, service]
         slots = list(load.slots)
-        slot = slots[option.slot]
-        slots[option.slot] = slot._replace(
+        slot = slots[number]
+        slots[number] = slot._replace(
             free_milli=slot.free_milli - need.room.processor_milli
         )
         frees = sorted((*load.frees, loads.Free(option.takes_ms, slot.speed)))
@@ -204,24 +232,36 @@
 
 
 def _is_safe(option: _Option, need: Need) -> bool:
-    return is_safe(option.end_ms, need.due_ms, need.patience_ms)
+    return is_safe(option.end_ms, option.latest_end_ms, need.due_ms, need.patience_ms)
+
+
+def _option(
+    need: Need,
+    start_ms: float,
+    speed: float,
+    distance_ms: float,
+    place: str,
+    slot: int | None,
+) -> _Option:
+    takes_ms, most_ms = need.length_ms / speed, need.at_most_ms / speed
+    return _Option(start_ms, takes_ms, most_ms, distance_ms, place, slot)
 
 
 DUE_MARGIN = 1.05
 """Run times within a job differ little, and the objective follows their true length."""
 
-PATIENCE_MARGIN = 1.6
-"""Estimates of a job's length are off by a factor of about this, one in six of them."""
-
 
-def is_safe(takes_ms: float, due_ms: float, patience_ms: float) -> bool:
+def is_safe(
+    takes_ms: float, at_most_ms: float, due_ms: float, patience_ms: float
+) -> bool:
     """Tell whether a run is expected to be in time, however rough its estimate.
 
     Parameters
     ----------
-    takes_ms : float
-        Expected time until it is done, in milliseconds.
+    takes_ms, at_most_ms : float
+        Time until it is done, as expected and in the worst case that counts, in
+        milliseconds.
     due_ms, patience_ms : float
         Until when the answer keeps the objective, and until when the client waits.
     """
-    return takes_ms * DUE_MARGIN <= due_ms and takes_ms * PATIENCE_MARGIN <= patience_ms
+    return takes_ms * DUE_MARGIN <= due_ms and at_most_ms <= patience_ms
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -14,14 +14,14 @@
     ----------
     worker : held.HeldWorker
         The worker.
-    takes : datetime.timedelta
-        Expected run time of the task there.
+    takes : lengths.Length
+        Run time of the task there.
     spare_milli : int
         Thousandths of a core that stay free.
     """
 
     worker: held.HeldWorker
-    takes: datetime.timedelta
+    takes: lengths.Length
     spare_milli: int
 
 
@@ -39,9 +39,9 @@
     ----------
     job : jobstate.JobState
         The task's job.
-    next_end : datetime.timedelta or None
-        Expected time until the task is done if it waits for the best worker that
-        has no room now.
+    next_end : lengths.Length or None
+        Time until the task is done if it waits for the best worker that has no room
+        now.
     utilisation : float
         Share of the processors in use.
     now : datetime.datetime
@@ -49,7 +49,7 @@
     """
 
     job: jobstate.JobState
-    next_end: datetime.timedelta | None
+    next_end: lengths.Length | None
     utilisation: float
     now: datetime.datetime
 
@@ -115,14 +115,16 @@
 
 
 def _fastest(candidates: list[Candidate]) -> Candidate:
-    return min(candidates, key=lambda found: (found.takes, found.spare_milli))
+    return min(candidates, key=lambda found: (found.takes.expected, found.spare_milli))
 
 
 class _FitToDue:
     """The fastest worker while there is room; the slowest that is in time when not.
 
     Fast workers are then left for long tasks. A task that a worker with room would
-    make late waits for one that is expected to be done with it earlier.
+    make late waits for one that is expected to be done with it earlier; one that may
+    outlast its client's patience waits for one that is done earlier even if the task
+    is long.
     """
 
     def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
@@ -132,17 +134,33 @@
         safe = [
             x
             for x in candidates
-            if planning.is_safe(clock.to_milliseconds(x.takes), due_ms, left_ms)
+            if planning.is_safe(
+                clock.to_milliseconds(x.takes.expected),
+                clock.to_milliseconds(x.takes.at_most),
+                due_ms,
+                left_ms,
+            )
         ]
         if safe and view.utilisation < planning.CROWDED:
             return _fastest(safe)
         if safe:
-            return max(safe, key=lambda found: (found.takes, -found.spare_milli))
-        if view.next_end is not None and view.next_end < fastest.takes:
+            return max(
+                safe, key=lambda found: (found.takes.expected, -found.spare_milli)
+            )
+        if view.next_end is not None and _is_sooner(
+            view.next_end, fastest.takes, left_ms
+        ):
             return None
         return fastest
 
 
+def _is_sooner(one: lengths.Length, other: lengths.Length, left_ms: float) -> bool:
+    """Tell which end is sooner: the latest one where patience may not suffice."""
+    if clock.to_milliseconds(other.at_most) > left_ms:
+        return one.at_most < other.at_most
+    return one.expected < other.expected
+
+
 class _MostRoom:
     """The worker with the most room left."""
 
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -211,6 +211,7 @@
     NONE = "none"
     OVERLOADED = "overloaded"
     TOO_LATE = "too_late"
+    TOO_LONG = "too_long"
     NEVER_FITS = "never_fits"
     UNSUPPORTED = "unsupported"
     NO_WORKERS = "no_workers"
