Back off longer from a store that refuses; resume watches without a read

Change: pauses double from 0.25 to 1.0 s on average, within 40% either way, and begin anew after a success. A failed watch goes on from its last revision; only a forgotten history is read anew. The longest pause stays below the two seconds in which a configuration has to be in force.

Ruled out: pauses beyond 1 s, which would let a configuration miss its two seconds after an outage.

--- /dev/null
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/backoff.py
@@ -0,0 +1,37 @@
+"""Pauses between failed calls."""
+
+import random
+
+FIRST_S = 0.25
+"""Mean pause after the first failure, in seconds."""
+
+LONGEST_S = 1.0
+"""Mean pause after many failures, in seconds: a configuration has to be in force two
+seconds after it was written, also where the store has just come back."""
+
+SPREAD = 0.4
+"""Pauses are drawn from this share around their mean, so that daemons spread."""
+
+
+class Backoff:
+    """Pauses that double from one failure to the next.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of chance.
+    """
+
+    def __init__(self, random_state: random.Random) -> None:
+        self._random = random_state
+        self._mean_s = FIRST_S
+
+    def failed(self) -> float:
+        """Return the pause after a failure, in seconds."""
+        mean_s = self._mean_s
+        self._mean_s = min(LONGEST_S, 2.0 * mean_s)
+        return mean_s * self._random.uniform(1.0 - SPREAD, 1.0 + SPREAD)
+
+    def succeeded(self) -> None:
+        """Begin anew."""
+        self._mean_s = FIRST_S
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/desk.py
@@ -304,7 +304,7 @@
 
     def _tell_peers(self, now: datetime.datetime) -> None:
         """Send heartbeats: regularly, and soon after a change of load."""
-        if now >= self._next_load and self.broker.tokens():
+        if now >= min(self._next_load, self._next_heartbeat):
             self._next_load = now + LOAD_EVERY
             by_place = self.broker.loads_by_place(now)
             for place, measured in by_place:
@@ -317,14 +317,13 @@
             self._beat(now)
 
     def _beat(self, now: datetime.datetime) -> None:
-        by_place = self.broker.loads_by_place(now)
         version = self.configuration.version if self.configuration else 0
         for vm, feed in self._feeds.items():
             at = self._heard.get(vm)
             age_ms = -1.0 if at is None else clock.to_milliseconds(now - at)
             feed.send(
                 stream_messages.Heartbeat(
-                    self.is_leaving, self.tenures.tenures(), by_place, age_ms, version
+                    self.is_leaving, self.tenures.tenures(), self._told, age_ms, version
                 )
             )
         self.links.meters.sizes(
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/storetasks.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from carawaysail_fleet import messages, ports
+from carawaysail_fleet import backoff, messages, ports
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, daemons
@@ -28,9 +28,6 @@
 NO_CONFIGURATION_S = 0.2
 """Pause until the configuration is looked for again, in seconds."""
 
-RETRY_S = (0.15, 0.35)
-"""Pause after a failed call: drawn between these, so that daemons spread."""
-
 PREFIX = "carawaysail/"
 DAEMONS = PREFIX + "daemon/"
 TENURES = PREFIX + "holder/"
@@ -48,7 +45,7 @@
     ) -> None:
         self._store = store
         self._out = out
-        self._random = random.Random(seed)
+        self._backoff = backoff.Backoff(random.Random(seed))
         self._ending = threading.Event()
         self._has_store = True
         self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
@@ -71,7 +68,7 @@
                 pause_s = 0.0
             except type_errors.CarawaysailError as exc:
                 self._lost(exc)
-                pause_s = self._random.uniform(*RETRY_S)
+                pause_s = self._backoff.failed()
             else:
                 self._regained()
             self._ending.wait(pause_s)
@@ -86,12 +83,37 @@
             logs.fault("store", "Store lost.", exc, task=self.name)
 
     def _regained(self) -> None:
+        self._backoff.succeeded()
         if not self._has_store:
             self._has_store = True
             logs.tell("store", "Store regained.", task=self.name)
 
 
-class ConfigurationTask(_Task):
+class _Watcher(_Task):
+    """A task that reads once and then watches what changes."""
+
+    def __init__(
+        self, store: ports.Store, out: "inbox.Inbox[messages.Message]", seed: int
+    ) -> None:
+        super().__init__(store, out, seed)
+        self._after = 0
+
+    def _watch(self, prefix: str) -> ports.Seen:
+        """Wait for changes; where a call fails, the next one goes on from there.
+
+        A watch that the store has forgotten the history of begins with a read.
+        """
+        after = self._after
+        try:
+            seen = self._store.wait(prefix, after, WATCH_WAIT)
+        except errors.HistoryLostError:
+            self._after = 0
+            raise
+        self._after = max(after, seen.revision)
+        return seen
+
+
+class ConfigurationTask(_Watcher):
     """Watches the operators' configuration, and reads it fresh where that fails."""
 
     name = "configuration"
@@ -105,7 +127,6 @@
     ) -> None:
         super().__init__(store, out, seed)
         self._directory = directory
-        self._after = 0
 
     def _step(self) -> float:
         key = self._directory.configuration_key
@@ -115,12 +136,10 @@
                 return NO_CONFIGURATION_S
             self._take(item)
             self._after = item.revision
-        after, self._after = self._after, 0
-        seen = self._store.wait(key, after, WATCH_WAIT)
+        seen = self._watch(key)
         for item in seen.changed:
             if item.key == key:
                 self._take(item)
-        self._after = max(after, seen.revision)
         return 0.0
 
     def _take(self, item: ports.Item) -> None:
@@ -170,7 +189,7 @@
                 logs.fault("store", "Lease not ended.", exc)
 
 
-class MembersTask(_Task):
+class MembersTask(_Watcher):
     """Follows the entries of all daemons and tenures by a watch."""
 
     name = "members"
@@ -180,7 +199,6 @@
     ) -> None:
         super().__init__(store, out, seed)
         self._items: dict[str, ports.Item] = {}
-        self._after = 0
 
     def _step(self) -> float:
         if not self._after:
@@ -188,15 +206,13 @@
             self._items = {item.key: item for item in snapshot.items}
             self._after = snapshot.revision
             self._tell()
-        after, self._after = self._after, 0
-        seen = self._store.wait(PREFIX, after, WATCH_WAIT)
+        seen = self._watch(PREFIX)
         for key in seen.removed:
             self._items.pop(key, None)
         for item in seen.changed:
             self._items[item.key] = item
         if seen.changed or seen.removed:
             self._tell()
-        self._after = max(after, seen.revision)
         return 0.0
 
     def _tell(self) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/held.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held.py
@@ -39,7 +39,7 @@
     def __init__(
         self, report: runs.WorkerReport, token: int, now: datetime.datetime
     ) -> None:
-        self.ledger = ledger.Ledger(report, token, now)
+        self.ledger = ledger.Ledger(report, token)
         self.standing = standing.Standing()
         self.is_draining = report.is_draining
         self.missing_since: datetime.datetime | None = None
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -67,16 +67,11 @@
         The worker; its life never changes in one ledger.
     token : int
         Fencing token of all orders.
-    now : datetime.datetime
-        Present instant.
     """
 
-    def __init__(
-        self, report: runs.WorkerReport, token: int, now: datetime.datetime
-    ) -> None:
+    def __init__(self, report: runs.WorkerReport, token: int) -> None:
         self.report = report
         self.token = token
-        self.began = now
         self.is_listed = False
         self.acknowledged = 0
         self._entries: dict[runs.Run, Entry] = {}
--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -1,11 +1,11 @@
 """Learned run times: what a task takes, and how fast a worker is.
 
-Estimates of clients are rough, each by itself, but not on average. The run time of most
-tasks is best told by the geometric mean of their own estimate and of those of their
-queue. A few jobs are stragglers, many times as long as their queue's others; an estimate
-far above the queue's is more likely one of those than a rough one, and then counts nearly
-whole. How fast a worker is follows from its own runs: the labels of workers say nothing
-of it.
+Estimates of clients are rough, each by itself, but not on average. The run time of
+most tasks is best told by the geometric mean of their own estimate and of those of
+their queue. A few jobs are stragglers, many times as long as their queue's others. An
+estimate far above the queue's is more likely one of those than a rough one, and then
+counts nearly whole. How fast a worker is follows from its own runs: the labels of
+workers say nothing of it.
 """
 
 import datetime
@@ -29,8 +29,8 @@
 """One run moves an average by at most this, so that stragglers count little."""
 
 FIRST_VARIANCE = 0.32
-"""Variance of log estimates before any was seen: 0.4 of the lengths' spread, and as much
-of the estimates' error."""
+"""Variance of log estimates before any was seen: a spread of 0.4 of the lengths, and
+as much again of the estimates' error."""
 
 LEAST_VARIANCE = 0.02
 """Below this, differences between estimates tell nothing; 15% either way."""
