Move runs that stand still; measure the model against a pooled queue

Change: a listing's progress is decoded, and a worker none of whose runs has come further for 200 ms, or for a tenth of the run's length, rests; its runs are stopped and, once their ends are listed, started elsewhere. After its rest it gets one task at a time. Workers that never tell progress are trusted as before. The model's workers tell progress, and "workers_stall" is one of its faults; the broker's tests cover a run that moves, long runs, and workers that tell nothing.

Ruled out: ending a job early whose progress says that it cannot be in time: a client's answer that comes by itself is not taken from it.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -40,6 +40,7 @@
         self._terms = terms
         self._order = policies.orders.get(names.order)
         self.lengths = lengths.Lengths()
+        self._is_progress_told = False
         self._actions = actions.Actions()
         self._roster = roster.Roster()
         self._book = book.Book(self._actions, self._roster, self.lengths)
@@ -168,10 +169,37 @@
                 "worker_listed", worker_id, token=worker.ledger.token,
                 running=len(listing.running),
             )  # fmt: skip
+        self._move_stalled(worker, now)
         self._place(now)
         self._actions.add(worker.next_hold(self._terms, now))
         return self._actions.take()
 
+    def _move_stalled(self, worker: held.HeldWorker, now: datetime.datetime) -> None:
+        """Stop the runs of a worker that all stand still; others start them again."""
+        worker_id = worker.report.worker_id
+        self._is_progress_told = self._is_progress_told or worker.progress.is_told
+        running = worker.ledger.running()
+        if not self._is_progress_told or any(
+            worker.progress.is_moving(run, now) for run in running
+        ):
+            return
+        for run in running:
+            job = self._book.owner_of(run.task)
+            if job is None:
+                continue
+            state = job.tasks[run.task]
+            length = job.length(self.lengths, state.step)
+            at_most = length.at_speed(self.lengths.speed(worker.report)).at_most
+            if not worker.progress.is_stalled(run, at_most, now):
+                continue
+            self._actions.note(
+                "run_stalled", run.task.job_id, run=actions.name(run), worker=worker_id
+            )
+            state.avoid.add(worker_id)
+            self._book.stop(worker, run, now)
+            if worker.standing.rest(now):
+                self._actions.note("worker_rests", worker_id, cause="runs stand still")
+
     def hold_failed(
         self,
         worker_id: str,
--- a/libs/carawaysail_holding/src/carawaysail_holding/held.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from carawaysail_holding import events, ledger, standing
+from carawaysail_holding import events, ledger, progress, standing
 from carawaysail_types import clock, runs
 
 BUSY_WAIT = clock.milliseconds(250)
@@ -41,6 +41,7 @@
     ) -> None:
         self.ledger = ledger.Ledger(report, token)
         self.standing = standing.Standing()
+        self.progress = progress.Progress()
         self.is_draining = report.is_draining
         self.missing_since: datetime.datetime | None = None
         self._clock_read: tuple[datetime.timedelta, datetime.datetime] | None = None
@@ -71,6 +72,7 @@
     ) -> ledger.Findings:
         """Take note of a listing."""
         self.standing.is_silent = False
+        self.progress.take(listing, now)
         self._clock_read = (listing.clock, now)
         return self.ledger.take(listing, asked)
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
@@ -8,7 +8,6 @@
 from carawaysail_holding import events, lengths
 from carawaysail_types import clock, jobs, runs
 
-
 UNEVEN = 1.3
 """Tasks of one step exceed their mean by this factor once in twenty."""
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -219,6 +219,12 @@
             self._remove(run)
         return lapsed
 
+    def running(self) -> tuple[runs.Run, ...]:
+        """Return runs that have begun and are not told to stop."""
+        return tuple(
+            run for run, entry in self._entries.items() if entry.state is State.RUNNING
+        )
+
     def uncertain(self) -> tuple[runs.Run, ...]:
         """Return runs whose last order was not answered."""
         return tuple(
--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -91,13 +91,13 @@
     ----------
     mean, variance : float
         Of those seen, the newest counting most.
-    count : float
+    seen : float
         How many were seen, each as far as it is a usual one.
     """
 
     mean: float
     variance: float = FIRST_VARIANCE
-    count: float = 1.0
+    seen: float = 1.0
 
     def straggling(self, value: float) -> float:
         """Return how likely an estimate is that of a straggler."""
@@ -125,24 +125,24 @@
         )
         expected = (1.0 - chance) * usual.mean + chance * straggler.mean
         if chance < 1.0 - LOW_QUANTILE:
-            least = usual.inv_cdf(LOW_QUANTILE / (1.0 - chance))
+            least = _quantile(usual, LOW_QUANTILE / (1.0 - chance))
         else:
-            least = straggler.inv_cdf(1.0 - (1.0 - LOW_QUANTILE) / chance)
-        most = usual.inv_cdf(HIGH_QUANTILE)
+            least = _quantile(straggler, 1.0 - (1.0 - LOW_QUANTILE) / chance)
+        most = _quantile(usual, HIGH_QUANTILE)
         if chance > 1.0 - HIGH_QUANTILE:
             rare = (1.0 - HIGH_QUANTILE) / chance
-            most = max(most, straggler.inv_cdf(1.0 - rare))
+            most = max(most, _quantile(straggler, 1.0 - rare))
         return Length(_from_log(expected), _from_log(least), _from_log(most))
 
     def learned(self, value: float) -> "_Estimates":
         """Return this with one more estimate."""
         weight = 1.0 - self.straggling(value)
-        count = self.count + weight
-        rate = weight * max(QUEUE_RATE, 1.0 / count)
+        seen = self.seen + weight
+        rate = weight * max(QUEUE_RATE, 1.0 / seen)
         excess = value - self.mean
         variance = self.variance + QUEUE_RATE * weight * (excess**2 - self.variance)
         return _Estimates(
-            self.mean + rate * excess, max(LEAST_VARIANCE, variance), count
+            self.mean + rate * excess, max(LEAST_VARIANCE, variance), seen
         )
 
 
@@ -208,6 +208,11 @@
     return max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, value))
 
 
+def _quantile(found: statistics.NormalDist, share: float) -> float:
+    # Quotients of shares may round to 0 or 1, which have no finite quantile.
+    return found.inv_cdf(min(0.999, max(0.001, share)))
+
+
 def _density(excess: float, variance: float) -> float:
     return math.exp(-(excess**2) / (2.0 * variance)) / math.sqrt(variance)
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -1,6 +1,7 @@
 """Policies that settings choose: which job goes first, and which worker it gets."""
 
 import datetime
+import random
 import typing
 
 from carawaysail_holding import events, held, jobstate, lengths, planning
@@ -168,9 +169,32 @@
         return max(candidates, key=lambda found: found.spare_milli)
 
 
+class _Random:
+    """Any worker with room; a rival to measure others against."""
+
+    def __init__(self) -> None:
+        self._random = random.Random(0)
+
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
+        return self._random.choice(candidates)
+
+
+class _TwoChoices:
+    """The one with more room of two drawn at random; another rival."""
+
+    def __init__(self) -> None:
+        self._random = random.Random(0)
+
+    def choose(self, candidates: list[Candidate], view: View) -> Candidate | None:
+        drawn = [self._random.choice(candidates) for _ in range(2)]
+        return max(drawn, key=lambda found: found.spare_milli)
+
+
 choices.register("fastest")(_Fastest())
 choices.register("fit_to_due")(_FitToDue())
 choices.register("most_room")(_MostRoom())
+choices.register("random")(_Random())
+choices.register("two_choices")(_TwoChoices())
 
 
 def schedule(
--- a/libs/carawaysail_holding/src/carawaysail_holding/standing.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/standing.py
@@ -35,6 +35,10 @@
         self._failed_jobs.add(job_id)
         if len(self._failed_jobs) < FAILURES_TO_SUSPECT and not self._on_trial:
             return False
+        return self.rest(now)
+
+    def rest(self, now: datetime.datetime) -> bool:
+        """Let the worker rest; tell whether it begins to rest now."""
         if self._rests_until is not None and now < self._rests_until:
             return False
         self._rests_until = now + self._rest
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -20,9 +20,9 @@
     return runs.WorkerReport(name, life, "desk", f"{name}:1", place, room, **fields)
 
 
-def make_submission(number=1, width=1, now=None, queue=None, **fields):
+def make_submission(number=1, width=1, now=None, queue=None, length_ms=100, **fields):
     """Return a job of one step, ready to be submitted."""
-    step = jobs.Step(width, jobs.Room(14_000, 64, 0), MS(100))
+    step = jobs.Step(width, jobs.Room(14_000, 64, 0), MS(length_ms))
     job = jobs.Job(f"{number:016x}", "spec", (step,))
     queue = queue or jobs.Queue("q", "", "", "desk", 0, 2, 1.6, MS(60), MS(1500))
     fields = {"place": HERE, "arrived": now, "deadline": now + MS(1500), **fields}
@@ -49,11 +49,12 @@
         for report in reports:
             self.list(report)
 
-    def list(self, report, running=(), ends=(), life=None):
+    def list(self, report, running=(), ends=(), life=None, progress=()):
         """Give the broker a worker's listing."""
         listing = runs.Listing(
-            life or report.incarnation, MS(10_000), tuple(running), tuple(ends)
-        )
+            life or report.incarnation, MS(10_000), tuple(running), tuple(ends),
+            tuple(progress),
+        )  # fmt: skip
         asked = self.now
         self.clock.advance(MS(1))
         return self.broker.listed(report.worker_id, listing, asked, self.now)
@@ -86,6 +87,69 @@
         self.assertEqual(expected, found)
 
 
+class TestStalledRuns(BrokerCase):
+    """Workers whose runs stand still while they answer."""
+
+    def setUp(self):
+        super().setUp()
+        self.good, self.bad = make_report(1), make_report(0)
+        self.hold(self.bad)
+        self.started = self.starts(self.submit(self.make(width=2)))
+        for start in self.started:
+            self.answer(start)
+        self.running = [x.run for x in self.started]
+
+    def pass_ms(self, wait_ms, *shares):
+        self.clock.advance(MS(wait_ms))
+        return self.list(self.bad, running=self.running, progress=shares)
+
+    def test_runs_that_stand_still_are_stopped_and_started_elsewhere(self):
+        self.pass_ms(20, 0.2, 0.2)
+        self.assertEqual(2, len(self.stops(self.pass_ms(250, 0.2, 0.2))))
+        self.broker.update([self.bad, self.good], self.now)
+        self.list(self.good)
+        ends = [
+            runs.RunEnd(number + 1, run, runs.Ending.STOPPED)
+            for number, run in enumerate(self.running)
+        ]
+        again = self.starts(self.list(self.bad, ends=ends))
+        self.assertEqual({self.good.worker_id}, {x.worker.worker_id for x in again})
+        self.assertEqual([2, 2], [x.run.number for x in again])
+
+    def test_worker_gets_nothing_new_while_its_runs_stand_still(self):
+        self.pass_ms(20, 0.2, 0.2)
+        self.pass_ms(250, 0.2, 0.2)
+        ends = [
+            runs.RunEnd(number + 1, run, runs.Ending.STOPPED)
+            for number, run in enumerate(self.running)
+        ]
+        self.assertEqual([], self.starts(self.list(self.bad, ends=ends)))
+
+    def test_worker_with_one_run_that_moves_is_trusted(self):
+        self.pass_ms(20, 0.2, 0.2)
+        self.assertEqual([], self.stops(self.pass_ms(250, 0.2, 0.9)))
+
+    def test_long_run_may_take_its_time_from_one_percent_to_the_next(self):
+        self.hold(self.good)
+        later = self.now + MS(100_000)
+        long = self.make(2, length_ms=60_000, deadline=later)
+        [start] = self.starts(self.submit(long))
+        self.answer(start)
+        self.list(self.good, running=[start.run], progress=[0.01])
+        self.clock.advance(MS(400))
+        actions = self.list(self.good, running=[start.run], progress=[0.01])
+        self.assertEqual([], self.stops(actions))
+
+    def test_workers_that_never_tell_progress_are_trusted(self):
+        self.pass_ms(20, 0.0, 0.0)
+        self.assertEqual([], self.stops(self.pass_ms(400, 0.0, 0.0)))
+
+    def test_runs_that_stand_at_their_end_are_left(self):
+        self.pass_ms(20, 0.5, 1.0)
+        self.assertEqual([], self.stops(self.pass_ms(150, 1.0, 1.0)))
+        self.assertEqual([], self.stops(self.pass_ms(400, 1.0, 1.0)))
+
+
 class TestPlacing(BrokerCase):
     """Where tasks go, and when not."""
 
--- a/libs/carawaysail_model/src/carawaysail_model/faults.py
+++ b/libs/carawaysail_model/src/carawaysail_model/faults.py
@@ -108,6 +108,13 @@
         worker.fails_all = True
 
 
+@faults.register("workers_stall")
+def _workers_stall(world: sites.World) -> None:
+    """Let the runs of some workers stand still for good."""
+    for worker in list(world.all_workers().values())[::8]:
+        worker.stalled_since = world.engine.now()
+
+
 @faults.register("workers_slow")
 def _workers_slow(world: sites.World) -> None:
     """Let some workers turn slow."""
--- a/libs/carawaysail_model/src/carawaysail_model/main.py
+++ b/libs/carawaysail_model/src/carawaysail_model/main.py
@@ -2,7 +2,8 @@
 
 Usage:
   model [--settings FILE] [--seed N]... [--fault NAME]... [--rate X] [--seconds S]
-        [--policy KIND=NAME]... [--burst KIND=X]... [--plot FILE]
+        [--policy KIND=NAME]... [--burst KIND=X]... [--sweep FIELD=LIST]
+        [--plot FILE]
   model --list
 
 Options:
@@ -13,7 +14,9 @@
   --seconds S         Length of the traffic [default: 17].
   --policy KIND=NAME  Policy: order, choice or admission.
   --burst KIND=X      Factor of the rate of one kind of job.
-  --plot FILE         Write a PNG with the shares served.
+  --sweep FIELD=LIST  Run each value of a field of the site, parted by commas; "rate"
+                      is one, and so are the policies. One line each.
+  --plot FILE         Write a PNG with the shares served, by seed or swept value.
   --list              Show faults and policies.
 """
 
@@ -68,21 +71,65 @@
 
 def average(found: list[results.Result]) -> dict[str, float]:
     """Return the mean of each figure."""
-    rows = [typing.cast(dict[str, float], x) for x in found]
+    return mean([typing.cast(dict[str, float], x) for x in found])
+
+
+def mean(rows: list[dict[str, float]]) -> dict[str, float]:
+    """Return the mean of each figure."""
     return {name: sum(x[name] for x in rows) / len(rows) for name in rows[0]}
 
 
-def plot(found: list[results.Result], path: str) -> None:
-    """Write bars of the shares served, refused and failed by seed."""
+def swept(site: sites.Site, field: str, text: str) -> sites.Site:
+    """Return a site with another value of a field.
+
+    Raises
+    ------
+    errors.BadInputError
+        If there is no such field, or it is no number or name.
+    """
+    known = getattr(site, field, None) if field in site._fields else None
+    if not isinstance(known, int | float | str):
+        accepted = ", ".join(
+            x for x in site._fields if isinstance(getattr(site, x), int | float | str)
+        )
+        raise errors.BadInputError("--sweep", field, f"rate, {accepted}")
+    try:
+        change: dict[str, typing.Any] = {field: type(known)(text)}
+        return site._replace(**change)
+    except ValueError as exc:
+        raise errors.BadInputError("--sweep", text, "a number") from exc
+
+
+def sweep(
+    site: sites.Site, args: dict[str, typing.Any]
+) -> list[tuple[str, dict[str, float]]]:
+    """Return the mean result of each value of the swept field."""
+    field, _, values = args["--sweep"].partition("=")
+    rows = []
+    for value in values.split(","):
+        own = dict(args)
+        if field == "rate":
+            own["--rate"] = value
+            changed = site
+        else:
+            changed = swept(site, field, value)
+        found = [play(changed, int(seed), own) for seed in args["--seed"]]
+        rows.append((value, average(found)))
+    return rows
+
+
+def plot(rows: list[tuple[str, dict[str, float]]], label: str, path: str) -> None:
+    """Write bars of the shares served, refused and failed."""
     import matplotlib.pyplot
 
     figure, axes = matplotlib.pyplot.subplots()
-    bottom = [0.0] * len(found)
-    for name in ("in_time", "late", "refused", "failed"):
-        values = [float(typing.cast(dict[str, float], x)[name]) for x in found]
-        axes.bar(range(len(found)), values, bottom=bottom, label=name)
+    bottom = [0.0] * len(rows)
+    names = [name for name, _ in rows]
+    for share in ("in_time", "late", "refused", "failed"):
+        values = [found[share] for _, found in rows]
+        axes.bar(names, values, bottom=bottom, label=share)
         bottom = [x + y for x, y in zip(bottom, values, strict=True)]
-    axes.set_xlabel("seed")
+    axes.set_xlabel(label)
     axes.set_ylabel("share of jobs")
     axes.legend()
     figure.savefig(path)
@@ -99,14 +146,22 @@
         return 0
     try:
         site = load_site(args["--settings"], args["--policy"])
-        found = [play(site, int(seed), args) for seed in args["--seed"]]
+        if args["--sweep"]:
+            rows = sweep(site, args)
+        else:
+            rows = [(x, average([play(site, int(x), args)])) for x in args["--seed"]]
     except errors.CarawaysailError as exc:
         print(f"model: {exc}", file=sys.stderr)
         return 2
-    print(json.dumps(average(found)))
+    if args["--sweep"]:
+        for value, row in rows:
+            print(json.dumps({"value": value, **row}))
+    else:
+        print(json.dumps(mean([row for _, row in rows])))
     if args["--plot"]:
-        plot(found, args["--plot"])
-    return 1 if any(x["broken"] for x in found) else 0
+        label = (args["--sweep"] or "seed").partition("=")[0]
+        plot(rows, label, args["--plot"])
+    return 1 if any(row["broken"] for _, row in rows) else 0
 
 
 if __name__ == "__main__":
--- a/libs/carawaysail_model/src/carawaysail_model/results.py
+++ b/libs/carawaysail_model/src/carawaysail_model/results.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from carawaysail_model import sites
+from carawaysail_model import pooled, sites
 from carawaysail_types import jobs
 
 LATE_SHARE = 0.2
@@ -13,10 +13,14 @@
 
 
 class Result(typing.TypedDict):
-    """Shares of all jobs, and of the worth that was owed."""
+    """Shares of all jobs, and of the worth that was owed.
+
+    ``bound`` is the worth that a pooled queue that knows all would have earned.
+    """
 
     jobs: int
     worth: float
+    bound: float
     worst_kind: float
     in_time: float
     late: float
@@ -34,6 +38,7 @@
     return Result(
         jobs=len(served),
         worth=_worth(served),
+        bound=_worth(pooled.bound(world)),
         worst_kind=min((_worth_of_kind(served, x) for x in kinds), default=0.0),
         in_time=sum(_is_in_time(x) for x in served) / count,
         late=sum(_is_late(x) for x in served) / count,
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -148,6 +148,33 @@
     worth: float
 
 
+class Arrival(typing.NamedTuple):
+    """A job as it comes, with what no daemon knows.
+
+    Parameters
+    ----------
+    kind : str
+        Its kind.
+    at : datetime.datetime
+        When it comes.
+    room : jobs.Room
+        What each task takes.
+    lengths : tuple of datetime.timedelta
+        True run times of its tasks on an average worker.
+    aim_ms : float
+        Its objective, in milliseconds.
+    worth : float
+        Worth of a timely answer.
+    """
+
+    kind: str
+    at: datetime.datetime
+    room: jobs.Room
+    lengths: tuple[datetime.timedelta, ...]
+    aim_ms: float
+    worth: float
+
+
 class _Posted(typing.NamedTuple):
     job: jobs.Job
     kind: Kind
@@ -173,6 +200,7 @@
         self.store = store.Store()
         self.history = history.History()
         self.served: list[Served] = []
+        self.arrivals: list[Arrival] = []
         self.rate_factor = 1.0
         self.kind_factors: dict[str, float] = {}
         self.cuts: set[frozenset[str]] = set()
@@ -332,7 +360,12 @@
     def _post(self, kind: Kind) -> None:
         job, aim_ms, work_ms = self._draw(kind)
         worth = kind.worth * worth_factor(work_ms / (kind.width * kind.length_ms))
-        self._send(_Posted(job, kind, self.engine.now(), aim_ms, worth))
+        now = self.engine.now()
+        room, lengths = self._truth[job.job_id]
+        self.arrivals.append(
+            Arrival(kind.name, now, room, tuple(lengths), aim_ms, worth)
+        )
+        self._send(_Posted(job, kind, now, aim_ms, worth))
 
     def _draw(self, kind: Kind) -> tuple[jobs.Job, float, float]:
         site, draw = self.site, self._random
--- a/libs/carawaysail_model/src/carawaysail_model/workers.py
+++ b/libs/carawaysail_model/src/carawaysail_model/workers.py
@@ -19,6 +19,8 @@
 class _Running(typing.NamedTuple):
     room: jobs.Room
     token: object
+    began: datetime.datetime
+    takes: datetime.timedelta
 
 
 class Worker:
@@ -52,6 +54,7 @@
         self.factor = factor
         self.fails_all = False
         self.is_reachable = True
+        self.stalled_since: datetime.datetime | None = None
         self.draining_since: datetime.datetime | None = None
         self._world = world
         self._history = seen
@@ -95,11 +98,11 @@
         self._extend(order.expires)
         room, length = self._length_of(order.run.task)
         token = object()
-        self._running[order.run] = _Running(room, token)
+        takes = clock.milliseconds(5) if self.fails_all else length * self.factor
+        self._running[order.run] = _Running(room, token, self._world.now(), takes)
         self._highest[order.run.task] = order.run.number
         self._check(order.run)
         ending = runs.Ending.FAILED if self.fails_all else runs.Ending.DONE
-        takes = clock.milliseconds(5) if self.fails_all else length * self.factor
         self._world.after(takes, lambda: self._end_if(order.run, token, ending))
         return runs.Answer.TAKEN
 
@@ -153,9 +156,15 @@
     def _listing(self) -> runs.Listing:
         return runs.Listing(
             self.report.incarnation, self._clock(), tuple(self._running),
-            tuple(self._ends),
+            tuple(self._ends), tuple(self._progress(x) for x in self._running.values()),
         )  # fmt: skip
 
+    def _progress(self, found: _Running) -> float:
+        """Return the share of a run's work that is done, in whole percent."""
+        until = self.stalled_since or self._world.now()
+        ran = max(datetime.timedelta(), until - found.began)
+        return int(100 * min(0.99, ran / found.takes)) / 100
+
     # Ends
 
     def _extend(self, expires: datetime.timedelta) -> None:
@@ -172,6 +181,8 @@
         found = self._running.get(run)
         if found is None or found.token is not token:
             return
+        if self.stalled_since is not None and ending is runs.Ending.DONE:
+            return
         del self._running[run]
         self._history.ended(run, self.report.worker_id, ending)
         self._last_end += 1
--- a/libs/carawaysail_types/src/carawaysail_types/runs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/runs.py
@@ -87,12 +87,15 @@
         Runs that hold room.
     ends : tuple of RunEnd
         Ends, oldest first.
+    progress : tuple of float
+        Share of the work of each running run that is done; empty if not told.
     """
 
     incarnation: str
     clock: datetime.timedelta
     running: tuple[Run, ...]
     ends: tuple[RunEnd, ...]
+    progress: tuple[float, ...] = ()
 
 
 class Answer(enum.StrEnum):
