Say rightly what the least length means; note a try that is not taken

Tried and reverted: booking the slots of a plan only once its job is admitted, so that refused jobs do not count as taken until the next report. It reads cleaner and may come back with a pattern that shows it.

--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -60,7 +60,7 @@
     expected : datetime.timedelta
         What it is expected to take.
     at_least : datetime.timedelta
-        What four such tasks in five take or exceed.
+        What two such tasks in three take or exceed.
     at_most : datetime.timedelta
         What nineteen such tasks in twenty do not exceed.
     """
