Read the change again: one guard, one length a task, smaller modules

Change: what is expected is worked out without quantiles, and a task's length once for all workers. Broker._unfenced serves all three answers. Admission policies and the watch for stalled runs are modules of their own; matching a run of an earlier holder is the book's, which has all it needs. The model's command has one mean.

Ruled out: keeping a task's length from one event to the next, since the queue's average moves and decisions would change.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -1,5 +1,6 @@
 """What the desk does with each kind of message, and with each kind of action."""
 
+import collections.abc
 import datetime
 import typing
 
@@ -46,26 +47,25 @@
 def _started(
     owner: desk.Desk, message: messages.Started, now: datetime.datetime
 ) -> None:
-    worker = message.worker
-    owner.perform(
-        owner.broker.start_answered(
-            worker.worker_id, worker.incarnation, message.run, message.answer, now
-        ),
-        now,
-    )
+    _order_answered(owner, owner.broker.start_answered, message, now)
 
 
 @desk.handlers.register("Stopped")
 def _stopped(
     owner: desk.Desk, message: messages.Stopped, now: datetime.datetime
+) -> None:
+    _order_answered(owner, owner.broker.stop_answered, message, now)
+
+
+def _order_answered(
+    owner: desk.Desk,
+    take: collections.abc.Callable[..., list[events.Action]],
+    message: messages.Started | messages.Stopped,
+    now: datetime.datetime,
 ) -> None:
     worker = message.worker
-    owner.perform(
-        owner.broker.stop_answered(
-            worker.worker_id, worker.incarnation, message.run, message.answer, now
-        ),
-        now,
-    )
+    taken = take(worker.worker_id, worker.incarnation, message.run, message.answer, now)
+    owner.perform(taken, now)
 
 
 @desk.handlers.register("Configured")
@@ -218,21 +218,23 @@
 @desk.performers.register("Reply")
 def _reply(owner: desk.Desk, action: events.Reply, now: datetime.datetime) -> None:
     part = action.part
-    daemon = owner.tenures.daemon(part.waiter.vm, part.waiter.incarnation)
-    if daemon is not None:
-        owner.send(
-            daemon, stream_messages.Outcome(part.job_id, part.part, action.outcome)
-        )
+    message = stream_messages.Outcome(part.job_id, part.part, action.outcome)
+    _send_to_waiter(owner, part.waiter, message)
 
 
 @desk.performers.register("Begun")
 def _tell_begun(owner: desk.Desk, action: events.Begun, now: datetime.datetime) -> None:
     part = action.part
-    daemon = owner.tenures.daemon(part.waiter.vm, part.waiter.incarnation)
+    message = stream_messages.Begun(part.job_id, part.part, action.workers)
+    _send_to_waiter(owner, part.waiter, message)
+
+
+def _send_to_waiter(
+    owner: desk.Desk, waiter: events.Waiter, message: stream_messages.Message
+) -> None:
+    daemon = owner.tenures.daemon(waiter.vm, waiter.incarnation)
     if daemon is not None:
-        owner.send(
-            daemon, stream_messages.Begun(part.job_id, part.part, action.workers)
-        )
+        owner.send(daemon, message)
 
 
 @desk.performers.register("Fenced")
--- a/libs/carawaysail_holding/src/carawaysail_holding/book.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/book.py
@@ -159,6 +159,16 @@
             if self._by_task.get(task) is job:
                 del self._by_task[task]
 
+    def found(
+        self, worker: held.HeldWorker, run: runs.Run, now: datetime.datetime
+    ) -> None:
+        """Match a run of an earlier holder with its part, or keep it for a while."""
+        state = self.state(run)
+        if state is not None and state.phase is jobstate.Phase.WAITING:
+            self.claim(worker, run, state, now)
+        else:
+            self.foreign.add(run, worker.report.worker_id, now)
+
     def claim(
         self,
         worker: held.HeldWorker,
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -19,6 +19,7 @@
     placer,
     policies,
     roster,
+    stalls,
 )
 from carawaysail_types import clock, jobs, runs
 
@@ -40,10 +41,10 @@
         self._terms = terms
         self._order = policies.orders.get(names.order)
         self.lengths = lengths.Lengths()
-        self._is_progress_told = False
         self._actions = actions.Actions()
         self._roster = roster.Roster()
         self._book = book.Book(self._actions, self._roster, self.lengths)
+        self._stalls = stalls.Stalls(self._actions, self._book, self.lengths)
         choice = policies.choices.get(names.choice)
         self._placer = placer.Placer(terms, choice, self.lengths, self._book.owner_of)
 
@@ -163,43 +164,17 @@
             self._actions.note("run_vanished", run.task.job_id, run=str(run.task))
             self._book.run_gone(run, worker_id)
         for run in findings.foreign:
-            self._found(worker, run, now)
+            self._book.found(worker, run, now)
         if not was_listed:
             self._actions.note(
                 "worker_listed", worker_id, token=worker.ledger.token,
                 running=len(listing.running),
             )  # fmt: skip
-        self._move_stalled(worker, now)
+        self._stalls.move(worker, now)
         self._place(now)
         self._actions.add(worker.next_hold(self._terms, now))
         return self._actions.take()
 
-    def _move_stalled(self, worker: held.HeldWorker, now: datetime.datetime) -> None:
-        """Stop the runs of a worker that all stand still; others start them again."""
-        worker_id = worker.report.worker_id
-        self._is_progress_told = self._is_progress_told or worker.progress.is_told
-        running = worker.ledger.running()
-        if not self._is_progress_told or any(
-            worker.progress.is_moving(run, now) for run in running
-        ):
-            return
-        for run in running:
-            job = self._book.owner_of(run.task)
-            if job is None:
-                continue
-            state = job.tasks[run.task]
-            length = job.length(self.lengths, state.step)
-            at_most = length.at_speed(self.lengths.speed(worker.report)).at_most
-            if not worker.progress.is_stalled(run, at_most, now):
-                continue
-            self._actions.note(
-                "run_stalled", run.task.job_id, run=actions.name(run), worker=worker_id
-            )
-            state.avoid.add(worker_id)
-            self._book.stop(worker, run, now)
-            if worker.standing.rest(now):
-                self._actions.note("worker_rests", worker_id, cause="runs stand still")
-
     def hold_failed(
         self,
         worker_id: str,
@@ -208,12 +183,9 @@
         now: datetime.datetime,
     ) -> list[events.Action]:
         """Take note that a worker gave no listing; answered by the next request."""
-        worker = self._roster.live(worker_id, incarnation)
+        worker = self._unfenced(worker_id, incarnation, answer)
         if worker is None:
             return self._actions.take()
-        if answer is runs.Answer.FENCED:
-            self._fenced(worker)
-            return self._actions.take()
         self._silent(worker, answer)
         self._actions.add(worker.next_hold(self._terms, now))
         return self._actions.take()
@@ -225,11 +197,21 @@
                 "worker_silent", worker.report.worker_id, answer=answer.value
             )
 
-    def _fenced(self, worker: held.HeldWorker) -> None:
+    def _unfenced(
+        self, worker_id: str, incarnation: str, answer: runs.Answer
+    ) -> held.HeldWorker | None:
+        """Return the worker that has answered, if it is still held.
+
+        An answer by which another daemon holds it ends the tenure.
+        """
+        worker = self._roster.live(worker_id, incarnation)
+        if worker is None or answer is not runs.Answer.FENCED:
+            return worker
         report = worker.report
         self._actions.note("fenced", report.worker_id, token=worker.ledger.token)
         self._actions.add(events.Fenced(report.data_centre, report.worker_id))
         self._release(report.data_centre)
+        return None
 
     # Runs
 
@@ -242,13 +224,10 @@
         now: datetime.datetime,
     ) -> list[events.Action]:
         """Take the answer to an order that starts a run."""
-        worker = self._roster.live(worker_id, incarnation)
+        worker = self._unfenced(worker_id, incarnation, answer)
         if worker is None:
             return self._actions.take()
         worker.ledger.start_answered(run, answer, now)
-        if answer is runs.Answer.FENCED:
-            self._fenced(worker)
-            return self._actions.take()
         if answer is runs.Answer.LOST:
             self._silent(worker, answer)
             self._actions.note(
@@ -292,25 +271,12 @@
         now: datetime.datetime,
     ) -> list[events.Action]:
         """Take the answer to an order that stops a run."""
-        worker = self._roster.live(worker_id, incarnation)
+        worker = self._unfenced(worker_id, incarnation, answer)
         if worker is None:
             return self._actions.take()
-        if answer is runs.Answer.FENCED:
-            self._fenced(worker)
-            return self._actions.take()
         worker.ledger.stop_answered(run, answer is runs.Answer.TAKEN, now)
         return self._actions.take()
 
-    def _found(
-        self, worker: held.HeldWorker, run: runs.Run, now: datetime.datetime
-    ) -> None:
-        """Match a run of an earlier holder with its job, or keep it for a while."""
-        state = self._book.state(run)
-        if state is not None and state.phase is jobstate.Phase.WAITING:
-            self._book.claim(worker, run, state, now)
-        else:
-            self._book.foreign.add(run, worker.report.worker_id, now)
-
     def _ended(
         self, worker: held.HeldWorker, end: runs.RunEnd, now: datetime.datetime
     ) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -10,8 +10,8 @@
 import random
 import typing
 
-from carawaysail_holding import events, lengths, loads, planning
-from carawaysail_types import clock, daemons, jobs, registry
+from carawaysail_holding import admission, events, lengths, loads, planning
+from carawaysail_types import clock, daemons, jobs
 
 SUCCESSION = clock.milliseconds(900)
 """How long a part waits for the next holder of its workers: a silent holder's are
@@ -23,10 +23,6 @@
 ANSWER_MARGIN = clock.milliseconds(20)
 """Time for the broker's own answer at the deadline to arrive first."""
 
-OVERTAKING_MS = 120.0
-"""What a waiting job loses at a crest to more urgent ones that come after it; two
-rounds of short tasks."""
-
 LEAST_RETURN = clock.milliseconds(1000)
 """A refused client comes back after at least this: the least whole second."""
 
@@ -75,75 +71,6 @@
 Action = SendJob | SendWithdrawal | Answer | events.Note
 
 
-class Prospect(typing.NamedTuple):
-    """What a job can expect on arrival.
-
-    Parameters
-    ----------
-    need : planning.Need
-        What it needs, and until when.
-    plan : planning.Plan
-        Where its tasks would go.
-    least_ms : float
-        What it takes at least on the fastest worker, in milliseconds.
-    yields : bool
-        Whether jobs of a higher priority have come for the same workers.
-    """
-
-    need: planning.Need
-    plan: planning.Plan
-    least_ms: float
-    yields: bool = False
-
-    @property
-    def is_too_long(self) -> bool:
-        """Whether the client waits too short a time even for an idle site."""
-        return self.least_ms > self.need.patience_ms
-
-
-class Admission(typing.Protocol):
-    """Decides whether a job is taken."""
-
-    def __call__(self, prospect: Prospect) -> bool:
-        """Tell whether a job is taken."""
-
-
-admissions: registry.Registry[Admission] = registry.Registry("admission policies")
-
-
-@admissions.register("objective")
-def _keeps_objective(prospect: Prospect) -> bool:
-    """Take what is expected to keep its response-time objective."""
-    if prospect.is_too_long:
-        return False
-    return not prospect.plan.queued or prospect.plan.finish_ms <= prospect.need.due_ms
-
-
-@admissions.register("yielding")
-def _yields(prospect: Prospect) -> bool:
-    """Take what is expected to keep its objective although others go first.
-
-    More urgent jobs that come later are likely to overtake one that has to wait.
-    """
-    need, plan = prospect.need, prospect.plan
-    is_overtaken = prospect.yields and plan.queued
-    if is_overtaken and plan.finish_ms + OVERTAKING_MS > need.due_ms:
-        return False
-    return _keeps_objective(prospect)
-
-
-@admissions.register("deadline")
-def _keeps_deadline(prospect: Prospect) -> bool:
-    """Take what is expected to be done while its client waits."""
-    return prospect.plan.finish_ms <= prospect.need.patience_ms
-
-
-@admissions.register("all")
-def _takes_all(prospect: Prospect) -> bool:
-    """Take everything."""
-    return True
-
-
 class _Part:
     def __init__(self, number: int, tasks: tuple[int, ...], target: Target) -> None:
         self.number = number
@@ -183,7 +110,7 @@
     ----------
     me : daemons.Daemon
         This daemon.
-    admission : str
+    policy : str
         Name of the admission policy.
     random_state : int
         Seeds the spread of refused clients' return.
@@ -192,11 +119,11 @@
     def __init__(
         self,
         me: daemons.Daemon,
-        admission: str = "yielding",
+        policy: str = "yielding",
         random_state: int | None = None,
     ) -> None:
         self._me = me
-        self._admits = admissions.get(admission)
+        self._admits = admission.admissions.get(policy)
         self._random = random.Random(random_state)
         self._calls: dict[str, _Call] = {}
         self._part_numbers = itertools.count()
@@ -313,7 +240,7 @@
         self._share_out(call, tuple(range(width)), prospect.plan.shares, out)
         return out
 
-    def _prospect(self, call: _Call) -> Prospect | None:
+    def _prospect(self, call: _Call) -> admission.Prospect | None:
         """Return what a job can expect; ``None`` if no load is known."""
         submission = call.submission
         queue, steps = submission.queue, submission.job.steps
@@ -336,7 +263,7 @@
         least_ms = least / self._board.top_speed(queue.service)
         first = self._first_priorities.get(queue.service, queue.priority)
         self._first_priorities[queue.service] = min(first, queue.priority)
-        return Prospect(need, plan, least_ms, queue.priority > first)
+        return admission.Prospect(need, plan, least_ms, queue.priority > first)
 
     def _submit_whole(self, call: _Call) -> list[Action]:
         """Hand a job to the own data centre's broker where no load is known."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/jobstate.py
@@ -114,20 +114,26 @@
         length_ms = max(lengths.SHORTEST_MS, clock.to_milliseconds(length))
         self._observed_log_ms.append(math.log(length_ms))
 
-    def length(self, known: lengths.Lengths, step: jobs.Step) -> lengths.Length:
-        """Return the run time of a task on an average worker.
+    def _observed(self) -> datetime.timedelta | None:
+        """Return the mean of what tasks took, if some are done.
 
         Tasks of one step are alike, so those that are done tell more than estimates.
         """
         seen = self._observed_log_ms
-        if seen and len(self.submission.job.steps) == 1:
-            mean = clock.milliseconds(math.exp(sum(seen) / len(seen)))
+        if not seen or len(self.submission.job.steps) != 1:
+            return None
+        return clock.milliseconds(math.exp(sum(seen) / len(seen)))
+
+    def length(self, known: lengths.Lengths, step: jobs.Step) -> lengths.Length:
+        """Return the run time of a task on an average worker."""
+        mean = self._observed()
+        if mean is not None:
             return lengths.Length(mean, mean, mean * UNEVEN)
         return known.length(self.submission.queue.name, step)
 
     def expected(self, known: lengths.Lengths, step: jobs.Step) -> datetime.timedelta:
         """Return the expected length of a task on an average worker."""
-        return self.length(known, step).expected
+        return self._observed() or known.expected(self.submission.queue.name, step)
 
     def is_done(self) -> bool:
         """Tell whether every task is done."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/lengths.py
@@ -110,20 +110,30 @@
         straggler = 2.0 * _density(excess, spread) * STRAGGLER_SHARE
         return straggler / (usual + straggler)
 
+    def _trust(self) -> float:
+        """Return how far the estimate of a straggler is believed."""
+        return STRAGGLER_SPREAD**2 / (STRAGGLER_SPREAD**2 + self.variance * ERROR_SHARE)
+
+    def expected(self, value: float) -> datetime.timedelta:
+        """Return the expected run time of a task with an estimate."""
+        excess = value - self.mean
+        chance = self.straggling(value)
+        usual = self.mean + (1.0 - ERROR_SHARE) * excess
+        straggler = self.mean + self._trust() * excess
+        return _from_log((1.0 - chance) * usual + chance * straggler)
+
     def length(self, value: float) -> Length:
         """Return the run time of a task with an estimate."""
         excess = value - self.mean
         error = self.variance * ERROR_SHARE
-        chance = self.straggling(value)
+        chance, trust = self.straggling(value), self._trust()
         usual = statistics.NormalDist(
             self.mean + (1.0 - ERROR_SHARE) * excess,
             math.sqrt(error * (1.0 - ERROR_SHARE)),
         )
-        trust = STRAGGLER_SPREAD**2 / (STRAGGLER_SPREAD**2 + error)
         straggler = statistics.NormalDist(
             self.mean + trust * excess, math.sqrt(error * trust)
         )
-        expected = (1.0 - chance) * usual.mean + chance * straggler.mean
         if chance < 1.0 - LOW_QUANTILE:
             least = _quantile(usual, LOW_QUANTILE / (1.0 - chance))
         else:
@@ -132,7 +142,7 @@
         if chance > 1.0 - HIGH_QUANTILE:
             rare = (1.0 - HIGH_QUANTILE) / chance
             most = max(most, _quantile(straggler, 1.0 - rare))
-        return Length(_from_log(expected), _from_log(least), _from_log(most))
+        return Length(self.expected(value), _from_log(least), _from_log(most))
 
     def learned(self, value: float) -> "_Estimates":
         """Return this with one more estimate."""
@@ -155,24 +165,27 @@
 
     def length(self, queue: str, step: jobs.Step) -> Length:
         """Return the run time of a step's tasks on an average worker."""
-        learned = self._estimates.get(queue)
-        estimate_ms = clock.to_milliseconds(step.estimate)
-        if estimate_ms >= SHORTEST_MS:
-            value = math.log(estimate_ms)
-            return (learned or _Estimates(value)).length(value)
-        if learned is None:
-            return _Estimates(_to_log(DEFAULT_LENGTH)).length(_to_log(DEFAULT_LENGTH))
-        return learned.length(learned.mean)
+        known, value = self._known(queue, step)
+        return known.length(value)
 
     def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
         """Return the expected length of a step's tasks on an average worker."""
-        return self.length(queue, step).expected
+        known, value = self._known(queue, step)
+        return known.expected(value)
+
+    def _known(self, queue: str, step: jobs.Step) -> tuple[_Estimates, float]:
+        """Return a queue's estimates and a step's own; one that is missing is usual."""
+        learned = self._estimates.get(queue)
+        if clock.to_milliseconds(step.estimate) >= SHORTEST_MS:
+            value = _to_log(step.estimate)
+        else:
+            value = learned.mean if learned else _to_log(DEFAULT_LENGTH)
+        return learned or _Estimates(value), value
 
     def estimated(self, queue: str, step: jobs.Step) -> None:
         """Learn from a client's estimate."""
-        estimate_ms = clock.to_milliseconds(step.estimate)
-        if estimate_ms >= SHORTEST_MS:
-            value = math.log(estimate_ms)
+        if clock.to_milliseconds(step.estimate) >= SHORTEST_MS:
+            value = _to_log(step.estimate)
             known = self._estimates.get(queue)
             self._estimates[queue] = (
                 known.learned(value) if known is not None else _Estimates(value)
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -55,8 +55,9 @@
 
         Workers where the task has failed come only where there is no other.
         """
+        length = job.length(self._lengths, state.step)
         found = [
-            self._candidate(job, state, worker)
+            self._candidate(state.step, length, worker)
             for worker in usable
             if self._fits(job, state, worker) and worker.accepts(now)
         ]
@@ -81,12 +82,11 @@
 
     def _candidate(
         self,
-        job: jobstate.JobState,
-        state: jobstate.TaskState,
+        step: jobs.Step,
+        length: lengths.Length,
         worker: held.HeldWorker,
     ) -> policies.Candidate:
-        step, report = state.step, worker.report
-        length = job.length(self._lengths, step)
+        report = worker.report
         takes = length.at_speed(self._lengths.speed(report))
         if step.preferred_rack and step.preferred_rack not in report.labels:
             takes = takes.times(self.terms.cross_rack_factor)
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -141,13 +141,15 @@
         if not places:
             return None
         free = self._free(places, need)
-        safe = [x for x in free if _is_safe(x, need)]
-        unsafe = [x for x in free if not _is_safe(x, need)]
+        safe: list[_Option] = []
+        others: list[_Option] = []
+        for option in free:
+            (safe if _is_safe(option, need) else others).append(option)
         busy = sum(len(load.frees) for load in places.values())
         is_crowded = busy > CROWDED * (busy + len(free))
         taken = sorted(safe, key=_slowest if is_crowded else _quickest)[: need.width]
         missing = need.width - len(taken)
-        others = [*unsafe, *self._queued(places, need, missing)]
+        others.extend(self._queued(places, need, missing))
         others.sort(key=lambda x: _surest(x, need.patience_ms))
         chosen = [*taken, *others[:missing]]
         shares: dict[str, int] = {}
--- /dev/null
+++ b/libs/carawaysail_holding/src/carawaysail_holding/stalls.py
@@ -0,0 +1,54 @@
+"""Workers whose runs stand still although they answer."""
+
+import datetime
+
+from carawaysail_holding import actions, book, held, lengths
+
+
+class Stalls:
+    """Moves the runs of such workers to others.
+
+    Parameters
+    ----------
+    sink : actions.Actions
+        Takes what is to be done.
+    parts : book.Book
+        The parts that runs belong to.
+    known : lengths.Lengths
+        Learned run times.
+    """
+
+    def __init__(
+        self, sink: actions.Actions, parts: book.Book, known: lengths.Lengths
+    ) -> None:
+        self._actions = sink
+        self._book = parts
+        self._lengths = known
+        # Some platforms tell no progress; all their runs would seem to stand still.
+        self._is_progress_told = False
+
+    def move(self, worker: held.HeldWorker, now: datetime.datetime) -> None:
+        """Stop the runs of a worker that all stand still; others start them again."""
+        worker_id = worker.report.worker_id
+        self._is_progress_told = self._is_progress_told or worker.progress.is_told
+        running = worker.ledger.running()
+        if not self._is_progress_told or any(
+            worker.progress.is_moving(run, now) for run in running
+        ):
+            return
+        speed = self._lengths.speed(worker.report)
+        for run in running:
+            job = self._book.owner_of(run.task)
+            if job is None:
+                continue
+            state = job.tasks[run.task]
+            at_most = job.length(self._lengths, state.step).at_speed(speed).at_most
+            if not worker.progress.is_stalled(run, at_most, now):
+                continue
+            self._actions.note(
+                "run_stalled", run.task.job_id, run=actions.name(run), worker=worker_id
+            )
+            state.avoid.add(worker_id)
+            self._book.stop(worker, run, now)
+            if worker.standing.rest(now):
+                self._actions.note("worker_rests", worker_id, cause="runs stand still")
--- a/libs/carawaysail_model/src/carawaysail_model/main.py
+++ b/libs/carawaysail_model/src/carawaysail_model/main.py
@@ -27,7 +27,7 @@
 import docopt
 import json5
 
-from carawaysail_holding import gateway, policies
+from carawaysail_holding import admission, policies
 from carawaysail_model import faults, results, sites
 from carawaysail_types import clock, errors
 
@@ -56,8 +56,8 @@
     return sites.Site(**fields)
 
 
-def play(site: sites.Site, seed: int, args: dict[str, typing.Any]) -> results.Result:
-    """Run one seed."""
+def play(site: sites.Site, seed: int, args: dict[str, typing.Any]) -> dict[str, float]:
+    """Run one seed; return the figures of its result."""
     world = sites.World(site, seed)
     world.rate_factor = float(args["--rate"])
     for row in args["--burst"]:
@@ -66,12 +66,7 @@
     for name in args["--fault"]:
         faults.apply(world, name)
     world.run(clock.milliseconds(1000.0 * float(args["--seconds"])))
-    return results.summarise(world)
-
-
-def average(found: list[results.Result]) -> dict[str, float]:
-    """Return the mean of each figure."""
-    return mean([typing.cast(dict[str, float], x) for x in found])
+    return typing.cast(dict[str, float], results.summarise(world))
 
 
 def mean(rows: list[dict[str, float]]) -> dict[str, float]:
@@ -114,7 +109,7 @@
         else:
             changed = swept(site, field, value)
         found = [play(changed, int(seed), own) for seed in args["--seed"]]
-        rows.append((value, average(found)))
+        rows.append((value, mean(found)))
     return rows
 
 
@@ -142,14 +137,14 @@
         print("faults:", ", ".join(faults.faults.names()))
         print("order:", ", ".join(policies.orders.names()))
         print("choice:", ", ".join(policies.choices.names()))
-        print("admission:", ", ".join(gateway.admissions.names()))
+        print("admission:", ", ".join(admission.admissions.names()))
         return 0
     try:
         site = load_site(args["--settings"], args["--policy"])
         if args["--sweep"]:
             rows = sweep(site, args)
         else:
-            rows = [(x, average([play(site, int(x), args)])) for x in args["--seed"]]
+            rows = [(x, play(site, int(x), args)) for x in args["--seed"]]
     except errors.CarawaysailError as exc:
         print(f"model: {exc}", file=sys.stderr)
         return 2
