Keep one registry of metrics for both daemons

Cause: the meters of the entry daemon and of the one that holds workers each built the same registry, lock, labels and rendering.

Change: carawaysail_runtime.metrics has them once, with a test of its own; both daemons keep their metrics and their names.

Ruled out: one class of meters for both: they count different things.

--- a/libs/carawaysail_entry/src/carawaysail_entry/metrics.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/metrics.py
@@ -1,13 +1,11 @@
-"""Metrics by aioprometheus, gathered when they are asked for."""
+"""Metrics of an entry daemon, gathered when they are asked for."""
 
 import datetime
-import threading
 import typing
 
-import aioprometheus
-
 from carawaysail_decisions import standing
 from carawaysail_entry import dispatch
+from carawaysail_runtime import metrics
 from carawaysail_types import clock, work
 
 BUCKETS_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 2500.0, 10_000.0]
@@ -23,29 +21,22 @@
     """
 
     def __init__(self, vm: str, data_centre: str) -> None:
-        labels = {"vm": vm, "data_centre": data_centre}
-        self._registry = aioprometheus.Registry()
-        self._lock = threading.Lock()
-        self._answers = aioprometheus.Counter(
-            "carawaysail_answers_total", "Answers by outcome and reason.", labels,
-            registry=self._registry,
-        )  # fmt: skip
-        self._response_ms = aioprometheus.Histogram(
-            "carawaysail_response_ms", "Response time in milliseconds.", labels,
-            registry=self._registry, buckets=BUCKETS_MS,
-        )  # fmt: skip
-        self._state = aioprometheus.Gauge(
-            "carawaysail_state", "Tasks and submissions by state.", labels,
-            registry=self._registry,
-        )  # fmt: skip
-        self._totals = aioprometheus.Gauge(
-            "carawaysail_totals", "Totals since the start by name.", labels,
-            registry=self._registry,
-        )  # fmt: skip
-        self._targets = aioprometheus.Gauge(
-            "carawaysail_target_in_flight", "Tasks with each target.", labels,
-            registry=self._registry,
-        )  # fmt: skip
+        found = self._registry = metrics.Registry(vm, data_centre)
+        self._answers = found.counter(
+            "carawaysail_answers_total", "Answers by outcome and reason."
+        )
+        self._response_ms = found.histogram(
+            "carawaysail_response_ms", "Response time in milliseconds.", BUCKETS_MS
+        )
+        self._state = found.gauge(
+            "carawaysail_state", "Tasks and submissions by state."
+        )
+        self._totals = found.gauge(
+            "carawaysail_totals", "Totals since the start by name."
+        )
+        self._targets = found.gauge(
+            "carawaysail_target_in_flight", "Tasks with each target."
+        )
 
     def answered(
         self,
@@ -58,7 +49,7 @@
         tag = outcome.tag if outcome else standing.state.value
         reason = outcome.reason.value if outcome else "none"
         labels = {"service": submission.service, "outcome": tag, "reason": reason}
-        with self._lock:
+        with self._registry.lock:
             self._answers.inc(labels)
             self._response_ms.observe(
                 {"service": submission.service}, clock.to_milliseconds(took)
@@ -66,7 +57,7 @@
 
     def observe(self, described: dispatch.Description, traffic: dict[str, int]) -> None:
         """Take over what the tasks say of themselves."""
-        with self._lock:
+        with self._registry.lock:
             for name in ("queued", "running", "unfinished", "remembered"):
                 self._state.set({"state": name}, getattr(described, name))
             totals: dict[str, typing.Any] = {**described.counters, **traffic}
@@ -78,6 +69,4 @@
 
     def render(self) -> tuple[bytes, str]:
         """Return the text and its content type."""
-        with self._lock:
-            body, headers = aioprometheus.render(self._registry, ["text/plain"])
-        return body, headers["Content-Type"]
+        return self._registry.render()
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/meters.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/meters.py
@@ -1,10 +1,8 @@
-"""Metrics by aioprometheus: counters of decisions, histograms of times."""
+"""Metrics of a daemon: counters of decisions, histograms of times."""
 
 import datetime
-import threading
-
-import aioprometheus
 
+from carawaysail_runtime import metrics
 from carawaysail_types import clock
 
 BUCKETS_MS = [
@@ -22,56 +20,49 @@
     """
 
     def __init__(self, vm: str, data_centre: str) -> None:
-        labels = {"vm": vm, "data_centre": data_centre}
-        self._registry = aioprometheus.Registry()
-        self._lock = threading.Lock()
-        self._decisions = aioprometheus.Counter(
-            "carawaysail_decisions_total", "Decisions by name and outcome.", labels,
-            registry=self._registry,
-        )  # fmt: skip
-        self._answers = aioprometheus.Counter(
-            "carawaysail_answers_total", "Answers to clients by status and reason.",
-            labels, registry=self._registry,
-        )  # fmt: skip
-        self._response_ms = aioprometheus.Histogram(
+        found = self._registry = metrics.Registry(vm, data_centre)
+        self._decisions = found.counter(
+            "carawaysail_decisions_total", "Decisions by name and outcome."
+        )
+        self._answers = found.counter(
+            "carawaysail_answers_total", "Answers to clients by status and reason."
+        )
+        self._response_ms = found.histogram(
             "carawaysail_response_ms", "Response time in milliseconds by queue.",
-            labels, registry=self._registry, buckets=BUCKETS_MS,
+            BUCKETS_MS,
         )  # fmt: skip
-        self._calls_ms = aioprometheus.Histogram(
+        self._calls_ms = found.histogram(
             "carawaysail_call_ms", "Calls to outside services in milliseconds.",
-            labels, registry=self._registry, buckets=BUCKETS_MS,
-        )  # fmt: skip
-        self._sizes = aioprometheus.Gauge(
-            "carawaysail_size", "Sizes of the daemon's state by name.", labels,
-            registry=self._registry,
+            BUCKETS_MS,
         )  # fmt: skip
+        self._sizes = found.gauge(
+            "carawaysail_size", "Sizes of the daemon's state by name."
+        )
 
     def decided(self, name: str, outcome: str) -> None:
         """Count a decision."""
-        with self._lock:
+        with self._registry.lock:
             self._decisions.inc({"name": name, "outcome": outcome})
 
     def answered(self, queue: str, status: int, took: datetime.timedelta) -> None:
         """Count an answer to a client."""
-        with self._lock:
+        with self._registry.lock:
             self._answers.inc({"queue": queue, "status": str(status)})
             self._response_ms.observe({"queue": queue}, clock.to_milliseconds(took))
 
     def called(self, service: str, outcome: str, took: datetime.timedelta) -> None:
         """Count a call to an outside service."""
-        with self._lock:
+        with self._registry.lock:
             self._calls_ms.observe(
                 {"service": service, "outcome": outcome}, clock.to_milliseconds(took)
             )
 
     def sizes(self, sizes: dict[str, int]) -> None:
         """Take over the sizes of the daemon's state."""
-        with self._lock:
+        with self._registry.lock:
             for name, value in sizes.items():
                 self._sizes.set({"name": name}, value)
 
     def render(self) -> tuple[bytes, str]:
         """Return the text and its content type."""
-        with self._lock:
-            body, headers = aioprometheus.render(self._registry, ["text/plain"])
-        return body, headers["Content-Type"]
+        return self._registry.render()
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/__init__.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/__init__.py
@@ -1,1 +1,1 @@
-"""What every process of the system uses to run: inboxes and logs."""
+"""What every process of the system uses to run: inboxes, logs and metrics."""
--- a/libs/carawaysail_runtime/tests/test_runtime.py
+++ b/libs/carawaysail_runtime/tests/test_runtime.py
@@ -1,4 +1,4 @@
-"""Logs that never block, and inboxes."""
+"""Logs that never block, inboxes, and metrics."""
 
 import asyncio
 import io
@@ -7,7 +7,7 @@
 
 import testtools
 
-from carawaysail_runtime import inbox, logs
+from carawaysail_runtime import inbox, logs, metrics
 
 
 class Gate(io.StringIO):
@@ -84,3 +84,24 @@
             return [box.offer(n) for n in range(3)]
 
         self.assertEqual([True, True, False], asyncio.run(run()))
+
+
+class TestRegistry(testtools.TestCase):
+    """Metrics of one process."""
+
+    def test_all_metrics_are_shown_with_the_labels_of_the_process(self):
+        found = metrics.Registry("vm-1", "dc-1")
+        counter = found.counter("jobs_total", "Jobs.")
+        gauge = found.gauge("size", "Size.")
+        histogram = found.histogram("took_ms", "Time.", [1.0, 10.0])
+        with found.lock:
+            counter.inc({"name": "a"})
+            gauge.set({}, 3)
+            histogram.observe({}, 5.0)
+        body, content_type = found.render()
+        self.assertIn("text/plain", content_type)
+        lines = body.decode().splitlines()
+        for name, value in (("jobs_total", 1), ("size", 3), ("took_ms_count", 1)):
+            [line] = [x for x in lines if x.startswith(f"{name}{{")]
+            self.assertIn('vm="vm-1"', line)
+            self.assertEqual(value, float(line.rsplit(" ", 1)[1]))
