--- a/libs/carawaysail_soak/src/carawaysail_soak/history.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/history.py
@@ -23,7 +23,7 @@
 
 @event_types.register("RequestSent")
 class RequestSent(typing.NamedTuple):
-    """A client sent the last byte of a job's request, or gave up sending it.
+    """A client is about to send the last byte of a job's request, or leaves it out.
 
     Parameters
     ----------
@@ -100,11 +100,16 @@
 
 @event_types.register("ProcessStarted")
 class ProcessStarted(typing.NamedTuple):
-    """A daemon's process was started."""
+    """A daemon's process was started.
+
+    ``address`` is the address that workers see its orders come from, such as
+    ``127.0.0.7``; empty if all VMs share one.
+    """
 
     at: float
     vm: str
     pid: int
+    address: str = ""
 
 
 @event_types.register("ProcessReady")
@@ -128,7 +133,7 @@
 
 @event_types.register("Signalled")
 class Signalled(typing.NamedTuple):
-    """The soak sent a signal to a daemon, such as ``SIGTERM``."""
+    """The soak is about to send a signal to a daemon, such as ``SIGTERM``."""
 
     at: float
     vm: str
