Play random faults on real daemons through a loopback proxy

bin/soak draws a plan from a seed: series of faults of processes, links, workers, store and config that overlap. The daemons run as processes; every link, daemon to daemon included, goes through a proxy without a change of the product: the store answers each daemon with the addresses of its own links. Clients keep their connections, resend, leave, abort, pipeline and send pieces. A JSON result a seed; a seed that fails keeps plan, events and logs.

--- /dev/null
+++ b/libs/carawaysail_soak/src/carawaysail_soak/site.py
@@ -0,0 +1,299 @@
+"""A site: stand-ins, daemons as processes, and the proxy between all of them."""
+
+import asyncio
+import collections.abc
+import itertools
+import pathlib
+import time
+
+import msgspec
+
+from carawaysail_platform_standins import orders, workers
+from carawaysail_soak import addresses, history, plan, processes, proxy
+from carawaysail_types import daemons, errors
+
+SERVICE = "desk"
+STORE = "store"
+CLIENTS = "clients"
+BASE_QUEUES = ("/quick/", "/order/", "/quote/")
+"""Path prefixes of the queues that are never removed."""
+
+STORE_THREADS_PER_DAEMON = 6
+"""A daemon has five clients of the store; watches occupy a thread each."""
+
+SLOW_CLOCK_RATE = 0.98
+"""Rate of every other worker's clock."""
+
+HOLDER_PREFIX = "carawaysail/holder/"
+
+
+class Site:
+    """Owner of the stand-ins, the proxy and the daemons' processes.
+
+    Parameters
+    ----------
+    size : plan.Size
+        Number of daemons, workers and data centres.
+    folder : pathlib.Path
+        Directory for settings files and logs.
+    recorder : history.Recorder
+        Records what happens.
+    bounds : dict of str to float
+        Section ``bounds`` of the daemons' settings.
+    seed : int
+        Seed of the workers.
+    """
+
+    host = "counter.example"
+
+    def __init__(
+        self, size: plan.Size, folder: pathlib.Path, recorder: history.Recorder,
+        bounds: dict[str, float], seed: int,
+    ) -> None:  # fmt: skip
+        self.size = size
+        self.recorder = recorder
+        self.proxy = proxy.Proxy()
+        self.store = addresses.LinkedStore(
+            self._view, STORE_THREADS_PER_DAEMON * size.daemons, recorder.record
+        )
+        self.fleet = workers.WorkerFleet(
+            self.store, self._profiles(size), recorder.record, seed
+        )
+        self.bounds = dict(bounds)
+        self.extra_queues: list[str] = []
+        self._all_queues = list(BASE_QUEUES)
+        self._version = itertools.count(1, 3)
+        self._folder = folder
+        self._vm_names = plan.vm_names(size)
+        self._worker_ids = plan.worker_ids(size)
+        self.processes = {
+            x: processes.Process(x, folder, recorder, self) for x in self._vm_names
+        }
+        self._link_addresses: dict[proxy.Link, str] = {}
+        self._target_by_address: dict[str, str] = {}
+        self._readers = {self.reader(x): x for x in self._vm_names}
+
+    def _numbered_vms(self) -> collections.abc.Iterable[tuple[int, str]]:
+        return enumerate(self._vm_names)
+
+    def _profiles(self, size: plan.Size) -> list[orders.Profile]:
+        return [
+            orders.Profile(
+                x, SERVICE, plan.data_centre_of(x, size),
+                clock_rate=SLOW_CLOCK_RATE if n % 2 else 1.0,
+                labels=("a", f"r{x[-1]}-1"),
+            )
+            for n, x in enumerate(plan.worker_ids(size))
+        ]  # fmt: skip
+
+    # Start and stop
+
+    async def start(self) -> None:
+        """Start the stand-ins, the proxy and all daemons."""
+        self.store.start()
+        await asyncio.to_thread(self.fleet.start)
+        await self._open_links()
+        self.configure()
+        for vm in self._vm_names:
+            self.write_settings(vm)
+        await asyncio.gather(*(x.start() for x in self.processes.values()))
+
+    async def stop(self) -> None:
+        """Terminate the daemons and stop the stand-ins."""
+        await asyncio.gather(*(x.close() for x in self.processes.values()))
+        await self.proxy.stop()
+        await asyncio.to_thread(self.fleet.stop)
+        await asyncio.to_thread(self.store.stop)
+
+    async def wait_until_ready(self, timeout_s: float) -> None:
+        """Wait until every daemon is ready and each data centre has a holder.
+
+        Raises
+        ------
+        errors.BadInputError
+            If that takes longer than ``timeout_s``.
+        """
+        names = plan.data_centre_names(self.size)
+        try:
+            async with asyncio.timeout(timeout_s):
+                for process in self.processes.values():
+                    while not await process.is_ready():
+                        await asyncio.sleep(processes.READY_STEP_S)
+                while not all(self.store.has(HOLDER_PREFIX + x) for x in names):
+                    await asyncio.sleep(processes.READY_STEP_S)
+        except TimeoutError as exc:
+            raise errors.BadInputError(
+                "site", timeout_s, "daemons that are ready in time"
+            ) from exc
+
+    def write_settings(self, vm: str) -> None:
+        """Write the settings file of a daemon."""
+        process = self.processes[vm]
+        process.settings.write_text(
+            processes.settings_text(
+                vm, plan.data_centre_of(vm, self.size),
+                plan.data_centre_names(self.size), process.addresses,
+                self._link_addresses[proxy.Link(vm, STORE)], self.bounds,
+            )
+        )  # fmt: skip
+
+    async def move(self, vm: str) -> None:
+        """Give a daemon that does not run other addresses."""
+        process = self.processes[vm]
+        self._target_by_address.pop(process.addresses.peer, None)
+        process.addresses = processes.draw_addresses()
+        await self._open_links_to(vm)
+        self.proxy.suspend(vm)
+        self.write_settings(vm)
+
+    def configure(self) -> None:
+        """Write a new version of the config, with the present queues."""
+        prefixes = (*BASE_QUEUES, *self.extra_queues)
+        version = next(self._version)
+        routes = [
+            {
+                "name": f"q{x}", "host": self.host, "prefix": x, "service": SERVICE,
+                "priority": 0, "max_attempts": 2, "stretch": 1.6,
+                "target_duration_ms": 60, "timeout_ms": 1500,
+            }
+            for x in prefixes
+        ]  # fmt: skip
+        value = {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
+        self.store.put("op/config", msgspec.json.encode(value))
+        self.recorder.record(history.ConfigWritten(time.monotonic(), version, prefixes))
+        self._all_queues += [x for x in prefixes if x not in self._all_queues]
+
+    # What clients know
+
+    def front(self, vm: str) -> str:
+        """Return the ``host:port`` where clients reach a daemon."""
+        return self._link_addresses[proxy.Link(CLIENTS, vm)]
+
+    def vms(self) -> list[str]:
+        """Return the names of all VMs."""
+        return self._vm_names
+
+    def queues(self) -> tuple[str, ...]:
+        """Return the path prefixes of the queues that are never removed."""
+        return BASE_QUEUES
+
+    def all_queues(self) -> list[str]:
+        """Return the path prefixes of all queues that were ever configured."""
+        return self._all_queues
+
+    # Targets of faults
+
+    def resolve_vms(self, target: str) -> list[str]:
+        """Return the VMs that a target names.
+
+        Parameters
+        ----------
+        target : str
+            Names joined by ``+``; ``*`` or ``vms`` for all; ``in:DC`` for those of a
+            data centre; ``holder:DC`` for the present holder of its workers.
+        """
+        head, _, data_centre = target.partition(":")
+        if target in ("*", "vms"):
+            return list(self._vm_names)
+        if head == "in":
+            names = self._vm_names
+            return [
+                x for x in names if plan.data_centre_of(x, self.size) == data_centre
+            ]
+        if head == "holder":
+            entry = self.store.value(HOLDER_PREFIX + data_centre)
+            if not entry:
+                return []
+            return [msgspec.json.decode(entry, type=daemons.Daemon).vm]
+        return [x for x in target.split("+") if x in self.processes]
+
+    def reader(self, vm: str) -> str:
+        """Return the IP address that a daemon's calls to the store come from."""
+        return f"127.105.{100 + self._vm_names.index(vm)}.100"
+
+    def resolve_workers(self, target: str) -> list[str]:
+        """Return the workers that a target names: identifiers joined by ``+``."""
+        return [x for x in target.split("+") if x in self._worker_ids]
+
+    def resolve_links(self, target: str) -> list[proxy.Link]:
+        """Return the links that a target ``SOURCE>TARGET`` names.
+
+        A target without ``>`` names all links from and to its VMs, without those of
+        clients.
+        """
+        source, arrow, end = target.partition(">")
+        if not arrow:
+            vms = set(self.resolve_vms(target))
+            return [
+                x for x in self.proxy.links()
+                if (x.source in vms or x.target in vms) and x.source != CLIENTS
+            ]  # fmt: skip
+        sources = {CLIENTS} if source == CLIENTS else set(self.resolve_vms(source))
+        ends = {end, *self.resolve_vms(end), *self.resolve_workers(end)}
+        return [
+            x for x in self.proxy.links() if x.source in sources and x.target in ends
+        ]
+
+    # Links
+
+    async def on_listening(self, vm: str) -> None:
+        """Let connections to a daemon through."""
+        await self.proxy.resume(vm)
+
+    def on_ended(self, vm: str) -> None:
+        """Refuse connections to a daemon."""
+        self.proxy.suspend(vm)
+
+    async def _open_links(self) -> None:
+        for number, vm in self._numbered_vms():
+            endpoint = proxy.Endpoint(
+                f"127.103.{100 + number}.100", self.store.address, self.reader(vm)
+            )
+            await self._open(proxy.Link(vm, STORE), endpoint)
+            for worker_number, worker_id in enumerate(self._worker_ids):
+                address = self.fleet.address(worker_id)
+                host = f"127.102.{100 + number}.{1 + worker_number}"
+                await self._open(
+                    proxy.Link(vm, worker_id), proxy.Endpoint(host, address)
+                )
+                self._target_by_address[address] = worker_id
+        for vm in self._vm_names:
+            await self._open_links_to(vm)
+        for vm in self._vm_names:
+            self.proxy.suspend(vm)
+
+    async def _open_links_to(self, vm: str) -> None:
+        real = self.processes[vm].addresses
+        number = self._vm_names.index(vm)
+        await self._open(
+            proxy.Link(CLIENTS, vm),
+            proxy.Endpoint(f"127.104.100.{100 + number}", real.front),
+        )
+        for source_number, source in self._numbered_vms():
+            if source != vm:
+                host = f"127.101.{100 + source_number}.{100 + number}"
+                await self._open(
+                    proxy.Link(source, vm), proxy.Endpoint(host, real.peer)
+                )
+        self._target_by_address[real.peer] = vm
+        self._replace_own_addresses()
+
+    def _replace_own_addresses(self) -> None:
+        """Let each daemon tell others the address of the link back to it.
+
+        Messages between daemons name the sender's address.
+        """
+        for link in self._link_addresses:
+            back = self._link_addresses.get(proxy.Link(link.target, link.source))
+            if back is not None:
+                own = self.processes[link.source].addresses.peer
+                self.proxy.replace_bytes(link, own.encode(), back.encode())
+
+    async def _open(self, link: proxy.Link, endpoint: proxy.Endpoint) -> None:
+        self._link_addresses[link] = await self.proxy.open(link, endpoint)
+
+    def _view(self, reader: str, address: str) -> str | None:
+        vm, target = self._readers.get(reader), self._target_by_address.get(address)
+        if vm is None or target is None:
+            return None
+        return self._link_addresses.get(proxy.Link(vm, target))
