--- a/libs/carawaysail_soak/src/carawaysail_soak/habits.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/habits.py
@@ -40,7 +40,12 @@
 @habits.register("leave")
 async def _leave(client: clients.Client) -> None:
     """Leave before the answer."""
-    job, vm = client.new_job(), client.pick_vm()
+    await post_and_leave(client, client.new_job())
+
+
+async def post_and_leave(client: clients.Client, job: clients.Job) -> None:
+    """Send a job, and close or reset the connection before the answer."""
+    vm = client.pick_vm()
     connection = await client.connect(vm)
     if connection is None:
         return
@@ -81,16 +86,12 @@
 
 @habits.register("two_queues")
 async def _two_queues(client: clients.Client) -> None:
-    """Post the same identifier on two queues at the same time."""
-    job, vm = client.new_job(), client.pick_vm()
+    """Post an identifier, leave, and post it later on any queue of another daemon."""
+    job = client.new_job()
+    await post_and_leave(client, job)
+    await asyncio.sleep(clients.RETRANSMIT_S)
     queue = client.rng.choice(client.directory.queues())
-    twin = job._replace(queue=queue)
-    other = client.rng.choice(client.directory.vms())
-    if other == vm:
-        await client.submit(job)
-        await client.submit(twin)
-        return
-    await asyncio.gather(client.send(job, vm), client.send(twin, other))
+    await client.submit(job._replace(queue=queue))
 
 
 def draw(random_state: random.Random) -> Habit:
