Log what tells the hypotheses of the incident apart

Callers saw a job as completed while a task had not ended so. The log could not say by which runs a job was answered, nor what had been acknowledged to a worker when it was lost.

answered now gives the number of tasks and, for each shard, its data centre, tasks and state; finished the run that completed each task; run_ended the sequence number, the holder's token, the shard and the last run ordered; worker_silent and lease_lost the ends read and those certainly acknowledged. Message failed gives the start of the message and where the exception was raised.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -51,6 +51,9 @@
 STREAM_RESTART_INTERVAL = clock.milliseconds(500)
 """Shortest time between two restarts of the stream to the same daemon."""
 
+MAX_LOGGED_CHARACTERS = 600
+"""Length to which a message that failed is cut in the log."""
+
 Handler = collections.abc.Callable[
     ["DecisionLoop", typing.Any, datetime.datetime], None
 ]
@@ -203,7 +206,10 @@
             handler = handlers.get(type(message).__name__)
             handler(self, message, self.clock.now())
         except Exception as exc:
-            logs.log_error("desk", "Message failed.", exc, kind=type(message).__name__)
+            logs.log_error(
+                "desk", "Message failed.", exc, kind=type(message).__name__,
+                where=logs.location(exc), message=str(message)[:MAX_LOGGED_CHARACTERS],
+            )  # fmt: skip
 
     def tick(self) -> None:
         """Do the timed work: deadlines, silent peers, claims and heartbeats."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -200,8 +200,10 @@
         if not worker.health.is_silent:
             worker.health.is_silent = True
             self._actions.log(
-                "worker_silent", worker.report.worker_id, answer=result.value
-            )
+                "worker_silent", worker.report.worker_id, answer=result.value,
+                read=worker.ledger.acknowledged_sequence,
+                acknowledged=worker.confirmed_sequence,
+            )  # fmt: skip
 
     def _get_unfenced(
         self, worker_id: str, incarnation: str, result: runs.OrderResult
@@ -295,7 +297,13 @@
         self._jobs.inherited.drop_run(finished.run)
         name, worker_id = actions.label(finished.run), worker.report.worker_id
         how = finished.result.value
-        self._actions.log("run_ended", task.job_id, run=name, how=how, worker=worker_id)
+        shard, state = self._jobs.shard_of(task), self._jobs.task_state(finished.run)
+        self._actions.log(
+            "run_ended", task.job_id, run=name, how=how, worker=worker_id,
+            sequence=finished.sequence, token=worker.ledger.token,
+            part=shard.shard_id.shard if shard is not None else None,
+            last_run=state.last_run_number if state is not None else None,
+        )  # fmt: skip
         if finished.result is runs.RunResult.DONE:
             self._handle_done_run(worker, finished.run, now)
         elif finished.result is runs.RunResult.FAILED:
@@ -317,8 +325,7 @@
             queue = shard.submission.queue.name
             self.estimates.record_run(queue, state.step, worker.report, run_time)
             shard.record_run_time(run_time * self.estimates.speed(worker.report))
-        state.phase = shard_state.Phase.DONE
-        state.worker_id = ""
+        state.record_done(run.number)
         if shard.is_done():
             self._jobs.finish(shard, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
 
@@ -491,7 +498,11 @@
         worker_id = worker.report.worker_id
         if worker.health.is_silent and worker.is_lease_expired(self._terms, now):
             for run in worker.ledger.drop_expired():
-                self._actions.log("lease_lost", run.task.job_id, run=actions.label(run))
+                self._actions.log(
+                    "lease_lost", run.task.job_id, run=actions.label(run),
+                    worker=worker_id, read=worker.ledger.acknowledged_sequence,
+                    acknowledged=worker.confirmed_sequence,
+                )  # fmt: skip
                 self._jobs.requeue_task(run, worker_id)
             if worker.missing_since is not None:
                 lost = self._workers.remove(worker_id)
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -112,6 +112,19 @@
     def job_id(self) -> str:
         return self.submission.job.job_id
 
+    @property
+    def task_count(self) -> int:
+        return sum(step.task_count for step in self.submission.job.steps)
+
+    def describe_shards(self) -> dict[int, str]:
+        """Return the data centre, the tasks and the state of each shard, for logs."""
+        return {
+            number: f"{shard.broker.holder.data_centre}"
+            f" tasks={len(shard.tasks) or self.task_count}"
+            f" {'done' if shard.is_done else 'open'}"
+            for number, shard in self.shards.items()
+        }
+
     def submission_of(self, shard: _Shard) -> broker_messages.Submission:
         return self.submission._replace(
             shard=shard.number,
@@ -262,9 +275,8 @@
             _log("routed", job, shares=forecast.plan.tasks_by_data_centre, **fields)
         ]
         self._jobs[job.job_id] = job
-        task_count = sum(step.task_count for step in submission.job.steps)
         self._distribute(
-            job, tuple(range(task_count)), forecast.plan.tasks_by_data_centre, out
+            job, tuple(range(job.task_count)), forecast.plan.tasks_by_data_centre, out
         )
         return out
 
@@ -492,6 +504,8 @@
                 job,
                 verdict=outcome.verdict.value,
                 reason=outcome.reason.value,
+                tasks=job.task_count,
+                parts=job.describe_shards(),
             )  # fmt: skip
         ]
         for reply_id in job.reply_ids:
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -33,6 +33,11 @@
         Fencing token of the holder.
     now : datetime.datetime
         Present instant.
+
+    Attributes
+    ----------
+    confirmed_sequence : int
+        Highest sequence number whose acknowledgement the worker has certainly received.
     """
 
     def __init__(
@@ -43,6 +48,8 @@
         self.run_progress = run_progress.RunProgress()
         self.is_draining = report.is_draining
         self.missing_since: datetime.datetime | None = None
+        self.confirmed_sequence = 0
+        self._sent_sequence = 0
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
         self._extended_at = now
 
@@ -88,6 +95,7 @@
             Present instant.
         """
         self.health.is_silent = False
+        self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
         return self.ledger.apply_status(status, requested_at)
@@ -131,6 +139,7 @@
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
         if not self.ledger.has_status or self.health.is_silent:
             wait = clock.milliseconds(0)
+        self._sent_sequence = self.ledger.acknowledged_sequence
         return broker_messages.PollWorker(
             self.report,
             self.ledger.token,
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -175,7 +175,8 @@
         self.outcomes.record_outcome(shard.shard_id, outcome, now)
         self._actions.log(
             "finished", shard.job_id, verdict=outcome.verdict.value,
-            reason=outcome.reason.value, queue=shard.submission.queue.name,
+            reason=outcome.reason.value, part=shard.shard_id.shard,
+            runs=shard.done_runs(), queue=shard.submission.queue.name,
             age_ms=round(clock.to_milliseconds(now - shard.submission.arrived)),
             late_ms=round(clock.to_milliseconds(now - shard.schedule.target_finish)),
         )  # fmt: skip
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -36,6 +36,7 @@
         self.step = step
         self.phase = Phase.WAITING
         self.last_run_number = 0
+        self.done_run_number = 0
         self.failures = 0
         self.worker_id = ""
         self.started_at: datetime.datetime | None = None
@@ -54,6 +55,12 @@
         self.worker_id = worker_id
         self.started_at = now
 
+    def record_done(self, run_number: int) -> None:
+        """Record that a run has completed the task."""
+        self.phase = Phase.DONE
+        self.done_run_number = run_number
+        self.worker_id = ""
+
     def requeue(self) -> None:
         """Put the task back into the waiting phase."""
         self.phase = Phase.WAITING
@@ -161,6 +168,17 @@
         """Return whether every task is done."""
         return all(state.phase is Phase.DONE for state in self.tasks.values())
 
+    def done_runs(self) -> list[str]:
+        """Return step, number and completing run of each done task, for logs.
+
+        The run number is 0 if the run ended before the shard was submitted.
+        """
+        return [
+            f"{task.step}.{task.number}#{state.done_run_number}"
+            for task, state in self.tasks.items()
+            if state.phase is Phase.DONE
+        ]
+
     def ready_tasks(self) -> list[TaskState]:
         """Return the waiting tasks of steps whose preceding steps are done."""
         open_steps = {
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
@@ -9,8 +9,10 @@
 
 import collections
 import json
+import pathlib
 import sys
 import threading
+import traceback
 import typing
 
 import eliot
@@ -111,6 +113,15 @@
     return destination
 
 
+def location(exc: BaseException) -> str:
+    """Return module, line and function in which an exception was raised."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return ""
+    frame = frames[-1]
+    return f"{pathlib.PurePath(frame.filename).stem}:{frame.lineno} {frame.name}"
+
+
 def log_event(component: str, text: str, /, **fields: typing.Any) -> None:
     """Log an event at level ``info``.
 
