Reproduce the incident: a job completed without one of its tasks

The plan names a data centre whose load came with a heartbeat but which has no reachable broker; the job stays in the table with the shards added before the exception.

The test fails on this code: answered with the tasks {0, 1} of four.

--- a/conftest.py
+++ b/conftest.py
@@ -1,8 +1,40 @@
-"""Exit the test process even if threads are still running after the last test."""
+"""Exit the process even if threads still run; pass over tests that are known to fail.
+
+``KNOWN-RED.txt`` names each test that fails for a fault that is not fixed yet, in a
+line ``red: NODE_ID``. Such a test still runs, and the run fails once it passes, so that
+its entry is removed together with the fix.
+"""
 
 import faulthandler
+import pathlib
+
+import pytest
 
 EXIT_TIMEOUT_S = 60.0
+KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
+RED_PREFIX = "red: "
+
+
+def known_red():
+    """Return the node identifiers of the tests that are known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        x.removeprefix(RED_PREFIX).strip() for x in lines if x.startswith(RED_PREFIX)
+    }
+
+
+def pytest_collection_modifyitems(items):
+    """Expect the known failures, and only these."""
+    red = known_red()
+    for item in items:
+        if item.nodeid in red:
+            item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the known failures of this run."""
+    for report in terminalreporter.stats.get("xfailed", []):
+        terminalreporter.write_line(f"known red: {report.nodeid}")
 
 
 def pytest_sessionfinish():
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -130,6 +130,37 @@
         self.assert_answers([jobs.Verdict.COMPLETED] * 2, actions)
 
 
+class TestUnreachableDataCentre(GatewayCase):
+    """Data centres whose load is known but whose broker cannot be reached."""
+
+    def setUp(self):
+        super().setUp()
+        self.gateway.update_brokers({"home": self.brokers["home"]}, self.now)
+        self.record_free_cores(home=28, away=28)
+
+    def handle_message(self, handler, *args):
+        """Call a handler as the decision loop does, which goes on if it fails."""
+        try:
+            return handler(*args)
+        except Exception:
+            return []
+
+    def change_holders(self):
+        """Replace the holder of the home data centre."""
+        return self.gateway.update_brokers({"home": make_broker(ME, 9)}, self.now)
+
+    # A job was answered as completed while one of its tasks was in no shard.
+    def test_completed_job_has_run_all_its_tasks(self):
+        actions = self.handle_message(self.submit_job)
+        actions = [*actions, *self.change_holders()]
+        tasks = set()
+        for sent in self.sent(actions):
+            tasks.update(sent.submission.tasks)
+            answers = self.handle_outcome(sent, DONE)
+            if any(isinstance(x, gateway.Answer) for x in answers):
+                self.assertEqual({0, 1, 2, 3}, tasks)
+
+
 class TestRefusals(GatewayCase):
     """``REFUSED`` is answered only if no task of the job ran."""
 
