Answer completed only when every task of the job is done

Cause: the gateway kept load reports of any data centre from any daemon, but updates its brokers only with the next tick. A plan could name a data centre without a reachable broker; the look-up raised KeyError after the job and its first shards had been stored. The loop logged it and went on. When a stream reopened or a holder changed, the stored shards were submitted; once they were done no shard was open, and the job counted as complete. Class: state changed before the decision was whole, and a whole result inferred from nothing being open.

Change: a load report counts only from the reachable broker of its data centre, and the loop updates the brokers before it records the loads of the same heartbeat; all shards are made before the first is stored, and the job enters the table last; a job is complete when its done shards cover all its tasks.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -304,8 +304,9 @@
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
+        self._update_brokers(now)
         for data_centre, load in heartbeat.loads:
-            self.gateway.record_load(data_centre, load)
+            self.gateway.record_load(sender, data_centre, load)
         stream = self._streams.get(sender.vm)
         if stream is None or stream.peer != sender:
             self.update_streams()
@@ -375,7 +376,7 @@
             self._next_load_check = now + LOAD_CHECK_INTERVAL
             loads_by_data_centre = self.broker.loads_by_data_centre(now)
             for data_centre, load in loads_by_data_centre:
-                self.gateway.record_load(data_centre, load)
+                self.gateway.record_load(self.me, data_centre, load)
             if loads_by_data_centre != self._sent_loads:
                 self._sent_loads = loads_by_data_centre
                 self._next_heartbeat = now
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -116,6 +116,14 @@
     def task_count(self) -> int:
         return sum(step.task_count for step in self.submission.job.steps)
 
+    def is_complete(self) -> bool:
+        """Return whether every task of the job is in a shard that is done."""
+        done: set[int] = set()
+        for shard in self.shards.values():
+            if shard.is_done:
+                done.update(shard.tasks or range(self.task_count))
+        return len(done) == self.task_count
+
     def describe_shards(self) -> dict[int, str]:
         """Return the data centre, the tasks and the state of each shard, for logs."""
         return {
@@ -172,10 +180,19 @@
     # Brokers
 
     def record_load(
-        self, data_centre: str, service_loads: tuple[loads.ServiceLoad, ...]
+        self,
+        daemon: daemons.Daemon,
+        data_centre: str,
+        service_loads: tuple[loads.ServiceLoad, ...],
     ) -> None:
-        """Record a broker's report of the load of a data centre's workers."""
-        self._capacity.record_load(data_centre, service_loads)
+        """Record a daemon's report of the load of a data centre's workers.
+
+        Ignored unless the daemon is the reachable broker of the data centre: tasks are
+        planned only where they can be submitted.
+        """
+        broker = self._brokers.get(data_centre)
+        if broker is not None and broker.daemon == daemon:
+            self._capacity.record_load(data_centre, service_loads)
 
     def update_brokers(
         self, brokers: dict[str, ReachableBroker], now: datetime.datetime
@@ -274,10 +291,8 @@
         out: list[Action] = [
             _log("routed", job, shares=forecast.plan.tasks_by_data_centre, **fields)
         ]
+        self._add_shards(job, self._split(job, forecast.plan.tasks_by_data_centre), out)
         self._jobs[job.job_id] = job
-        self._distribute(
-            job, tuple(range(job.task_count)), forecast.plan.tasks_by_data_centre, out
-        )
         return out
 
     def _forecast(self, job: _WaitingJob) -> job_admission.Forecast | None:
@@ -321,19 +336,15 @@
         home = self._me.data_centre
         if home not in self._brokers or home in job.avoided_data_centres:
             return self._refuse(job, jobs.Reason.NO_BROKER, NO_BROKER_RETRY_AFTER)
-        self._jobs[job.job_id] = job
         out: list[Action] = [_log("routed", job, shares={home: 0})]
-        self._add_shard(job, (), home, out)
+        self._add_shards(job, {home: ()}, out)
+        self._jobs[job.job_id] = job
         return out
 
-    def _distribute(
-        self,
-        job: _WaitingJob,
-        tasks: tuple[int, ...],
-        tasks_by_data_centre: dict[str, int],
-        out: list[Action],
-    ) -> None:
-        """Split tasks into shards and submit them.
+    def _split(
+        self, job: _WaitingJob, tasks_by_data_centre: dict[str, int]
+    ) -> dict[str, tuple[int, ...]]:
+        """Return the numbers of the tasks for each data centre; empty for all tasks.
 
         A job of several steps stays whole and goes to the data centre with the most
         tasks.
@@ -343,24 +354,28 @@
                 tasks_by_data_centre,
                 key=lambda x: (tasks_by_data_centre[x], x == self._me.data_centre),
             )
-            self._add_shard(job, (), data_centre, out)
-            return
-        remaining = tasks
-        for data_centre, count in tasks_by_data_centre.items():
-            self._add_shard(job, remaining[:count], data_centre, out)
-            remaining = remaining[count:]
-
-    def _add_shard(
+            return {data_centre: ()}
+        remaining = iter(range(job.task_count))
+        return {
+            data_centre: tuple(itertools.islice(remaining, count))
+            for data_centre, count in tasks_by_data_centre.items()
+        }
+
+    def _add_shards(
         self,
         job: _WaitingJob,
-        tasks: tuple[int, ...],
-        data_centre: str,
+        tasks_by_data_centre: dict[str, tuple[int, ...]],
         out: list[Action],
     ) -> None:
-        # Never reused: brokers cache outcomes of shards of a job's earlier copies.
-        number = next(self._shard_numbers)
-        shard = job.shards[number] = _Shard(number, tasks, self._brokers[data_centre])
-        out.append(SendShard(shard.broker.daemon, job.submission_of(shard)))
+        """Add shards to a job and submit them: all of them, or none on an exception."""
+        shards = [
+            # Never reused: brokers cache outcomes of shards of a job's earlier copies.
+            _Shard(next(self._shard_numbers), tasks, self._brokers[data_centre])
+            for data_centre, tasks in tasks_by_data_centre.items()
+        ]
+        for shard in shards:
+            job.shards[shard.number] = shard
+            out.append(SendShard(shard.broker.daemon, job.submission_of(shard)))
 
     def _refuse(
         self,
@@ -427,8 +442,7 @@
             return []
         if outcome.verdict is jobs.Verdict.COMPLETED:
             shard.is_done = True
-            is_complete = all(x.is_done for x in job.shards.values())
-            return self._answer(job, outcome) if is_complete else []
+            return self._answer(job, outcome) if job.is_complete() else []
         if outcome.verdict is jobs.Verdict.REFUSED:
             return self._handle_refused_shard(job, shard, outcome)
         return self._finish(job, outcome, shard)
@@ -453,12 +467,12 @@
             if not is_only_shard:
                 outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
             return self._finish(job, outcome, shard)
-        # A new number: late messages about the refused shard must not match this one.
-        del job.shards[shard.number]
         out: list[Action] = [
             _log("rerouted", job, part=shard.number, refused_by=data_centre)
         ]
-        self._add_shard(job, shard.tasks, min(others), out)
+        # A new number: late messages about the refused shard must not match this one.
+        self._add_shards(job, {min(others): shard.tasks}, out)
+        del job.shards[shard.number]
         return out
 
     def _finish(
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from carawaysail_holding import broker_messages, gateway, loads
+from carawaysail_holding import broker_messages, gateway, loads, planning
 from carawaysail_types import clock, daemons, jobs
 
 MS = clock.milliseconds
@@ -42,7 +42,12 @@
 
     def record_free_cores(self, **cores):
         for data_centre, free in cores.items():
-            self.gateway.record_load(data_centre, (make_load(free),))
+            self.record_load(data_centre, make_load(free))
+
+    def record_load(self, data_centre, load):
+        """Record a load report of the data centre's broker."""
+        daemon = self.brokers[data_centre].daemon
+        self.gateway.record_load(daemon, data_centre, (load,))
 
     def submit_job(
         self, number=1, task_count=4, reply_id=1, after=(), run_time_ms=100, priority=0
@@ -160,6 +165,33 @@
             if any(isinstance(x, gateway.Answer) for x in answers):
                 self.assertEqual({0, 1, 2, 3}, tasks)
 
+    def test_tasks_are_planned_only_where_they_can_be_submitted(self):
+        [sent] = self.sent(self.submit_job())
+        self.assertEqual((0, 1, 2, 3), sent.submission.tasks)
+
+    def test_load_reported_by_another_daemon_than_the_broker_is_ignored(self):
+        other = daemons.Daemon("vm-2", "home", "vm-2-1", "vm-2:1")
+        self.gateway.record_load(other, "home", (make_load(0),))
+        [sent] = self.sent(self.submit_job(task_count=2))
+        self.assertEqual("home", sent.submission.data_centre)
+
+    def replace_plan(self, tasks_by_data_centre):
+        plan = planning.Plan(tasks_by_data_centre, 0.0, 0)
+        self.patch(planning.CapacityView, "plan", lambda *args: plan)
+
+    # A shard of a job that could not be split was submitted to the next holder.
+    def test_job_that_cannot_be_split_leaves_no_shard(self):
+        self.replace_plan({"home": 2, "away": 2})
+        self.assertRaises(KeyError, self.submit_job)
+        self.assertEqual(0, self.gateway.open_jobs())
+        self.assertEqual([], self.sent(self.change_holders()))
+
+    # A job counted as complete once the shards that it had were done.
+    def test_job_is_not_completed_while_a_task_is_in_no_shard(self):
+        self.replace_plan({"home": 3})
+        [sent] = self.sent(self.submit_job(task_count=4))
+        self.assert_answers([], self.handle_outcome(sent, DONE))
+
 
 class TestRefusals(GatewayCase):
     """``REFUSED`` is answered only if no task of the job ran."""
@@ -189,7 +221,7 @@
             "search", (), (1.0,), (loads.ExpectedRelease(500.0, 1.0),), 30, 9000.0
         )
         for data_centre in ("home", "away"):
-            self.gateway.record_load(data_centre, (load,))
+            self.record_load(data_centre, load)
         actions = self.submit_job()
         self.assert_answers([jobs.Verdict.REFUSED], actions)
         [answer] = [x for x in actions if isinstance(x, gateway.Answer)]
@@ -213,7 +245,7 @@
             "search", (), (1.0,), (loads.ExpectedRelease(wait_ms, 1.0),) * 8, 0, 0.0
         )
         for data_centre in ("home", "away"):
-            self.gateway.record_load(data_centre, (full,))
+            self.record_load(data_centre, full)
 
     def is_admitted(self, actions):
         return bool(self.sent(actions))
