Let an exception in the decision loop end only what it concerns

Callers whose job could not be handled waited until their timeout (504 after 1.5 s), and what stood behind a failed item was lost: the later messages of a peer's frame, the later actions of a decision, the later steps of a tick. An exception in a tick ended the task of the loop: the process lived on, took requests, and decided nothing.

Cause: one try around a whole message, none around a tick.

Change: each message of a frame, each action and each timed step is guarded by itself; a failed JobPosted is answered at once as unknown (internal_error) and what was stored of it is withdrawn; failures are counted as carawaysail_decisions_total, name failed. The model counts an exception in a daemon as a violation; before, it went unseen.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -4,11 +4,14 @@
 it as messages through one inbox and is handled in order of arrival. ``handlers`` maps
 the type name of a message to the function that handles it; ``action_handlers`` maps
 the type name of an action, which a decision returns, to the function that carries it
-out.
+out. An exception ends only the handling of one message, action or timed step: it is
+logged, and ``failure_handlers`` maps the type name of a message to the function that
+then settles what the message began.
 """
 
 import asyncio
 import collections.abc
+import contextlib
 import datetime
 import typing
 
@@ -64,6 +67,9 @@
 action_handlers: registry.Registry[Handler] = registry.Registry(
     "decision loop action handlers"
 )
+failure_handlers: registry.Registry[Handler] = registry.Registry(
+    "decision loop failure handlers"
+)
 
 
 class PeerStream(typing.Protocol):
@@ -201,45 +207,91 @@
         return max(MIN_WAIT, min(interval, until_heartbeat))
 
     def handle(self, message: messages.Message) -> None:
-        """Handle one message; log an exception and go on, to keep the loop running."""
+        """Handle one message; settle what it began if that fails."""
+        now = self.clock.now()
+        self.dispatch(type(message).__name__, message, now)
+
+    def dispatch(self, kind: str, message: typing.Any, now: datetime.datetime) -> None:
+        """Call the handler of a kind of message, and its failure handler if it fails.
+
+        Parameters
+        ----------
+        kind : str
+            Name under which the handler is registered.
+        message : object
+            Argument of the handler.
+        now : datetime.datetime
+            Present instant.
+        """
         try:
-            handler = handlers.get(type(message).__name__)
-            handler(self, message, self.clock.now())
+            handlers.get(kind)(self, message, now)
         except Exception as exc:
-            logs.log_error(
-                "desk", "Message failed.", exc, kind=type(message).__name__,
-                where=logs.location(exc), message=str(message)[:MAX_LOGGED_CHARACTERS],
-            )  # fmt: skip
+            self._log_failure("Message failed.", kind, message, exc)
+            if kind in failure_handlers.names():
+                with self._logging_failure("Failure not settled.", kind, message):
+                    failure_handlers.get(kind)(self, message, now)
+
+    @contextlib.contextmanager
+    def _logging_failure(
+        self, text: str, kind: str, subject: typing.Any
+    ) -> collections.abc.Iterator[None]:
+        """Log an exception of the enclosed statements and go on after them."""
+        try:
+            yield
+        except Exception as exc:
+            self._log_failure(text, kind, subject, exc)
+
+    def _log_failure(
+        self, text: str, kind: str, subject: typing.Any, exc: Exception
+    ) -> None:
+        """Log and count an exception, with its place and what was being handled."""
+        self.dependencies.metrics.count_decision("failed", kind)
+        logs.log_error(
+            "desk", text, exc, kind=kind, where=logs.location(exc),
+            subject=str(subject)[:MAX_LOGGED_CHARACTERS],
+        )  # fmt: skip
 
     def tick(self) -> None:
         """Do the timed work: deadlines, silent peers, claims and heartbeats."""
         now = self.clock.now()
+        for step in _TIMED_STEPS:
+            with self._logging_failure("Timed step failed.", step.__name__, ""):
+                step(self, now)
+
+    def _check_broker(self, now: datetime.datetime) -> None:
         self.perform(self.broker.tick(now), now)
-        self._drop_silent_peers(now)
+
+    def _request_reports(self, now: datetime.datetime) -> None:
         self.dependencies.reports.set_needed(
             bool(self.broker.tokens())
             or self.election.has_data_centre_without_daemons(now)
         )
-        self._update_brokers(now)
+
+    def _check_gateway(self, now: datetime.datetime) -> None:
         self.perform(self.gateway.tick(now), now)
+
+    def _claim_data_centres(self, now: datetime.datetime) -> None:
         for claim in self.election.next_claims(now):
             logs.log_event(
                 "tenure", "Claim.", data_centre=claim.data_centre, token=claim.token,
                 cause=claim.cause,
             )  # fmt: skip
             self.dependencies.claims.claim(claim.data_centre, claim.token)
-        self._send_due_heartbeats(now)
-        if self.is_leaving:
-            self._end_if_idle()
 
     # Actions
 
     def perform(
         self, actions: collections.abc.Iterable[typing.Any], now: datetime.datetime
     ) -> None:
-        """Carry out the actions that a decision returned, in order."""
+        """Carry out the actions that a decision returned, in order.
+
+        One that fails does not keep the others from being carried out, since the
+        decision has already changed the state as if all were.
+        """
         for action in actions:
-            action_handlers.get(type(action).__name__)(self, action, now)
+            kind = type(action).__name__
+            with self._logging_failure("Action failed.", kind, action):
+                action_handlers.get(kind)(self, action, now)
 
     def log_decision(
         self, name: str, subject: str, fields: dict[str, typing.Any]
@@ -415,7 +467,9 @@
         self.election.is_leaving = True
         self._next_heartbeat = now
 
-    def _end_if_idle(self) -> None:
+    def _end_if_idle(self, now: datetime.datetime) -> None:
+        if not self.is_leaving:
+            return
         is_idle = (
             not self.gateway.open_jobs()
             and not self.dependencies.replies.waiting_count()
@@ -430,6 +484,19 @@
         self.dependencies.workers.close()
 
 
+_TIMED_STEPS = (
+    DecisionLoop._check_broker,
+    DecisionLoop._drop_silent_peers,
+    DecisionLoop._request_reports,
+    DecisionLoop._update_brokers,
+    DecisionLoop._check_gateway,
+    DecisionLoop._claim_data_centres,
+    DecisionLoop._send_due_heartbeats,
+    DecisionLoop._end_if_idle,
+)
+"""What a tick does, in this order."""
+
+
 def _ignore(limits: jobs.Limits) -> None:
     """Do nothing; default of ``apply_limits`` until an HTTP server is set."""
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -1,8 +1,9 @@
 """Handlers of the decision loop: one for each type of message and of action.
 
-Importing this module fills the two registries of ``decision_loop``, which are keyed by
-type name. Handlers of messages update the state and carry out the actions that follow;
-handlers of actions pass each action to the component that it concerns.
+Importing this module fills the registries of ``decision_loop``, which are keyed by type
+name. Handlers of messages update the state and carry out the actions that follow;
+handlers of actions pass each action to the component that it concerns; handlers of
+failures settle what a message began whose handler has raised an exception.
 """
 
 import collections.abc
@@ -31,6 +32,16 @@
     loop.perform(loop.gateway.handle_job(submission, message.reply_id, now), now)
 
 
+@decision_loop.failure_handlers.register("JobPosted")
+def _abandon_job(
+    loop: decision_loop.DecisionLoop,
+    message: messages.JobPosted,
+    now: datetime.datetime,
+) -> None:
+    job_id = message.request.job.job_id
+    loop.perform(loop.gateway.abandon(job_id, message.reply_id), now)
+
+
 @decision_loop.handlers.register("ClientLeft")
 def _handle_client_left(
     loop: decision_loop.DecisionLoop,
@@ -169,9 +180,7 @@
     now: datetime.datetime,
 ) -> None:
     for item in message.messages:
-        decision_loop.handlers.get(type(item).__name__)(
-            loop, (message.sender, item), now
-        )
+        loop.dispatch(type(item).__name__, (message.sender, item), now)
 
 
 @decision_loop.handlers.register("SettingsReloaded")
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -497,6 +497,19 @@
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
         return self._finish(job, outcome)
 
+    def abandon(self, job_id: str, reply_id: int) -> list[Action]:
+        """Answer a client whose request could not be handled; its job ends as unknown.
+
+        Other clients that wait for the same job get the same answer.
+        """
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.INTERNAL_ERROR)
+        job = self._jobs.get(job_id)
+        if job is None:
+            return [Answer(reply_id, job_id, outcome)]
+        if reply_id not in job.reply_ids:
+            job.reply_ids.append(reply_id)
+        return self._finish(job, outcome)
+
     def tick(self, now: datetime.datetime) -> list[Action]:
         """Finish jobs whose deadline has passed or whose broker stays unreachable."""
         out: list[Action] = []
--- a/libs/carawaysail_model/src/carawaysail_model/history.py
+++ b/libs/carawaysail_model/src/carawaysail_model/history.py
@@ -84,6 +84,10 @@
         """Record a violation: a run started long after its worker began to drain."""
         self.violations.append(Violation("nothing on draining workers", worker_id, now))
 
+    def record_failure(self, kind: str, now: datetime.datetime) -> None:
+        """Record a violation: a decision loop has failed to handle something."""
+        self.violations.append(Violation("no exception in a daemon", kind, now))
+
     def record_outcome(
         self, job: jobs.Job, outcome: jobs.JobOutcome, now: datetime.datetime
     ) -> None:
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -103,8 +103,12 @@
 
 
 class _Metrics:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
     def count_decision(self, name: str, outcome: str) -> None:
-        pass
+        if name == "failed":
+            self._node.on_failure(outcome)
 
     def set_sizes(self, sizes: dict[str, int]) -> None:
         pass
@@ -132,6 +136,9 @@
         The store.
     on_outcome : callable
         Receives the identifier of the reply and the outcome of each submitted job.
+    on_failure : callable
+        Receives the kind of each message, action or timed step that raises an
+        exception.
     random_state : int
         Seed of the decision loop.
 
@@ -153,6 +160,7 @@
         network: Network,
         shared_store: store.Store,
         on_outcome: collections.abc.Callable[[int, jobs.JobOutcome], None],
+        on_failure: collections.abc.Callable[[str], None],
         random_state: int,
     ) -> None:
         self.me = me
@@ -160,6 +168,7 @@
         self.frozen_until = event_engine.now()
         self.needs_reports = False
         self.on_outcome = on_outcome
+        self.on_failure = on_failure
         self._engine = event_engine
         self._network = network
         self._store = shared_store
@@ -172,7 +181,7 @@
                 typing.cast(typing.Any, x)
                 for x in (
                     _WorkerLinks(self), _Claims(self), _Reports(self),
-                    _Replies(self), _Metrics(), _HttpFrontEnd(),
+                    _Replies(self), _Metrics(self), _HttpFrontEnd(),
                 )
             )
         )  # fmt: skip
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -288,6 +288,7 @@
         )  # fmt: skip
         node = nodes.Node(
             me, cfg, self.engine, self, self.store, self._on_outcome,
+            lambda kind: self.history.record_failure(kind, self.engine.now()),
             self._random.randrange(1 << 30),
         )  # fmt: skip
         self._nodes[vm] = node
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -137,6 +137,13 @@
         self.replace(ledger.Ledger, "record_stop_order", stop)
         self.assert_violated("capacity", run_fault("none", rate=2.0))
 
+    def test_gateway_that_fails_on_a_job(self):
+        def handle_job(self, submission, reply_id, now):
+            raise KeyError(submission.job.job_id)
+
+        self.replace(gateway.Gateway, "handle_job", handle_job)
+        self.assert_violated("no exception in a daemon", run_fault("none"))
+
     def test_broker_that_starts_resumed_shards_at_once(self):
         self.replace(worker_table.WorkerTable, "may_miss_runs", lambda *args: False)
         simulations = [run_fault("holder_killed", seed) for seed in range(8)]
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -215,7 +215,8 @@
 
     ``TOO_LONG`` means that the expected run time exceeds the client's timeout,
     ``TOO_LATE`` that a job which has waited can no longer finish before its deadline,
-    and ``SUPERSEDED`` that another submission of the same tasks has replaced it.
+    ``SUPERSEDED`` that another submission of the same tasks has replaced it, and
+    ``INTERNAL_ERROR`` that a daemon has failed to handle it.
     """
 
     NONE = "none"
@@ -232,6 +233,7 @@
     TASK_FAILED = "task_failed"
     SUPERSEDED = "superseded"
     NO_CONFIGURATION = "no_configuration"
+    INTERNAL_ERROR = "internal_error"
 
 
 class JobOutcome(typing.NamedTuple):
