Model a partition whose streams reopen one by one

The trace of the incident lies in the tenths of a second after a cut, while some daemons receive each other again and others do not. The model healed all links at once and sent no message for a reopened stream, so open shards were never submitted again there.

heal_link_by_link reopens each stream by itself and lets both ends notice it; the fault is data_centre_cut_heals_slowly.

--- a/libs/carawaysail_model/src/carawaysail_model/faults.py
+++ b/libs/carawaysail_model/src/carawaysail_model/faults.py
@@ -17,6 +17,10 @@
 CUT_DURATION = clock.milliseconds(5500)
 """Long enough for leases in the store to expire."""
 
+HEAL_DURATION = clock.milliseconds(700)
+"""Time in which the streams of a data centre reopen after a partition; longer than the
+time after which a silent daemon is suspected."""
+
 RESTART_DELAY = clock.milliseconds(1500)
 """Time from the death of a daemon to its restart."""
 
@@ -100,6 +104,16 @@
     simulation.engine.after(CUT_DURATION, simulation.heal)
 
 
+@faults.register("data_centre_cut_heals_slowly")
+def _data_centre_cut_heals_slowly(simulation: sites.Simulation) -> None:
+    """Partition a data centre; its streams reopen one by one after the partition."""
+    simulation.cut(AFFECTED_DATA_CENTRE)
+    simulation.engine.after(
+        CUT_DURATION,
+        lambda: simulation.heal_link_by_link(AFFECTED_DATA_CENTRE, HEAL_DURATION),
+    )
+
+
 @faults.register("workers_silent")
 def _workers_silent(simulation: sites.Simulation) -> None:
     """Make every sixth worker unreachable for some time; their runs go on."""
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -2,6 +2,8 @@
 
 import collections
 import datetime
+import functools
+import itertools
 import math
 import random
 import typing
@@ -218,6 +220,8 @@
         Further factors of the arrival rates, by name of the kind.
     cuts : set of frozenset of str
         Pairs of data centres without a connection.
+    cut_links : set of (str, str)
+        Pairs of sending and receiving VM without a connection.
     """
 
     def __init__(self, site: Site, random_state: int) -> None:
@@ -230,6 +234,7 @@
         self.rate_factor = 1.0
         self.kind_factors: dict[str, float] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.cut_links: set[tuple[str, str]] = set()
         self._random = random.Random(random_state)
         self._true_demands: dict[
             str, tuple[jobs.Resources, list[datetime.timedelta]]
@@ -336,7 +341,7 @@
     def delay(self, first: str, second: str) -> datetime.timedelta | None:
         """Return the one-way delay between two VMs or workers; ``None`` if cut."""
         data_centres = {self._data_centre_of(first), self._data_centre_of(second)}
-        if frozenset(data_centres) in self.cuts:
+        if frozenset(data_centres) in self.cuts or (first, second) in self.cut_links:
             return None
         return LOCAL_DELAY if len(data_centres) == 1 else REMOTE_DELAY
 
@@ -358,6 +363,34 @@
         self.cuts.clear()
         self.store.cut_data_centres.clear()
 
+    def heal_link_by_link(self, data_centre: str, longest: datetime.timedelta) -> None:
+        """End all partitions; streams to and from a data centre reopen one by one.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre that was cut off.
+        longest : datetime.timedelta
+            Time after which the last stream has reopened.
+        """
+        self.heal()
+        for first, second in itertools.permutations(self._nodes, 2):
+            places = [self._data_centre_of(x) for x in (first, second)]
+            if places.count(data_centre) != 1:
+                continue
+            self.cut_links.add((first, second))
+            self.engine.after(
+                longest * self._random.random(),
+                functools.partial(self._reopen, first, second),
+            )
+
+    def _reopen(self, sender: str, receiver: str) -> None:
+        """Reopen the stream of one daemon to another; both notice it."""
+        self.cut_links.discard((sender, receiver))
+        for vm, peer in ((sender, receiver), (receiver, sender)):
+            if self.node(vm) is not None:
+                self._nodes[vm].put(messages.StreamOpened(self._nodes[peer].me))
+
     def node(self, vm: str) -> nodes.Node | None:
         """Return the daemon of a VM; ``None`` if it is dead."""
         node = self._nodes[vm]
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -75,6 +75,12 @@
         simulation.run(DURATION)
         self.assert_no_violation(simulation)
 
+    def test_streams_reopen_one_by_one_under_load(self):
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                simulation = run_fault("data_centre_cut_heals_slowly", seed, rate=1.0)
+                self.assert_no_violation(simulation)
+
     def test_holders_killed_twice(self):
         simulation = sites.Simulation(SMALL, 5)
         faults.apply(simulation, "holder_killed")
