Refuse another job that has the identifier of one under way

A client that posted a job with the identifier of another job under way at the same daemon (other content, or on another queue) was joined to that job and got its answer (MIXED, an answer that is not its own).

Cause: jobs are keyed by identifier alone, and a second submission counted as the first one sent again without a look at its content.

Now only the same job on the same queue joins; another one is refused at once (503, identifier_in_use, Retry-After). Copies at two daemons with other content still meet at the broker only; that is open (a job's content is not part of a task's name on a worker).

--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -116,6 +116,11 @@
     def task_count(self) -> int:
         return sum(step.task_count for step in self.submission.job.steps)
 
+    def is_copy(self, submission: broker_messages.Submission) -> bool:
+        """Return whether a submission is the same job, sent again by its client."""
+        own = self.submission
+        return submission.job == own.job and submission.queue.name == own.queue.name
+
     def is_complete(self) -> bool:
         """Return whether every task of the job is in a shard that is done."""
         done: set[int] = set()
@@ -255,6 +260,8 @@
     ) -> list[Action]:
         """Admit or refuse a client's job, or join it to the same job under way.
 
+        Another job with the identifier of one under way is refused.
+
         Parameters
         ----------
         submission : broker_messages.Submission
@@ -265,10 +272,13 @@
             Present instant.
         """
         known = self._jobs.get(submission.job.job_id)
+        job = _WaitingJob(submission, reply_id)
+        if known is not None and not known.is_copy(submission):
+            reason = jobs.Reason.IDENTIFIER_IN_USE
+            return self._refuse(job, reason, MIN_RETRY_AFTER)
         if known is not None:
             known.reply_ids.append(reply_id)
             return [_log("joined_call", known)]
-        job = _WaitingJob(submission, reply_id)
         if submission.job.unsupported_features():
             return self._refuse(job, jobs.Reason.UNSUPPORTED, datetime.timedelta())
         forecast = self._forecast(job)
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -135,6 +135,22 @@
         self.assert_answers([jobs.Verdict.COMPLETED] * 2, actions)
 
 
+class TestIdentifiers(GatewayCase):
+    """Jobs of different content that have the same identifier."""
+
+    # A client got the answer to another client's job of the same identifier.
+    def test_other_job_with_the_identifier_of_one_under_way_is_refused(self):
+        [sent] = self.sent(self.submit_job(task_count=1))
+        for other in ({"task_count": 2}, {"task_count": 1, "priority": 1}):
+            actions = self.submit_job(reply_id=2, **other)
+            [answer] = [x for x in actions if isinstance(x, gateway.Answer)]
+            self.assertIs(jobs.Verdict.REFUSED, answer.outcome.verdict)
+            self.assertIs(jobs.Reason.IDENTIFIER_IN_USE, answer.outcome.reason)
+            self.assertEqual(2, answer.reply_id)
+        actions = self.handle_outcome(sent, DONE)
+        self.assert_answers([jobs.Verdict.COMPLETED], actions)
+
+
 class TestUnreachableDataCentre(GatewayCase):
     """Data centres whose load is known but whose broker cannot be reached."""
 
