Answer each request that is read before the grace period ends

Callers on open connections of a daemon that got SIGTERM were cut off without an answer (LOST) when the daemon was short of processor time.

Cause: the grace period began when the event loop ran the callback of the signal, and a request could wait beyond the end of the process.

Change: the signal's handler notes the end itself, closes connections after their next answer, and tells the front end; a request waits no longer than until then, and one that comes too late is refused at once (503, leaving). The test of the front end fails on the code before (no such limit).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import collections.abc
+import datetime
 import secrets
 import signal
 import socket
 import sys
+import types
 import typing
 
 from carawaysail_fleet import (
@@ -101,6 +103,7 @@
         self._metrics = daemon_metrics
         self._clock = clock.SystemClock()
         self._is_leaving = asyncio.Event()
+        self._end: datetime.datetime | None = None
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
@@ -207,8 +210,17 @@
         return ports.Response(200, body, content_type=content_type)
 
     def _watch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
+        # Not a callback of the loop, which may run it late under load: the grace period
+        # begins with the signal.
+        def start_leaving(number: int, frame: types.FrameType | None) -> None:
+            if self._end is None:
+                self._end = self._clock.now() + self._cfg.grace - STOP_MARGIN
+                self._front_end.set_end(self._end)
+                self._http_server.close_connections()
+                loop.call_soon_threadsafe(self._is_leaving.set)
+
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._is_leaving.set)
+            signal.signal(number, start_leaving)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     async def _watch_settings(self) -> None:
@@ -246,12 +258,11 @@
         daemons hold the workers and no client waits, but at most until ``STOP_MARGIN``
         before the end of the grace period.
         """
-        started = self._clock.now()
+        assert self._end is not None
         self._inbox.put(messages.LeaveRequested())
-        self._http_server.close_connections()
-        stop_at = started + self._cfg.grace - STOP_MARGIN
+        remaining = self._end - self._clock.now()
         try:
-            async with asyncio.timeout((stop_at - started).total_seconds()):
+            async with asyncio.timeout(remaining.total_seconds()):
                 await asyncio.sleep(LOAD_BALANCER_DELAY.total_seconds())
                 await self._decision_loop.has_ended.wait()
         except TimeoutError:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/front_end.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/front_end.py
@@ -4,6 +4,7 @@
 outcome comes, the client disconnects, or the client's timeout has passed.
 """
 
+import datetime
 import socket
 import threading
 import typing
@@ -59,6 +60,7 @@
         self._metrics = daemon_metrics
         self._max_waiting = max_waiting
         self._lock = threading.Lock()
+        self._end: datetime.datetime | None = None
         self._configuration: jobs.Configuration | None = None
 
     def configure(self, configuration: jobs.Configuration) -> None:
@@ -72,6 +74,16 @@
         """Return whether a configuration has been set."""
         return self._configuration is not None
 
+    def set_end(self, end: datetime.datetime) -> None:
+        """Answer every request before an instant, at which the process stops."""
+        self._end = end
+
+    def limit_timeout(self, timeout: datetime.timedelta) -> datetime.timedelta:
+        """Return how long a client may wait; not above 0 if it cannot be served."""
+        if self._end is None:
+            return timeout
+        return min(timeout, self._end - WAIT_MARGIN - self.clock.now())
+
     def is_full(self) -> bool:
         """Return whether ``max_waiting`` clients or more wait."""
         return self.replies.waiting_count() >= self._max_waiting
@@ -126,9 +138,14 @@
     if front_end.is_full():
         logs.log_event("front", "Too many waiting clients.", id=request.job.job_id)
         return front_end.codec.outcome(_refused(jobs.Reason.OVERLOADED))
+    timeout = front_end.limit_timeout(request.client_timeout)
+    if timeout <= datetime.timedelta():
+        logs.log_event("front", "Leaving; job refused.", id=request.job.job_id)
+        return front_end.codec.outcome(_refused(jobs.Reason.LEAVING))
+    request = request._replace(client_timeout=timeout)
     reply_id = front_end.replies.open()
     front_end.loop_inbox.put(messages.JobPosted(request, reply_id))
-    max_wait = request.client_timeout + WAIT_MARGIN
+    max_wait = timeout + WAIT_MARGIN
     outcome = front_end.replies.wait(reply_id, client, max_wait.total_seconds())
     if outcome is None:
         front_end.loop_inbox.put(messages.ClientLeft(request.job.job_id, reply_id))
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -122,6 +122,16 @@
         request = ports.Request("POST", "h", path, {}, b"")
         return self.front_end.handle(request, self.server)
 
+    # A request that was read shortly before the process stopped got no answer.
+    def test_request_is_answered_before_the_process_stops(self):
+        self.configure(1)
+        in_time = front_end.WAIT_MARGIN + clock.milliseconds(10)
+        self.front_end.set_end(clock.SystemClock().now() + in_time)
+        self.assertEqual(b"timed_out", self.handle("/q/1").body)
+        self.assertEqual(["JobPosted", "ClientLeft"], self.posted)
+        self.assertEqual(b"leaving", self.handle("/q/2").body)
+        self.assertEqual(2, len(self.posted))
+
     def test_without_a_configuration_jobs_are_refused(self):
         self.assertEqual(b"no_configuration", self.handle("/q/1").body)
         self.assertEqual([], self.posted)
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -216,8 +216,9 @@
     ``TOO_LONG`` means that the expected run time exceeds the client's timeout,
     ``TOO_LATE`` that a job which has waited can no longer finish before its deadline,
     ``SUPERSEDED`` that another submission of the same tasks has replaced it,
-    ``INTERNAL_ERROR`` that a daemon has failed to handle it, and ``IDENTIFIER_IN_USE``
-    that a different job with its identifier is under way.
+    ``INTERNAL_ERROR`` that a daemon has failed to handle it, ``IDENTIFIER_IN_USE`` that
+    a different job with its identifier is under way, and ``LEAVING`` that the daemon
+    stops before it could be served.
     """
 
     NONE = "none"
@@ -236,6 +237,7 @@
     NO_CONFIGURATION = "no_configuration"
     INTERNAL_ERROR = "internal_error"
     IDENTIFIER_IN_USE = "identifier_in_use"
+    LEAVING = "leaving"
 
 
 class JobOutcome(typing.NamedTuple):
