--- a/libs/carawaysail_soak/src/carawaysail_soak/plan.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/plan.py
@@ -18,6 +18,9 @@
 SERIES_GAP_S = 0.6
 """Mean time between two steps of one series, in seconds."""
 
+FAULT_MARGIN_S = 2.0
+"""Time by which a fault may outlast the time in which faults begin, in seconds."""
+
 
 class Size(typing.NamedTuple):
     """Size of a site and its traffic.
@@ -229,7 +232,7 @@
 def _draw_step(rng: random.Random, size: Size, name: str, at_s: float) -> Step:
     kind = kinds.get(name)
     target = targets.get(rng.choice(kind.targets))(rng, size)
-    for_s = min(rng.uniform(*kind.for_s), size.fault_s + size.calm_s / 4 - at_s)
+    for_s = min(rng.uniform(*kind.for_s), size.fault_s + FAULT_MARGIN_S - at_s)
     parameters = {
         key: round(rng.uniform(*kind.parameters[key]), 3)
         for key in sorted(kind.parameters)
--- /dev/null
+++ b/libs/carawaysail_soak/tests/test_soak.py
@@ -0,0 +1,70 @@
+"""Fixed plans on real daemons, played in CI."""
+
+import pathlib
+import tempfile
+
+import testtools
+import testtools.content
+
+from carawaysail_soak import main, plan, settings
+from carawaysail_types import errors
+
+CFG = settings.load()
+
+
+class TestSoak(testtools.TestCase):
+    """Plans that have to pass."""
+
+    def play(self, what):
+        """Play a plan and check that no promise is broken."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        out = pathlib.Path(folder.name)
+        result = main.play(what, CFG, out)
+        for log in out.glob("*/vm-*.log"):
+            text = log.read_text(errors="replace")[-20_000:]
+            self.addDetail(log.name, testtools.content.text_content(text))
+        self.assertEqual([], result["violations"])
+        self.assertGreater(result["counts"]["RequestAnswered"], 50)
+
+    def test_seed_1(self):
+        self.play(plan.draw(1, CFG.sizes["small"]))
+
+    def test_seed_2(self):
+        self.play(plan.draw(2, CFG.sizes["small"]))
+
+    def test_seed_3(self):
+        self.play(plan.draw(3, CFG.sizes["small"]))
+
+
+class TestSettings(testtools.TestCase):
+    """Settings of the soak."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "soak.json"
+
+    def test_a_file_replaces_the_fields_that_it_names(self):
+        self.path.write_text('{"bounds": {"grace_s": 3} /* short */}')
+        cfg = settings.load(str(self.path))
+        self.assertEqual({"grace_s": 3}, cfg.bounds)
+        self.assertEqual(CFG.sizes, cfg.sizes)
+
+    def test_an_unknown_field_is_an_error(self):
+        self.path.write_text('{"boundaries": {}}')
+        self.assertRaises(errors.BadInputError, settings.load, str(self.path))
+
+    def test_a_wrong_value_is_an_error(self):
+        self.path.write_text('{"sizes": {"small": {"daemons": "many"}}}')
+        self.assertRaises(errors.BadInputError, settings.load, str(self.path))
+
+
+class TestCommand(testtools.TestCase):
+    """Arguments of the command."""
+
+    def test_invalid_arguments_have_status_2(self):
+        self.assertEqual(2, main.main(["--size", "tiny"]))
+        self.assertEqual(2, main.main(["--seeds", "one-two"]))
+        self.assertEqual(2, main.main(["--plan", "/nowhere/plan.json"]))
