Check that processes release what they use; tell workers who calls

Each daemon is measured before and after the traffic. Its connections to workers come from an address of its own, so that the checks can tell senders apart. Targets of faults have a module of their own; the files of a plan are kept as well if it could not be played.

--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/__init__.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/__init__.py
@@ -8,12 +8,28 @@
 """
 
 from carawaysail_soak import history
-from carawaysail_soak.checks import answers, evidence, registry, runs, site
+from carawaysail_soak.checks import (
+    answers,
+    evidence,
+    registry,
+    resources,
+    runs,
+    site,
+)
 
 Bounds = evidence.Bounds
 Violation = registry.Violation
 
-__all__ = ["Bounds", "Violation", "answers", "judge", "names", "runs", "site"]
+__all__ = [
+    "Bounds",
+    "Violation",
+    "answers",
+    "judge",
+    "names",
+    "resources",
+    "runs",
+    "site",
+]
 
 
 def names() -> tuple[str, ...]:
--- a/libs/carawaysail_soak/src/carawaysail_soak/faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/faults.py
@@ -8,7 +8,7 @@
 import signal
 import typing
 
-from carawaysail_soak import plan, proxy, site
+from carawaysail_soak import plan, proxy, site, targets
 
 DIRECTIONS = ((proxy.FORTH,), (proxy.BACK,), (proxy.FORTH, proxy.BACK))
 ALL_LINKS = ("peer_link", "holder_link", "store_link", "worker_link", "client_link")
@@ -21,7 +21,7 @@
 def kind(
     name: str,
     layer: str,
-    targets: tuple[str, ...],
+    target_names: tuple[str, ...],
     for_s: tuple[float, float] = (0.1, 0.1),
     **parameters: tuple[float, float],
 ) -> collections.abc.Callable[[Play], Play]:
@@ -29,12 +29,14 @@
 
     Parameters
     ----------
-    name, layer, targets, for_s, **parameters
+    name, layer, target_names, for_s, **parameters
         Fields of ``plan.Kind``.
     """
 
     def add(play: Play) -> Play:
-        plan.kinds.register(name)(plan.Kind(play, layer, targets, for_s, parameters))
+        plan.kinds.register(name)(
+            plan.Kind(play, layer, target_names, for_s, parameters)
+        )
         return play
 
     return add
@@ -65,7 +67,7 @@
         await asyncio.sleep(step.parameters["restart_s"])
         await where.processes[vm].start()
 
-    await _for_each(where.resolve_vms(step.target), act)
+    await _for_each(targets.vms(where, step.target), act)
 
 
 @kind("kill", "processes", (*VM_TARGETS, "all"), restart_s=(0.0, 3.0))
@@ -77,7 +79,7 @@
         await asyncio.sleep(step.parameters["restart_s"])
         await where.processes[vm].start()
 
-    await _for_each(where.resolve_vms(step.target), act)
+    await _for_each(targets.vms(where, step.target), act)
 
 
 @kind("replace", "processes", ("vm", "holder"), restart_s=(0.0, 2.0), is_kill=(0, 1))
@@ -94,13 +96,13 @@
             await where.move(vm)
         await process.start()
 
-    await _for_each(where.resolve_vms(step.target), act)
+    await _for_each(targets.vms(where, step.target), act)
 
 
 @kind("freeze", "processes", (*VM_TARGETS, "all"), (0.3, 6.0))
 async def _freeze(where: site.Site, step: plan.Step) -> None:
     """Stop the processes for some time."""
-    vms = where.resolve_vms(step.target)
+    vms = targets.vms(where, step.target)
     for vm in vms:
         where.processes[vm].signal(signal.SIGSTOP)
     try:
@@ -113,7 +115,7 @@
 @kind("roll", "processes", ("vms", "all"), (2.0, 14.0), restart_s=(0.0, 1.0))
 async def _roll(where: site.Site, step: plan.Step) -> None:
     """Terminate and start several, one after the other, without waiting for the end."""
-    vms = where.resolve_vms(step.target)
+    vms = targets.vms(where, step.target)
     async with asyncio.TaskGroup() as group:
         for vm in vms:
             group.create_task(_terminate(where, step._replace(target=vm)))
@@ -127,7 +129,7 @@
     where: site.Site, step: plan.Step, impairment: proxy.Impairment
 ) -> None:
     directions = DIRECTIONS[int(step.parameters["direction"])]
-    links = where.resolve_links(step.target)
+    links = targets.links(where, step.target)
     end = where.proxy.impair(links, directions, impairment)
     try:
         await asyncio.sleep(step.for_s)
@@ -158,18 +160,18 @@
 @kind("reset", "links", (*ALL_LINKS, "vm", "holder", "all"))
 async def _reset(where: site.Site, step: plan.Step) -> None:
     """Reset the open connections."""
-    where.proxy.reset(where.resolve_links(step.target))
+    where.proxy.reset(targets.links(where, step.target))
 
 
 @kind("silence", "links", (*ALL_LINKS, "vm", "holder"))
 async def _silence(where: site.Site, step: plan.Step) -> None:
     """Silence the open connections for good; new ones work."""
-    where.proxy.silence(where.resolve_links(step.target))
+    where.proxy.silence(targets.links(where, step.target))
 
 
 @kind("cut", "links", ALL_LINKS, size_bytes=(0, 600), direction=(0, 1.99))
 async def _cut(where: site.Site, step: plan.Step) -> None:
     """Reset the open connections in the middle of a message."""
     direction = DIRECTIONS[int(step.parameters["direction"])][0]
-    links = where.resolve_links(step.target)
+    links = targets.links(where, step.target)
     where.proxy.reset_after(links, direction, int(step.parameters["size_bytes"]))
--- a/libs/carawaysail_soak/src/carawaysail_soak/history.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/history.py
@@ -131,6 +131,18 @@
     exit_code: int
 
 
+@event_types.register("ProcessMeasured")
+class ProcessMeasured(typing.NamedTuple):
+    """What a process uses while no client is connected: memory in MB, and numbers."""
+
+    at: float
+    vm: str
+    pid: int
+    memory_mb: float
+    descriptors: int
+    threads: int
+
+
 @event_types.register("Signalled")
 class Signalled(typing.NamedTuple):
     """The soak is about to send a signal to a daemon, such as ``SIGTERM``."""
@@ -191,7 +203,7 @@
 
 Event = (
     RequestSent | RequestAnswered | RequestBroken | ClientLeft | JobsPending
-    | ProcessStarted | ProcessReady | ProcessEnded | Signalled
+    | ProcessStarted | ProcessReady | ProcessEnded | ProcessMeasured | Signalled
     | FaultBegun | FaultEnded | ConfigWritten | TrafficEnded | events.StandinEvent
 )  # fmt: skip
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -62,24 +62,28 @@
 ) -> Result:
     """Play a plan, check its history, and keep the files if a check failed."""
     begin = time.monotonic()
+    kept = out / str(what.seed)
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = pathlib.Path(name)
         plan.write(folder / "plan.json", what)
-        events = asyncio.run(player.play(what, folder, cfg))
-        history.write(folder / "events.jsonl", events)
-        violations = checks.judge(events, _bounds(cfg))
-        kept = ""
-        if violations or keep:
-            kept = str(out / str(what.seed))
-            shutil.rmtree(kept, ignore_errors=True)
-            shutil.copytree(folder, kept)
+        is_kept = True
+        try:
+            events = asyncio.run(player.play(what, folder, cfg))
+            history.write(folder / "events.jsonl", events)
+            violations = checks.judge(events, _bounds(cfg))
+            is_kept = keep or bool(violations)
+        finally:
+            if is_kept:
+                shutil.rmtree(kept, ignore_errors=True)
+                shutil.copytree(folder, kept)
     counts: dict[str, int] = {}
     for event in events.events:
         counts[type(event).__name__] = counts.get(type(event).__name__, 0) + 1
     return Result(
         seed=what.seed, passed=not violations, steps=len(what.steps), counts=counts,
         seconds=round(time.monotonic() - begin, 1), violation_count=len(violations),
-        violations=[x._asdict() for x in violations[:MAX_REPORTED]], folder=kept,
+        violations=[x._asdict() for x in violations[:MAX_REPORTED]],
+        folder=str(kept) if is_kept else "",
     )  # fmt: skip
 
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/plan.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/plan.py
@@ -59,7 +59,7 @@
     at_s, for_s : float
         Begin, from the first traffic, and duration, in seconds.
     target : str
-        What it is injected into; see ``Site.vms``, ``Site.links`` and ``Site.workers``.
+        What it is injected into; see the module ``targets``.
     parameters : dict of str to float
         Parameters of the kind.
     """
--- a/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
@@ -7,7 +7,7 @@
 import typing
 
 from carawaysail_platform_standins import odd_entries, store_faults
-from carawaysail_soak import faults, plan, site
+from carawaysail_soak import faults, plan, site, targets
 
 # Workers
 
@@ -33,12 +33,12 @@
 def _register_worker_fault(name: str, amount: tuple[float, float]) -> None:
     @faults.kind(f"worker_{name}", "workers", WORKER_TARGETS, (0.5, 6.0), amount=amount)
     async def _play(where: site.Site, step: plan.Step) -> None:
-        for worker_id in where.resolve_workers(step.target):
+        for worker_id in targets.workers(where, step.target):
             await asyncio.to_thread(
                 where.fleet.inject, worker_id, name, step.parameters["amount"]
             )
         await asyncio.sleep(step.for_s)
-        for worker_id in where.resolve_workers(step.target):
+        for worker_id in targets.workers(where, step.target):
             await asyncio.to_thread(where.fleet.heal, worker_id)
 
 
@@ -55,7 +55,7 @@
 async def _reload(where: site.Site, step: plan.Step) -> None:
     """Change the settings files, with or without a SIGHUP."""
     where.bounds["max_hold_ms"] = int(step.parameters["lease_ms"])
-    for vm in where.resolve_vms(step.target):
+    for vm in targets.vms(where, step.target):
         where.write_settings(vm)
         if step.parameters["has_signal"] > 0.5:
             where.processes[vm].signal(signal.SIGHUP)
@@ -128,7 +128,7 @@
 )
 async def _store_refuses(where: site.Site, step: plan.Step) -> None:
     """Let the store refuse the calls of some daemons."""
-    refused = {where.reader(x) for x in where.resolve_vms(step.target)}
+    refused = {where.reader(x) for x in targets.vms(where, step.target)}
     where.store.faults.refusal = REFUSALS[int(step.parameters["refusal"])]
     where.store.faults.refused_addresses |= refused
     await asyncio.sleep(step.for_s)
@@ -158,7 +158,7 @@
 @faults.kind("revoke", "store", ("vm", "vms", "holder"))
 async def _revoke(where: site.Site, step: plan.Step) -> None:
     """End the leases of daemons in the store."""
-    for vm in where.resolve_vms(step.target):
+    for vm in targets.vms(where, step.target):
         where.store.revoke_keys(vm)
 
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/player.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/player.py
@@ -1,7 +1,6 @@
 """Plays a plan: starts the site and its clients, injects the faults, and ends all."""
 
 import asyncio
-import collections.abc
 import pathlib
 import signal
 import time
@@ -16,12 +15,16 @@
     platform_faults,
     settings,
     site,
+    targets,
 )
 
 FAULT_MODULES = (faults, platform_faults)
 """Modules whose import fills the registry of kinds."""
 
 READY_TIMEOUT_S = 40.0
+SETTLE_S = 2.0
+"""Time after which a daemon no longer works for clients that have left, in seconds."""
+
 WARM_UP_S = 1.5
 """Traffic before the first fault, in seconds."""
 
@@ -54,6 +57,7 @@
     await where.start()
     try:
         await where.wait_until_ready(READY_TIMEOUT_S)
+        where.measure()
         tasks = _start_clients(what, where, cfg, recorder)
         await asyncio.sleep(WARM_UP_S)
         await _inject(what, where, recorder)
@@ -65,6 +69,8 @@
         for end in ends:
             if isinstance(end, Exception):
                 raise end
+        await asyncio.sleep(SETTLE_S)
+        where.measure()
     finally:
         await where.stop()
     return recorder.history()
@@ -100,7 +106,7 @@
     kind = plan.kinds.get(step.kind)
     # A step may end while another one of the same kind and target lasts.
     target = f"{step.target}#{number}"
-    vms = tuple(_impaired_vms(step, where))
+    vms = tuple(targets.impaired_vms(where, step.target))
     logs.log_event("soak", "Fault begun.", kind=step.kind, target=target, vms=vms)
     recorder.record(
         history.FaultBegun(time.monotonic(), step.kind, target, kind.layer, vms)
@@ -109,11 +115,3 @@
         await kind.play(where, step)
     finally:
         recorder.record(history.FaultEnded(time.monotonic(), step.kind, target))
-
-
-def _impaired_vms(step: plan.Step, where: site.Site) -> collections.abc.Iterable[str]:
-    source, arrow, end = step.target.partition(">")
-    if not arrow:
-        return where.resolve_vms(step.target)
-    named = {*where.resolve_vms(source), *where.resolve_vms(end)}
-    return sorted(named)
--- a/libs/carawaysail_soak/src/carawaysail_soak/processes.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/processes.py
@@ -8,6 +8,8 @@
 import time
 import typing
 
+import psutil
+
 from carawaysail_platform_standins import site as standin_site
 from carawaysail_runtime import logs
 from carawaysail_soak import history
@@ -108,15 +110,18 @@
         Records start, signals and end.
     observer : Observer
         Is told of its begin and end.
+    source : str
+        IP address that its connections to workers come from.
     """
 
     def __init__(
         self, vm: str, folder: pathlib.Path, recorder: history.Recorder,
-        observer: Observer,
+        observer: Observer, source: str,
     ) -> None:  # fmt: skip
         self.vm = vm
         self.addresses = draw_addresses()
         self._observer = observer
+        self._source = source
         self.settings = folder / f"{vm}.toml"
         self._log = folder / f"{vm}.log"
         self._recorder = recorder
@@ -145,7 +150,9 @@
                 )  # fmt: skip
             self._process, self._is_expected_to_end = process, False
             self._recorder.record(
-                history.ProcessStarted(time.monotonic(), self.vm, process.pid)
+                history.ProcessStarted(
+                    time.monotonic(), self.vm, process.pid, self._source
+                )
             )
             self._watch = asyncio.create_task(self._watch_process(process))
 
@@ -161,6 +168,20 @@
         )
         process.send_signal(number)
 
+    def measure(self) -> None:
+        """Record what the process uses, if it runs."""
+        if self.pid is None:
+            return
+        process = psutil.Process(self.pid)
+        with process.oneshot():
+            self._recorder.record(
+                history.ProcessMeasured(
+                    time.monotonic(), self.vm, process.pid,
+                    round(process.memory_info().rss / 2**20, 1), process.num_fds(),
+                    process.num_threads(),
+                )
+            )  # fmt: skip
+
     async def kill(self) -> None:
         """Send SIGKILL and wait for the end."""
         self.signal(signal.SIGKILL)
--- a/libs/carawaysail_soak/src/carawaysail_soak/site.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/site.py
@@ -67,7 +67,8 @@
         self._vm_names = plan.vm_names(size)
         self._worker_ids = plan.worker_ids(size)
         self.processes = {
-            x: processes.Process(x, folder, recorder, self) for x in self._vm_names
+            x: processes.Process(x, folder, recorder, self, self.reader(x))
+            for x in self._vm_names
         }
         self._link_addresses: dict[proxy.Link, str] = {}
         self._target_by_address: dict[str, str] = {}
@@ -126,6 +127,20 @@
                 "site", timeout_s, "daemons that are ready in time"
             ) from exc
 
+    def measure(self) -> None:
+        """Record what each daemon uses."""
+        for process in self.processes.values():
+            process.measure()
+
+    def holder(self, data_centre: str) -> str | None:
+        """Return the VM whose daemon holds a data centre's workers, if any does."""
+        entry = self.store.value(HOLDER_PREFIX + data_centre)
+        return msgspec.json.decode(entry, type=daemons.Daemon).vm if entry else None
+
+    def worker_ids(self) -> list[str]:
+        """Return the identifiers of all workers."""
+        return self._worker_ids
+
     def write_settings(self, vm: str) -> None:
         """Write the settings file of a daemon."""
         process = self.processes[vm]
@@ -181,59 +196,10 @@
         """Return the path prefixes of all queues that were ever configured."""
         return self._all_queues
 
-    # Targets of faults
-
-    def resolve_vms(self, target: str) -> list[str]:
-        """Return the VMs that a target names.
-
-        Parameters
-        ----------
-        target : str
-            Names joined by ``+``; ``*`` or ``vms`` for all; ``in:DC`` for those of a
-            data centre; ``holder:DC`` for the present holder of its workers.
-        """
-        head, _, data_centre = target.partition(":")
-        if target in ("*", "vms"):
-            return list(self._vm_names)
-        if head == "in":
-            names = self._vm_names
-            return [
-                x for x in names if plan.data_centre_of(x, self.size) == data_centre
-            ]
-        if head == "holder":
-            entry = self.store.value(HOLDER_PREFIX + data_centre)
-            if not entry:
-                return []
-            return [msgspec.json.decode(entry, type=daemons.Daemon).vm]
-        return [x for x in target.split("+") if x in self.processes]
-
     def reader(self, vm: str) -> str:
-        """Return the IP address that a daemon's calls to the store come from."""
+        """Return the IP address that a daemon's calls come from behind the proxy."""
         return f"127.105.{100 + self._vm_names.index(vm)}.100"
 
-    def resolve_workers(self, target: str) -> list[str]:
-        """Return the workers that a target names: identifiers joined by ``+``."""
-        return [x for x in target.split("+") if x in self._worker_ids]
-
-    def resolve_links(self, target: str) -> list[proxy.Link]:
-        """Return the links that a target ``SOURCE>TARGET`` names.
-
-        A target without ``>`` names all links from and to its VMs, without those of
-        clients.
-        """
-        source, arrow, end = target.partition(">")
-        if not arrow:
-            vms = set(self.resolve_vms(target))
-            return [
-                x for x in self.proxy.links()
-                if (x.source in vms or x.target in vms) and x.source != CLIENTS
-            ]  # fmt: skip
-        sources = {CLIENTS} if source == CLIENTS else set(self.resolve_vms(source))
-        ends = {end, *self.resolve_vms(end), *self.resolve_workers(end)}
-        return [
-            x for x in self.proxy.links() if x.source in sources and x.target in ends
-        ]
-
     # Links
 
     async def on_listening(self, vm: str) -> None:
@@ -254,7 +220,8 @@
                 address = self.fleet.address(worker_id)
                 host = f"127.102.{100 + number}.{1 + worker_number}"
                 await self._open(
-                    proxy.Link(vm, worker_id), proxy.Endpoint(host, address)
+                    proxy.Link(vm, worker_id),
+                    proxy.Endpoint(host, address, self.reader(vm)),
                 )
                 self._target_by_address[address] = worker_id
         for vm in self._vm_names:
--- a/libs/carawaysail_soak/tests/test_checks.py
+++ b/libs/carawaysail_soak/tests/test_checks.py
@@ -104,7 +104,7 @@
     def test_whole_history_keeps_every_promise(self):
         self.assertEqual([], self.judge(WHOLE))
         self.assertEqual([], self.judge([]))
-        self.assertEqual(20, len(checks.names()))
+        self.assertEqual(21, len(checks.names()))
 
 
 class TestAnswers(CheckCase):
