--- a/libs/carawaysail_types/tests/test_types.py
+++ b/libs/carawaysail_types/tests/test_types.py
@@ -4,7 +4,14 @@
 import hypothesis.strategies
 import testtools
 
-from carawaysail_types import clock, errors, identifiers, outcomes, registry
+from carawaysail_types import (
+    addresses,
+    clock,
+    errors,
+    identifiers,
+    outcomes,
+    registry,
+)
 
 FUZZ = hypothesis.settings(
     max_examples=200, derandomize=True, deadline=None, database=None
@@ -36,6 +43,46 @@
         self.assertEqual(text, str(parsed))
 
 
+class TestAddresses(testtools.TestCase):
+    """Host and port of an address."""
+
+    def test_hosts_and_ports_are_split(self):
+        for address, expected in (
+            ("10.1.0.9:8080", ("10.1.0.9", 8080)),
+            ("runner-1.a_b.example:1", ("runner-1.a_b.example", 1)),
+            ("[::1]:65535", ("::1", 65_535)),
+        ):
+            self.assertEqual(expected, addresses.split(address))
+
+    def test_error_shows_the_address_and_what_is_accepted(self):
+        exc = self.assertRaises(
+            errors.BadInputError, addresses.split, "h:70000", "listen.front"
+        )
+        self.assertIn("listen.front is 'h:70000'", str(exc))
+        self.assertIn("a port from 1 to 65535", str(exc))
+
+    def test_odd_addresses_are_refused(self):
+        for address in (
+            "", ":", "h", "h:", ":80", "h:0", "h:65536", "h:-1", "h:+1", "h: 1",
+            "h:8_0", "h:\u00b2", "h:\u0661", "h:" + "1" * 5000, "h:1\n", "h\n:1",
+            "a b:1", "a/b:1", "a@b:1", "a?b:1", "a#b:1", "%41:1", "a\x00:1",
+            "\u00e9.example:1", "\ud800:1", "-a:1", "a..b:1", "x" * 64 + ":1",
+            "a." * 127 + "a:1", "1.2.3:1", "1.2.3.256:1", "::1:80", "[::1:80",
+            "[::zz]:80", "[::1%lo]:80", "[10.1.0.9]:80", "[]:80",
+        ):  # fmt: skip
+            with self.subTest(address=address[:40]):
+                self.assertRaises(errors.BadInputError, addresses.split, address)
+
+    @FUZZ
+    @hypothesis.given(hypothesis.strategies.text())
+    def test_any_text_is_split_or_raises_a_typed_error(self, text):
+        try:
+            _, port = addresses.split(text)
+        except errors.BadInputError:
+            return
+        self.assertTrue(addresses.MIN_PORT <= port <= addresses.MAX_PORT)
+
+
 class TestRegistry(testtools.TestCase):
     """Registration and lookup of items by name."""
 
