Give the error for a value that cannot be shown a text

What callers saw: a report or a configuration whose nesting is just below the JSON decoder's limit (995 levels in a short stack) ended the thread that reads it.

Cause: the codec refused the value with a typed error, but the text of that error is the repr of the value, which reached the recursion limit where the error was logged; the same holds for an integer of more than 4300 digits.

The text now names the type of a value whose repr fails.

--- a/libs/carawaysail_types/src/carawaysail_types/errors.py
+++ b/libs/carawaysail_types/src/carawaysail_types/errors.py
@@ -79,7 +79,11 @@
 
     def __str__(self) -> str:
         """Return a sentence with the field, its value and what is accepted."""
-        value = repr(self.value)
+        try:
+            value = repr(self.value)
+        except (RecursionError, ValueError):
+            # Too deeply nested, or an integer with too many digits.
+            value = f"a {type(self.value).__name__} that cannot be shown"
         if len(value) > MAX_SHOWN_CHARACTERS:
             value = value[:MAX_SHOWN_CHARACTERS] + "..."
         return f"{self.field} is {value}; accepted: {self.accepted}"
--- a/libs/carawaysail_types/tests/test_types.py
+++ b/libs/carawaysail_types/tests/test_types.py
@@ -43,6 +43,20 @@
         self.assertEqual(text, str(parsed))
 
 
+class TestBadInput(testtools.TestCase):
+    """Text of the error for a value that is not accepted."""
+
+    # The error's text raised another error, which nobody expected where it is logged.
+    def test_value_that_has_no_text_is_described(self):
+        nested = []
+        for _ in range(100_000):
+            nested = [nested]
+        for value in (nested, 10**5000):
+            exc = errors.BadInputError("state", value, "ready")
+            expected = f"a {type(value).__name__} that cannot be shown"
+            self.assertEqual(f"state is {expected}; accepted: ready", str(exc))
+
+
 class TestAddresses(testtools.TestCase):
     """Host and port of an address."""
 
