Read the records of daemons and holders with typed errors

What callers saw: after a conflict of a claim with an entry under carawaysail/holder/ that is not the record of a daemon, the thread of the claims ended with msgspec's DecodeError or ValidationError: this daemon claimed no data centre any more, and the data centre stayed without a holder, since nobody knew the revision to replace. A record with an address out of range passed, and the stream to that address ended with ValueError.

Cause: the decoding raised msgspec's errors, which only the task of the members expected, and checked neither the address nor that the key names the VM.

Both records are now decoded with the project's typed error; the task of the members logs an odd one once and goes on with the others. The task of the claims returns a holder without a VM for an unreadable entry, with the entry's revision: the election takes it for a holder that is gone, and the next claim replaces it.

Failed before: test_unreadable_holder_can_be_replaced ("msgspec.DecodeError: Input data was truncated"), test_odd_records_are_ignored and test_record_of_another_vm_is_ignored (MismatchError: the record is among the members).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -15,7 +15,7 @@
 from carawaysail_fleet import backoff, messages, ports
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
-from carawaysail_types import clock, daemons
+from carawaysail_types import addresses, clock, daemons
 from carawaysail_types import errors as type_errors
 
 WATCH_TIMEOUT = clock.milliseconds(15_000)
@@ -34,6 +34,9 @@
 DAEMONS_PREFIX = PREFIX + "daemon/"
 HOLDERS_PREFIX = PREFIX + "holder/"
 
+MAX_SHOWN_BYTES = 80
+"""Bytes of an unreadable value that an error keeps."""
+
 _encode = msgspec.json.encode
 
 
@@ -235,6 +238,7 @@
     ) -> None:
         super().__init__(store, loop_inbox, seed)
         self._items: dict[str, ports.Item] = {}
+        self._unreadable_keys: set[str] = set()
 
     def _step(self) -> float:
         if not self._after:
@@ -253,19 +257,37 @@
 
     def _publish(self) -> None:
         registered, holders = [], []
+        unreadable_keys = set()
         for item in self._items.values():
             try:
                 if item.key.startswith(DAEMONS_PREFIX):
-                    registered.append(
-                        msgspec.json.decode(item.value, type=daemons.Daemon)
-                    )
+                    registered.append(decode_daemon(item))
                 elif item.key.startswith(HOLDERS_PREFIX):
                     holders.append(decode_holder(item))
-            except msgspec.MsgspecError as exc:
-                logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+            except type_errors.BadInputError as exc:
+                unreadable_keys.add(item.key)
+                if item.key not in self._unreadable_keys:
+                    logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+        self._unreadable_keys = unreadable_keys
         self._loop_inbox.put(messages.MembersRead(tuple(registered), tuple(holders)))
 
 
+def decode_daemon(item: ports.Item) -> daemons.Daemon:
+    """Return the daemon that an entry of the store registers.
+
+    Raises
+    ------
+    carawaysail_types.errors.BadInputError
+        If the value is not the record of a daemon, its address is not valid, or the key
+        names another VM.
+    """
+    daemon = _decode_record(item)
+    vm = item.key.removeprefix(DAEMONS_PREFIX)
+    if daemon.vm != vm:
+        raise type_errors.BadInputError(item.key, daemon.vm, f"the VM {vm}")
+    return daemon
+
+
 def decode_holder(item: ports.Item) -> daemons.Holder:
     """Return the holder that an entry of the store names.
 
@@ -274,14 +296,26 @@
 
     Raises
     ------
-    msgspec.MsgspecError
-        If the value is not the record of a daemon.
+    carawaysail_types.errors.BadInputError
+        If the value is not the record of a daemon, or its address is not valid.
     """
-    daemon = msgspec.json.decode(item.value, type=daemons.Daemon)
+    daemon = _decode_record(item)
     data_centre = item.key.removeprefix(HOLDERS_PREFIX)
     return daemons.Holder(data_centre, daemon.vm, daemon.incarnation, item.revision)
 
 
+def _decode_record(item: ports.Item) -> daemons.Daemon:
+    try:
+        daemon = msgspec.json.decode(item.value, type=daemons.Daemon)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        accepted = f"the record of a daemon ({exc})"
+        raise type_errors.BadInputError(
+            item.key, item.value[:MAX_SHOWN_BYTES], accepted
+        ) from exc
+    addresses.split(daemon.address, f"address in {item.key}")
+    return daemon
+
+
 class ReportsTask(_Task):
     """Reads the workers' reports at an interval while this daemon needs them.
 
@@ -433,5 +467,18 @@
             revision = self._store.compare_and_swap(key, token, _encode(me))
         except (errors.WriteConflictError, errors.WriteUncertainError):
             item = self._store.read(key)
-            return decode_holder(item) if item is not None else None
+            return self._holder_of(item) if item is not None else None
         return daemons.Holder(data_centre, me.vm, me.incarnation, revision)
+
+    def _holder_of(self, item: ports.Item) -> daemons.Holder:
+        """Return the holder of an entry; one without a VM if it is unreadable.
+
+        The revision of an unreadable entry is the fencing token that the next claim
+        needs to replace it.
+        """
+        try:
+            return decode_holder(item)
+        except type_errors.BadInputError as exc:
+            logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+            data_centre = item.key.removeprefix(HOLDERS_PREFIX)
+            return daemons.Holder(data_centre, "", "", item.revision)
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -2,10 +2,22 @@
 
 import random
 
+import msgspec
 import testtools
 
 from carawaysail_fleet import backoff, ports, store_tasks
 from carawaysail_platform import errors
+from carawaysail_types import daemons
+
+ME = daemons.Daemon("a-1", "a", "incarnation", "127.0.0.1:7720")
+NESTED = b"[" * 100_000
+ODD_RECORDS = (
+    b"", b"\xff", b"7", b"{}", b"[]", NESTED, b'{"a":' * 100_000, b'["a-2",' + NESTED,
+    b'["a-2","a","i","127.0.0.1:70000"]', b'["a-2","a","i","nowhere"]',
+    b'["a-2","a","i","h:\xc2\xb2"]', b'["a-2","a","i",7]',
+    b'["a-2","a","\\ud800","h:1"]',
+    b'["a-2","a","i","h:1",' + NESTED, b'["\xff","a","i","h:1"]',
+)  # fmt: skip
 
 
 class Store:
@@ -15,6 +27,8 @@
         self.calls = []
         self.failure = None
         self.changed = ()
+        self.items = ()
+        self.value = b"old"
         self.revision = 5
 
     def _record(self, call):
@@ -25,11 +39,11 @@
 
     def read(self, key):
         self._record("read")
-        return ports.Item(key, b"old", self.revision)
+        return ports.Item(key, self.value, self.revision)
 
     def list(self, prefix, allow_stale=False):
         self._record("list")
-        return ports.Snapshot((), self.revision)
+        return ports.Snapshot(self.items, self.revision)
 
     def watch(self, prefix, after_revision, timeout):
         self._record(("watch", after_revision))
@@ -37,6 +51,13 @@
         changed, self.changed = self.changed, ()
         return ports.WatchResult(changed, (), self.revision)
 
+    def compare_and_swap(self, key, expected_revision, value, lease=0):
+        self._record(("write", expected_revision))
+        if expected_revision != self.revision:
+            raise errors.WriteConflictError(key, expected_revision, self.revision)
+        self.revision += 1
+        return self.revision
+
 
 class FakeInbox:
     """Collects the messages that a task sends."""
@@ -125,3 +146,59 @@
         self.step()
         published = [x.configuration for x in self.inbox.messages]
         self.assertEqual([b"old", b"new"], published)
+
+
+class TestMembers(testtools.TestCase):
+    """Entries of daemons and holders; an odd one hides no other."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+
+    def read(self, *items):
+        self.store.items = items
+        store_tasks.MembersTask(self.store, self.inbox, 1)._step()
+        return self.inbox.messages[-1]
+
+    def test_odd_records_are_ignored(self):
+        good = ports.Item("carawaysail/daemon/a-1", msgspec.json.encode(ME), 3)
+        held = ports.Item("carawaysail/holder/a", msgspec.json.encode(ME), 4)
+        holder = daemons.Holder("a", "a-1", "incarnation", 4)
+        for value in ODD_RECORDS:
+            with self.subTest(value=value[:40]):
+                members = self.read(
+                    ports.Item("carawaysail/daemon/a-2", value, 1), good,
+                    ports.Item("carawaysail/holder/b", value, 2), held,
+                )  # fmt: skip
+                self.assertEqual(((ME,), (holder,)), members)
+
+    def test_record_of_another_vm_is_ignored(self):
+        item = ports.Item("carawaysail/daemon/a-2", msgspec.json.encode(ME), 3)
+        self.assertEqual((), self.read(item).registered)
+
+
+class TestClaims(testtools.TestCase):
+    """Claims of data centres."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+        self.task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+
+    def claim(self, token):
+        self.task.claim("a", token)
+        self.task._step()
+        return self.inbox.messages[-1].holder
+
+    # The claim's thread ended, so that the data centre had no holder any more.
+    def test_unreadable_holder_can_be_replaced(self):
+        for value in ODD_RECORDS:
+            with self.subTest(value=value[:40]):
+                self.store.value = value
+                unreadable = self.claim(0)
+                revision = self.store.revision
+                self.assertEqual(daemons.Holder("a", "", "", revision), unreadable)
+                holder = self.claim(unreadable.token)
+                self.assertEqual(ME.incarnation, holder.incarnation)
