Keep a stream to another daemon after an exception that nobody expects

What callers saw: after one message that could not be encoded, or with an address that is not valid, the task of the stream ended without a log line; the peer heard nothing from this daemon any more, until one of the two restarted.

Cause: the task expected errors of a lost connection only, and parsed the address outside its loop.

Evidence, before: "Task finished ... exception=UnicodeEncodeError('utf-8', '\ud800', 0, 1, 'surrogates not allowed')" and "exception=OverflowError('connect(): port must be 0-65535.')". With a worker of a capacity of 10**30 it was the OverflowError of the encoder.

Any exception now ends the connection only; the stream reconnects after its usual pause. The owner gets the exception by a callback, once while exceptions of its type repeat, and logs it: "Stream failed.".

Failed before (without the callback's argument): test_message_that_cannot_be_encoded_ends_no_stream and test_stream_to_an_odd_address_is_reported_once (condition not met within 5 s).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -173,7 +173,10 @@
         def on_refused(peer: daemons.Daemon) -> None:
             self._inbox.put(messages.ConnectionRefused(peer))
 
-        return transport.PeerStream(peer, encode, on_open, on_refused)
+        def on_failure(peer: daemons.Daemon, exc: Exception) -> None:
+            logs.log_error("peers", "Stream failed.", exc, vm=peer.vm)
+
+        return transport.PeerStream(peer, encode, on_open, on_refused, on_failure)
 
     def _make_servers(self) -> list[http_server.Server]:
         cfg = self._cfg
--- a/libs/carawaysail_streams/src/carawaysail_streams/transport.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/transport.py
@@ -17,7 +17,7 @@
 import grpclib.exceptions
 import grpclib.server
 
-from carawaysail_types import daemons
+from carawaysail_types import addresses, daemons
 
 PATH = "/carawaysail.Fleet/Feed"
 CONNECT_TIMEOUT_S = 0.5
@@ -90,9 +90,15 @@
         self._server = grpclib.server.Server([service], codec=_BytesCodec())
 
     async def start(self, address: str) -> None:
-        """Start to listen on ``host:port``."""
-        host, _, port = address.rpartition(":")
-        await self._server.start(host, int(port))
+        """Start to listen on ``host:port``.
+
+        Raises
+        ------
+        carawaysail_types.errors.BadInputError
+            If the address is not valid.
+        """
+        host, port = addresses.split(address)
+        await self._server.start(host, port)
 
     async def stop(self) -> None:
         """Stop listening, and wait until the server is closed."""
@@ -114,6 +120,9 @@
     on_refused : callable
         Called with the peer each time its address refuses a connection, that is, no
         process listens there.
+    on_failure : callable
+        Called with the peer and an exception that is not one of a lost connection; once
+        if exceptions of the type repeat before a frame is sent.
     """
 
     def __init__(
@@ -122,11 +131,14 @@
         encode: collections.abc.Callable[[list[typing.Any]], bytes],
         on_open: collections.abc.Callable[[daemons.Daemon], None],
         on_refused: collections.abc.Callable[[daemons.Daemon], None],
+        on_failure: collections.abc.Callable[[daemons.Daemon, Exception], None],
     ) -> None:
         self.peer = peer
         self._encode = encode
         self._on_open = on_open
         self._on_refused = on_refused
+        self._on_failure = on_failure
+        self._last_failure = ""
         self._queue: list[typing.Any] = []
         self._has_messages = asyncio.Event()
         self._task = asyncio.create_task(self._run())
@@ -153,11 +165,9 @@
         self._task.cancel()
 
     async def _run(self) -> None:
-        host, _, port = self.peer.address.rpartition(":")
         while True:
-            channel = grpclib.client.Channel(host, int(port), codec=_BytesCodec())
             try:
-                await self._send_frames(channel)
+                await self._connect()
             except ConnectionRefusedError:
                 self._on_refused(self.peer)
             except (
@@ -165,12 +175,27 @@
                 grpclib.exceptions.StreamTerminatedError, _RestartError,
             ):  # fmt: skip
                 pass
+            except Exception as exc:
+                self._report_failure(exc)
             finally:
                 self._is_open = False
                 self._queue.clear()
-                channel.close()
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
+    def _report_failure(self, exc: Exception) -> None:
+        failure = type(exc).__name__
+        if failure != self._last_failure:
+            self._last_failure = failure
+            self._on_failure(self.peer, exc)
+
+    async def _connect(self) -> None:
+        host, port = addresses.split(self.peer.address)
+        channel = grpclib.client.Channel(host, port, codec=_BytesCodec())
+        try:
+            await self._send_frames(channel)
+        finally:
+            channel.close()
+
     async def _send_frames(self, channel: grpclib.client.Channel) -> None:
         protocol = await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
         _set_user_timeout(protocol)
@@ -188,6 +213,7 @@
                 if batch:
                     data = self._encode(batch)
                     await asyncio.wait_for(stream.send_message(data), SEND_TIMEOUT_S)
+                    self._last_failure = ""
 
 
 class _RestartError(Exception):
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -110,6 +110,7 @@
             lambda batch: "".join(batch).encode(),
             lambda peer: events.append("opened"),
             lambda peer: events.append("refused"),
+            lambda peer, exc: events.append(type(exc).__name__),
         )
 
     async def until(self, condition):
@@ -150,3 +151,35 @@
             await server.stop()
 
         asyncio.run(run())
+
+    # A message that could not be encoded ended the stream's task for good.
+    def test_message_that_cannot_be_encoded_ends_no_stream(self):
+        async def run():
+            receiver, events, port = Receiver(), [], self.free_port()
+            server = transport.Server(receiver)
+            await server.start(f"127.0.0.1:{port}")
+            stream = self.make_stream(port, events)
+            for _ in range(2):
+                opened = events.count("opened")
+                await self.until(lambda n=opened: events.count("opened") > n)
+                stream.send("\ud800")
+            await self.until(lambda: events.count("opened") == 3)
+            self.assertEqual(1, events.count("UnicodeEncodeError"))
+            stream.send("a")
+            await self.until(lambda: receiver.frames == [b"a"])
+            stream.close()
+            await server.stop()
+
+        asyncio.run(run())
+
+    def test_stream_to_an_odd_address_is_reported_once(self):
+        async def run():
+            events = []
+            stream = self.make_stream("70000", events)
+            await self.until(lambda: events)
+            await asyncio.sleep(3 * transport.RECONNECT_PAUSE_S)
+            self.assertEqual(["BadInputError"], events)
+            self.assertFalse(stream._task.done())
+            stream.close()
+
+        asyncio.run(run())
