Give polls and orders a result after an exception that nobody expects

What callers saw: after an exception that the client of the workers doesn't document, the thread that polls a worker ended without a log line, and nobody polled the worker any more; the exception of an order stayed in a future, and its run was neither started nor uncertain.

Cause: the thread and the pool passed on the results of calls, but no exception.

A poll that raised now counts as one without an answer, after the pause of a refused one, and is logged once until a poll succeeds. An order that raised is logged with its job and counts as one without an answer: it may have been sent, so only NO_ANSWER is safe.

Failed before: test_poll_goes_on_after_an_exception (queue.Empty; the thread ended with "ValueError: Port out of range 0-65535") and test_order_that_raised_has_no_answer (queue.Empty).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
@@ -1,18 +1,21 @@
 """Links to workers: a polling thread for each worker, and a pool that sends orders."""
 
+import collections.abc
 import concurrent.futures
 import queue
 import threading
 import typing
 
 from carawaysail_fleet import messages, ports
-from carawaysail_holding import broker_messages
-from carawaysail_runtime import inbox
+from carawaysail_holding import actions, broker_messages
+from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, runs
 
 ORDER_THREADS = 24
 """Orders that can be under way at the same time; each blocks for a round trip."""
 
+Order = typing.TypeVar("Order", broker_messages.StartRun, broker_messages.StopRun)
+
 
 class _Link:
     """The thread that polls one worker; it owns the connection for polls."""
@@ -27,6 +30,7 @@
         self._workers = workers
         self._loop_inbox = loop_inbox
         self._clock = source
+        self._has_failed = False
         self._orders: queue.SimpleQueue[broker_messages.PollWorker | None] = (
             queue.SimpleQueue()
         )
@@ -44,12 +48,28 @@
     def _run(self) -> None:
         while (order := self._orders.get()) is not None:
             requested_at = self._clock.now()
-            result = self._workers.poll(order)
-            self._pause_after_error(result, order)
+            result = self._poll(order)
             self._loop_inbox.put(
                 messages.WorkerStatusReceived(order.worker, result, requested_at)
             )
 
+    def _poll(
+        self, order: broker_messages.PollWorker
+    ) -> runs.WorkerStatus | runs.OrderResult:
+        """Send a poll; an exception counts as a poll without an answer."""
+        try:
+            result = self._workers.poll(order)
+        except Exception as exc:
+            if not self._has_failed:
+                self._has_failed = True
+                worker_id = order.worker.worker_id
+                logs.log_error("workers", "Poll failed.", exc, worker=worker_id)
+            self._pause()
+            return runs.OrderResult.NO_ANSWER
+        self._has_failed = False
+        self._pause_after_error(result, order)
+        return result
+
     def _pause_after_error(
         self,
         result: runs.WorkerStatus | runs.OrderResult,
@@ -60,7 +80,10 @@
             isinstance(result, runs.OrderResult)
             and result is not runs.OrderResult.NO_ANSWER
         ):
-            typing.cast(clock.SystemClock, self._clock).sleep(RETRY_PAUSE)
+            self._pause()
+
+    def _pause(self) -> None:
+        typing.cast(clock.SystemClock, self._clock).sleep(RETRY_PAUSE)
 
 
 RETRY_PAUSE = clock.milliseconds(100)
@@ -122,13 +145,27 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _start(self, order: broker_messages.StartRun) -> None:
-        result = self._workers.start(order)
+        result = _send(self._workers.start, order)
         self._loop_inbox.put(
             messages.StartResultReceived(order.worker, order.run, result)
         )
 
     def _stop(self, order: broker_messages.StopRun) -> None:
-        result = self._workers.stop(order)
+        result = _send(self._workers.stop, order)
         self._loop_inbox.put(
             messages.StopResultReceived(order.worker, order.run, result)
         )
+
+
+def _send(
+    call: collections.abc.Callable[[Order], runs.OrderResult], order: Order
+) -> runs.OrderResult:
+    """Send an order; after an exception it may have been executed."""
+    try:
+        return call(order)
+    except Exception as exc:
+        logs.log_error(
+            "workers", "Order failed.", exc, id=order.run.task.job_id,
+            run=actions.label(order.run), worker=order.worker.worker_id,
+        )  # fmt: skip
+        return runs.OrderResult.NO_ANSWER
