Keep the tasks of the store after an exception that nobody expects

What callers saw: an exception other than the project's own ended the thread of a task without a log line; the list of workers, the members, the configuration or the lease was not followed any more while the process went on. A claim that ended so had no result.

Cause: the loop of the tasks expected typed errors only.

Any exception is now logged, once while its type repeats, and the task goes on after the pause of a failed step. A watch starts with a read then, since a change that was received may not have been published. A claim has its result whatever the exception.

Failed before: test_watch_goes_on_with_a_read (the thread ended with "RecursionError: too deep"), test_claim_has_a_result ("OverflowError: odd") and test_failed_watch_is_followed_by_a_read (no such method).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -43,7 +43,8 @@
 class _Task:
     """A thread that repeats a step until it is stopped.
 
-    After a failed step it waits with exponential backoff and tries again.
+    After a failed step, whatever its exception, it waits with exponential backoff and
+    tries again.
 
     Parameters
     ----------
@@ -66,6 +67,7 @@
         self._backoff = backoff.Backoff(random.Random(seed))
         self._is_stopping = threading.Event()
         self._is_reachable = True
+        self._last_failure = ""
         self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
 
     def start(self) -> None:
@@ -89,6 +91,9 @@
             except type_errors.CarawaysailError as exc:
                 self._log_unreachable(exc)
                 pause_s = self._backoff.next_pause_s()
+            except Exception as exc:
+                self._handle_failure(exc)
+                pause_s = self._backoff.next_pause_s()
             else:
                 self._record_success()
             self._is_stopping.wait(pause_s)
@@ -102,8 +107,16 @@
             self._is_reachable = False
             logs.log_error("store", "Store unreachable.", exc, task=self.name)
 
+    def _handle_failure(self, exc: Exception) -> None:
+        """Log an exception that nobody expects; once if its type repeats."""
+        failure = type(exc).__name__
+        if failure != self._last_failure:
+            self._last_failure = failure
+            logs.log_error("store", "Task failed.", exc, task=self.name)
+
     def _record_success(self) -> None:
         self._backoff.reset()
+        self._last_failure = ""
         if not self._is_reachable:
             self._is_reachable = True
             logs.log_event("store", "Store reachable again.", task=self.name)
@@ -119,6 +132,12 @@
         # Last known revision; 0 makes the next step start with a read.
         self._after = 0
 
+    def _handle_failure(self, exc: Exception) -> None:
+        """Log an exception that nobody expects; the next step starts with a read."""
+        super()._handle_failure(exc)
+        # A change that was received may not have been published.
+        self._after = 0
+
     def _watch(self, prefix: str) -> ports.WatchResult:
         """Wait for changes since the last known revision.
 
@@ -450,7 +469,7 @@
         data_centre, token = claim
         try:
             holder = self._write_claim(data_centre, token)
-        except type_errors.CarawaysailError:
+        except Exception:
             self._loop_inbox.put(messages.ClaimResultReceived(data_centre, None))
             raise
         self._loop_inbox.put(messages.ClaimResultReceived(data_centre, holder))
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -2,14 +2,16 @@
 
 import random
 
+import eliot
 import msgspec
 import testtools
 
 from carawaysail_fleet import backoff, ports, store_tasks
 from carawaysail_platform import errors
-from carawaysail_types import daemons
+from carawaysail_types import clock, daemons
 
 ME = daemons.Daemon("a-1", "a", "incarnation", "127.0.0.1:7720")
+TIMEOUT_S = 5.0
 NESTED = b"[" * 100_000
 ODD_RECORDS = (
     b"", b"\xff", b"7", b"{}", b"[]", NESTED, b'{"a":' * 100_000, b'["a-2",' + NESTED,
@@ -148,6 +150,63 @@
         self.assertEqual([b"old", b"new"], published)
 
 
+class TestUnexpectedExceptions(testtools.TestCase):
+    """A task goes on after an exception that nobody expects."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+        self.log = []
+        eliot.add_destinations(self.log.append)
+        # The first destination receives what was logged before.
+        self.log.clear()
+        self.addCleanup(eliot.remove_destination, self.log.append)
+
+    def run_until(self, task, condition):
+        """Run a task's thread until a condition holds."""
+        task._is_stopping.wait = lambda pause_s: self.pauses.append(pause_s)
+        self.pauses = []
+        task.start()
+        source = clock.SystemClock()
+        while not condition() and source.seconds() < TIMEOUT_S:
+            source.sleep_s(0.01)
+        task.stop()
+        task._thread.join(TIMEOUT_S)
+        self.assertTrue(condition())
+
+    def failures(self):
+        return [x["text"] for x in self.log if x["text"] == "Task failed."]
+
+    # The thread ended without a log line, and the list was not followed any more.
+    def test_watch_goes_on_with_a_read(self):
+        self.store.failure = RecursionError("too deep")
+        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        self.run_until(task, lambda: len(self.inbox.messages) > 0)
+        self.assertEqual(["list", "list"], self.store.calls[:2])
+        self.assertEqual(1, len(self.failures()))
+        self.assertGreater(self.pauses[0], 0.0)
+
+    def test_failed_watch_is_followed_by_a_read(self):
+        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        task._step()
+        task._handle_failure(ValueError("odd"))
+        task._handle_failure(ValueError("odd"))
+        self.store.calls.clear()
+        task._step()
+        self.assertEqual("list", self.store.calls[0])
+        self.assertEqual(1, len(self.failures()))
+
+    def test_claim_has_a_result(self):
+        self.store.failure = OverflowError("odd")
+        task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+        task.claim("a", 5)
+        task.claim("a", 5)
+        self.run_until(task, lambda: len(self.inbox.messages) == 2)
+        self.assertIsNone(self.inbox.messages[0].holder)
+        self.assertEqual("a-1", self.inbox.messages[1].holder.vm)
+
+
 class TestMembers(testtools.TestCase):
     """Entries of daemons and holders; an odd one hides no other."""
 
