Keep the decision loop after an exception of its timed work

An exception in the work between messages ended the asyncio task of the decision loop without a log line: the process went on and made no decision any more. A holder's key that cannot be encoded would have done it, in the rank of the next claim.

Cause: only the handling of messages was guarded.

The exception is now logged, once while its type repeats, and the loop goes on after a pause, so that it does not spin on an overdue heartbeat.

Failed before: test_loop_goes_on_after_an_exception (the task is done, "OverflowError: odd").

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -167,6 +167,7 @@
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._next_heartbeat = now
         self._next_load_check = now
+        self._last_failure = ""
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -188,7 +189,8 @@
                 received = []
             for message in received:
                 self.handle(message)
-            self.tick()
+            if not self._try_tick():
+                await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
@@ -205,6 +207,25 @@
         except Exception as exc:
             logs.log_error("desk", "Message failed.", exc, kind=type(message).__name__)
 
+    def _try_tick(self) -> bool:
+        """Do the timed work; log an exception, once if its type repeats, and go on.
+
+        Returns
+        -------
+        bool
+            Whether all work was done.
+        """
+        try:
+            self.tick()
+        except Exception as exc:
+            failure = type(exc).__name__
+            if failure != self._last_failure:
+                self._last_failure = failure
+                logs.log_error("desk", "Timed work failed.", exc)
+            return False
+        self._last_failure = ""
+        return True
+
     def tick(self) -> None:
         """Do the timed work: deadlines, silent peers, claims and heartbeats."""
         now = self.clock.now()
