--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from carawaysail_fleet import backoff, messages, ports
+from carawaysail_fleet import backoff, member_records, messages, ports
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
-from carawaysail_types import addresses, clock, daemons
+from carawaysail_types import clock, daemons
 from carawaysail_types import errors as type_errors
 
 WATCH_TIMEOUT = clock.milliseconds(15_000)
@@ -30,13 +30,6 @@
 CONFIGURATION_RETRY_S = 0.2
 """Pause before the next read if the store has no configuration."""
 
-PREFIX = "carawaysail/"
-DAEMONS_PREFIX = PREFIX + "daemon/"
-HOLDERS_PREFIX = PREFIX + "holder/"
-
-MAX_SHOWN_BYTES = 80
-"""Bytes of an unreadable value that an error keeps."""
-
 _encode = msgspec.json.encode
 
 
@@ -232,7 +225,7 @@
         return LEASE_RENEWAL_INTERVAL.total_seconds()
 
     def _register(self) -> None:
-        key = DAEMONS_PREFIX + self._me.vm
+        key = member_records.DAEMONS_PREFIX + self._me.vm
         item = self._store.read(key)
         revision = item.revision if item is not None else 0
         self._store.compare_and_swap(key, revision, _encode(self._me), self._lease)
@@ -261,11 +254,11 @@
 
     def _step(self) -> float:
         if not self._after:
-            snapshot = self._store.list(PREFIX)
+            snapshot = self._store.list(member_records.PREFIX)
             self._items = {item.key: item for item in snapshot.items}
             self._after = snapshot.revision
             self._publish()
-        result = self._watch(PREFIX)
+        result = self._watch(member_records.PREFIX)
         for key in result.removed:
             self._items.pop(key, None)
         for item in result.changed:
@@ -279,10 +272,10 @@
         unreadable_keys = set()
         for item in self._items.values():
             try:
-                if item.key.startswith(DAEMONS_PREFIX):
-                    registered.append(decode_daemon(item))
-                elif item.key.startswith(HOLDERS_PREFIX):
-                    holders.append(decode_holder(item))
+                if item.key.startswith(member_records.DAEMONS_PREFIX):
+                    registered.append(member_records.decode_daemon(item))
+                elif item.key.startswith(member_records.HOLDERS_PREFIX):
+                    holders.append(member_records.decode_holder(item))
             except type_errors.BadInputError as exc:
                 unreadable_keys.add(item.key)
                 if item.key not in self._unreadable_keys:
@@ -291,50 +284,6 @@
         self._loop_inbox.put(messages.MembersRead(tuple(registered), tuple(holders)))
 
 
-def decode_daemon(item: ports.Item) -> daemons.Daemon:
-    """Return the daemon that an entry of the store registers.
-
-    Raises
-    ------
-    carawaysail_types.errors.BadInputError
-        If the value is not the record of a daemon, its address is not valid, or the key
-        names another VM.
-    """
-    daemon = _decode_record(item)
-    vm = item.key.removeprefix(DAEMONS_PREFIX)
-    if daemon.vm != vm:
-        raise type_errors.BadInputError(item.key, daemon.vm, f"the VM {vm}")
-    return daemon
-
-
-def decode_holder(item: ports.Item) -> daemons.Holder:
-    """Return the holder that an entry of the store names.
-
-    The data centre is taken from the entry's key; the fencing token is the revision of
-    the entry's last write.
-
-    Raises
-    ------
-    carawaysail_types.errors.BadInputError
-        If the value is not the record of a daemon, or its address is not valid.
-    """
-    daemon = _decode_record(item)
-    data_centre = item.key.removeprefix(HOLDERS_PREFIX)
-    return daemons.Holder(data_centre, daemon.vm, daemon.incarnation, item.revision)
-
-
-def _decode_record(item: ports.Item) -> daemons.Daemon:
-    try:
-        daemon = msgspec.json.decode(item.value, type=daemons.Daemon)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        accepted = f"the record of a daemon ({exc})"
-        raise type_errors.BadInputError(
-            item.key, item.value[:MAX_SHOWN_BYTES], accepted
-        ) from exc
-    addresses.split(daemon.address, f"address in {item.key}")
-    return daemon
-
-
 class ReportsTask(_Task):
     """Reads the workers' reports at an interval while this daemon needs them.
 
@@ -480,7 +429,7 @@
 
         After a conflict, or a write whose result is unknown, the entry is read.
         """
-        key = HOLDERS_PREFIX + data_centre
+        key = member_records.HOLDERS_PREFIX + data_centre
         me = self._me
         try:
             revision = self._store.compare_and_swap(key, token, _encode(me))
@@ -496,8 +445,8 @@
         needs to replace it.
         """
         try:
-            return decode_holder(item)
+            return member_records.decode_holder(item)
         except type_errors.BadInputError as exc:
             logs.log_error("store", "Entry unreadable.", exc, key=item.key)
-            data_centre = item.key.removeprefix(HOLDERS_PREFIX)
+            data_centre = item.key.removeprefix(member_records.HOLDERS_PREFIX)
             return daemons.Holder(data_centre, "", "", item.revision)
