--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -176,6 +176,7 @@
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._next_heartbeat = now
         self._next_load_check = now
+        self._step_failures: set[tuple[str, str]] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -197,7 +198,8 @@
                 received = []
             for message in received:
                 self.handle(message)
-            self.tick()
+            if not self.tick():
+                await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
@@ -251,12 +253,28 @@
             subject=str(subject)[:MAX_LOGGED_CHARACTERS],
         )  # fmt: skip
 
-    def tick(self) -> None:
-        """Do the timed work: deadlines, silent peers, claims and heartbeats."""
+    def tick(self) -> bool:
+        """Do the timed work: deadlines, silent peers, claims and heartbeats.
+
+        A step that fails is logged, once if the type of its exception repeats.
+
+        Returns
+        -------
+        bool
+            Whether all steps were done.
+        """
         now = self.clock.now()
+        failures = set()
         for step in _TIMED_STEPS:
-            with self._logging_failure("Timed step failed.", step.__name__, ""):
+            try:
                 step(self, now)
+            except Exception as exc:
+                failure = (step.__name__, type(exc).__name__)
+                failures.add(failure)
+                if failure not in self._step_failures:
+                    self._log_failure("Timed step failed.", step.__name__, "", exc)
+        self._step_failures = failures
+        return not failures
 
     def _check_broker(self, now: datetime.datetime) -> None:
         self.perform(self.broker.tick(now), now)
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -1,15 +1,19 @@
 """The decision loop: exceptions end neither the loop nor what they do not concern."""
 
+import asyncio
 import datetime
 
+import eliot
 import testtools
 
 from carawaysail_fleet import decision_loop, handlers, messages, ports
 from carawaysail_holding import broker, broker_messages, gateway
+from carawaysail_runtime import inbox
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, daemons, jobs
 
 MS = clock.milliseconds
+TIMEOUT_S = 5.0
 ME = daemons.Daemon("vm-0", "home", "vm-0-1", "vm-0:1")
 REMOTE = daemons.Daemon("vm-1", "away", "vm-1-1", "vm-1:1")
 HANDLER_MODULES = (handlers,)
@@ -133,6 +137,39 @@
         self.assertEqual(["_check_broker"], self.failures())
         self.assertIn("set_sizes", [name for name, _ in self.metrics.calls])
 
+    # The task of the loop ended without a log line; no decision was made any more.
+    def test_loop_goes_on_with_a_pause_and_one_log_line(self):
+        log = []
+        eliot.add_destinations(log.append)
+        # The first destination receives what was logged before.
+        log.clear()
+        self.addCleanup(eliot.remove_destination, log.append)
+        source = self.loop.clock = clock.SystemClock()
+        calls = []
+
+        def tick(*args):
+            calls.append(source.seconds())
+            if len(calls) < 4:
+                raise OverflowError("odd")
+            return []
+
+        self.patch(broker.Broker, "tick", tick)
+
+        async def run():
+            self.loop.inbox = inbox.Inbox(asyncio.get_running_loop(), 10)
+            task = asyncio.create_task(self.loop.run())
+            end_s = source.seconds() + TIMEOUT_S
+            while len(calls) < 5 and source.seconds() < end_s:
+                await asyncio.sleep(0.01)
+            self.assertFalse(task.done())
+            task.cancel()
+
+        asyncio.run(run())
+        errors = [x["text"] for x in log if x["message_type"].endswith(":error")]
+        self.assertEqual(["Timed step failed."], errors)
+        pause_s = decision_loop.BUSY_TICK_INTERVAL.total_seconds()
+        self.assertGreaterEqual(calls[3] - calls[0], 3 * pause_s)
+
 
 class TestHeartbeats(DecisionLoopCase):
     """Heartbeats of other daemons."""
