--- a/libs/carawaysail_entry/tests/test_front.py
+++ b/libs/carawaysail_entry/tests/test_front.py
@@ -1,6 +1,7 @@
 """The entry daemon: decoding, encoding, routes, inboxes, traces, effective settings."""
 
 import asyncio
+import datetime
 import json
 import threading
 
@@ -9,8 +10,8 @@
 import testtools
 
 from carawaysail_bench import testing
-from carawaysail_decisions import submission_status
-from carawaysail_entry import effective_settings, replies, traces
+from carawaysail_decisions import ownership, submission_status
+from carawaysail_entry import dispatch_task, effective_settings, replies, traces
 from carawaysail_entry.front import decode, encode, routes, server
 from carawaysail_runtime import inbox
 from carawaysail_settings import errors as settings_errors
@@ -233,6 +234,32 @@
         self.assertEqual(1, reply.wait(1))
 
 
+class TestFailedRequests(testtools.TestCase):
+    """Requests to the dispatch task whose handler raises an exception."""
+
+    # The gossip waited forever for a description that had failed.
+    def test_reply_of_a_failed_request_is_settled(self):
+        async def main():
+            source = clock.ManualClock()
+            register = ownership.OwnershipRegister(
+                "dc-0", "e1", "1", source.now(), datetime.timedelta(seconds=60)
+            )
+            folder = testing.make_folder(self)
+            tracer = traces.Tracer("e1", str(folder / "spans"), 0.0)
+            task = dispatch_task.DispatchTask(
+                asyncio.get_running_loop(), register, source, tracer, 1, 1
+            )
+            register.tables = None
+            running = asyncio.create_task(task.run())
+            reply = replies.Reply()
+            task.inbox.put(dispatch_task.Describe(reply))
+            await asyncio.sleep(0.05)
+            running.cancel()
+            return reply.fut.done()
+
+        self.assertTrue(asyncio.run(main()))
+
+
 class TestTraces(testtools.TestCase):
     """Export of spans to a file, and W3C trace context."""
 
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -7,7 +7,7 @@
 from carawaysail_fleet import decision_loop, handlers, messages, ports
 from carawaysail_holding import broker, broker_messages, gateway
 from carawaysail_streams import messages as stream_messages
-from carawaysail_types import clock, daemons, jobs
+from carawaysail_types import clock, daemons, jobs, runs
 
 MS = clock.milliseconds
 ME = daemons.Daemon("vm-0", "home", "vm-0-1", "vm-0:1")
@@ -32,6 +32,19 @@
         return call
 
 
+def make_heartbeat():
+    """Return a heartbeat without holders and loads."""
+    return stream_messages.Heartbeat(False, (), (), 10.0, 1)
+
+
+def make_submit(remaining_ms=900.0):
+    """Return the submission of a job with one task to the data centre ``home``."""
+    step = jobs.Step(1, jobs.Resources(1000, 64, 0), MS(50))
+    queue = jobs.Queue("q", "", "", "search", 0, 2, 1.6, MS(60), MS(1500))
+    job = jobs.Job("a" * 16, "", (step,))
+    return stream_messages.Submit(job, queue, "home", 0.0, remaining_ms, 1, (), False)
+
+
 class DecisionLoopCase(testtools.TestCase):
     """Shared fixtures: a decision loop whose components record calls."""
 
@@ -44,8 +57,9 @@
         )  # fmt: skip
         self.inbox, self.workers = Component(), Component()
         self.replies, self.metrics = Component(), Component()
+        self.streams = []
         self.loop = decision_loop.DecisionLoop(
-            cfg, ME, self.inbox, self.clock, lambda peer: Component()
+            cfg, ME, self.inbox, self.clock, self.open_stream
         )
         self.loop.set_dependencies(
             decision_loop.Dependencies(
@@ -54,6 +68,11 @@
             )
         )  # fmt: skip
 
+    def open_stream(self, peer):
+        self.streams.append(Component())
+        self.streams[-1].peer = peer
+        return self.streams[-1]
+
     def raise_error(self, *args):
         raise KeyError("away")
 
@@ -76,6 +95,37 @@
         req = ports.JobRequest(queue, job, MS(1500))
         self.loop.handle(messages.JobPosted(req, reply_id))
 
+    def hold_worker(self):
+        """Hold one idle worker."""
+        now = self.clock.now()
+        report = runs.WorkerReport(
+            "w-0", "1", "search", "w-0:1", "home", jobs.Resources(32_000, 64_000, 0)
+        )
+        self.loop.record_holder(daemons.Holder("home", ME.vm, ME.incarnation, 5), now)
+        self.loop.handle(messages.ReportsRead((report,), frozenset({"home"}), now))
+        status = runs.WorkerStatus("1", MS(10_000), (), ())
+        self.loop.handle(messages.WorkerStatusReceived(report, status, now))
+
+    def pass_time(self, duration_ms):
+        """Let time pass in short ticks."""
+        for _ in range(duration_ms // 20):
+            self.clock.advance(MS(20))
+            self.loop.tick()
+
+    def receive(self, message, sender=REMOTE):
+        """Pass the loop a message of another daemon."""
+        self.loop.handle(messages.PeerMessagesReceived(sender, (message,)))
+
+    def sent_outcomes(self):
+        """Return the outcomes that other daemons were sent."""
+        sent = [
+            args[0]
+            for stream in self.streams
+            for name, args in stream.calls
+            if name == "send"
+        ]
+        return [x for x in sent if isinstance(x, stream_messages.Outcome)]
+
 
 class TestFailedMessages(DecisionLoopCase):
     """Messages whose handler raises an exception."""
@@ -106,6 +156,29 @@
         self.assertEqual(1, len(calls))
         self.assertEqual(["Submit"], self.failures())
 
+    # A gateway waited until its client's timeout for a shard whose handling had failed.
+    def test_gateway_of_a_failed_shard_is_answered_at_once(self):
+        self.patch(broker.Broker, "submit", self.raise_error)
+        self.receive(make_heartbeat())
+        self.receive(make_submit())
+        self.assertEqual(
+            [jobs.Verdict.UNKNOWN], [x.outcome.verdict for x in self.sent_outcomes()]
+        )
+
+
+class TestConfigurations(DecisionLoopCase):
+    """Configurations that are read from the store."""
+
+    # A configuration that was applied in part counted as in force, and was never
+    # applied to the front end.
+    def test_configuration_that_failed_is_applied_when_it_is_read_again(self):
+        self.loop.apply_limits = self.raise_error
+        cfg = jobs.Configuration(3, (), (), jobs.Limits())
+        self.loop.handle(messages.ConfigurationRead(cfg))
+        self.loop.apply_limits = lambda limits: None
+        self.loop.handle(messages.ConfigurationRead(cfg))
+        self.assertIn(("configure", (cfg,)), self.loop.dependencies.front_end.calls)
+
 
 class TestFailedActions(DecisionLoopCase):
     """Actions that raise an exception when they are carried out."""
@@ -121,6 +194,24 @@
         self.assertEqual({3: outcome}, self.answered())
         self.assertEqual(["SendWithdrawal"], self.failures())
 
+    # A task whose start order was never sent held its worker until the job's deadline.
+    def test_run_whose_order_failed_is_stopped_before_the_deadline(self):
+        self.hold_worker()
+        self.workers.failing = ("start",)
+        self.receive(make_submit(remaining_ms=5000.0), ME)
+        self.assertEqual(["StartRun"], self.failures())
+        self.pass_time(1000)
+        self.assertIn("stop", [name for name, _ in self.workers.calls])
+
+    # A worker whose poll was never sent was never polled again.
+    def test_worker_whose_poll_failed_is_polled_again(self):
+        self.workers.failing = ("poll",)
+        self.hold_worker()
+        self.workers.failing = ()
+        self.workers.calls.clear()
+        self.pass_time(2000)
+        self.assertIn("poll", [name for name, _ in self.workers.calls])
+
 
 class TestFailedTicks(DecisionLoopCase):
     """Timed steps that raise an exception."""
@@ -137,6 +228,31 @@
 class TestHeartbeats(DecisionLoopCase):
     """Heartbeats of other daemons."""
 
+    # Shards that a restarted daemon had sent before its first heartbeat were withdrawn
+    # as those of its earlier incarnation, and their clients waited until the timeout.
+    def test_first_heartbeat_keeps_the_shards_of_its_own_incarnation(self):
+        self.hold_worker()
+        self.receive(make_submit())
+        self.assertEqual(1, self.loop.broker.counts()["jobs"])
+        self.receive(make_heartbeat())
+        self.assertEqual(1, self.loop.broker.counts()["jobs"])
+
+    def test_first_heartbeat_withdraws_the_shards_of_an_earlier_incarnation(self):
+        self.hold_worker()
+        self.receive(make_heartbeat())
+        self.receive(make_submit())
+        self.receive(make_heartbeat(), REMOTE._replace(incarnation="vm-1-2"))
+        self.assertEqual(0, self.loop.broker.counts()["jobs"])
+
+    # The outcome of a shard was dropped if no heartbeat of its daemon had arrived yet.
+    def test_shard_refused_before_the_first_heartbeat_is_answered(self):
+        self.receive(make_submit())
+        self.receive(make_heartbeat())
+        self.pass_time(500)
+        self.assertEqual(
+            [jobs.Verdict.REFUSED], [x.outcome.verdict for x in self.sent_outcomes()]
+        )
+
     def test_load_of_a_new_holder_counts_with_its_heartbeat(self):
         holder = daemons.Holder("away", REMOTE.vm, REMOTE.incarnation, 5)
         seen = []
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -70,6 +70,32 @@
         thread.join(20)
         self.assertEqual([jobs.Verdict.COMPLETED, jobs.Verdict.FAILED], verdicts)
 
+    # A wait that could not begin left its reply pending, and the daemon never idle.
+    def test_reply_of_a_closed_connection_is_closed(self):
+        self.server.close()
+        self.wait(lambda n: None, 0.01)
+        self.assertEqual(0, self.replies.waiting_count())
+
+    # An outcome of a reply that its thread had given up ended the thread's next wait,
+    # and the client of that wait got no answer.
+    def test_outcome_of_an_earlier_reply_does_not_end_the_wait(self):
+        def prepare(reply_id):
+            self.replies.put(reply_id - 1, DONE)
+            threading.Timer(0.05, self.replies.put, (reply_id, DONE)).start()
+
+        outcomes = []
+
+        def run():
+            self.replies.open()
+            reply_id = self.replies.open()
+            prepare(reply_id)
+            outcomes.append(self.replies.wait(reply_id, self.server, 10.0))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        thread.join(20)
+        self.assertEqual([DONE], outcomes)
+
 
 class Codec:
     """Decodes each path of the queue as the same job; one ending in ``bad`` fails."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -316,6 +316,113 @@
         self.assertEqual([2], [x.run.number for x in again])
 
 
+class TestLateEnds(BrokerCase):
+    """Ends of runs that were given up before, while a later run is under way."""
+
+    def restart_elsewhere(self):
+        """Return a run that expired with its worker's lease, and its successor."""
+        self.hold(make_report(0))
+        [first] = self.starts(self.submit(self.make()))
+        self.answer(first)
+        self.broker.handle_poll_failure(
+            "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.clock.advance(MS(1100))
+        [second] = self.starts(self.broker.tick(self.now))
+        self.answer(second)
+        return first, second
+
+    # A run kept its worker's resources although its job had been answered.
+    def test_later_run_is_stopped_when_an_earlier_one_is_done(self):
+        first, second = self.restart_elsewhere()
+        actions = self.finish(first)
+        self.assert_sent([jobs.Verdict.COMPLETED], actions)
+        self.assertEqual([second.run], [x.run for x in self.stops(actions)])
+
+
+class TestLateStatuses(BrokerCase):
+    """Answers to polls that were sent before the worker was held as it is now."""
+
+    # A late status of an earlier incarnation counted as a restart, and the present
+    # incarnation was not held again.
+    def test_late_status_of_an_earlier_incarnation_is_ignored(self):
+        earlier, present = make_report(), make_report(incarnation="2")
+        self.hold(earlier)
+        sent_at = self.now
+        self.clock.advance(MS(50))
+        self.broker.handle_reports([present], self.now)
+        late = runs.WorkerStatus("1", MS(10_000), (), ())
+        self.broker.handle_status("w-0", late, sent_at, self.now)
+        self.broker.handle_reports([present], self.now)
+        self.poll(present)
+        self.assertEqual(1, len(self.starts(self.submit(self.make()))))
+
+    # A status from before the takeover showed no runs, and tasks that the holder in
+    # between had started were started again.
+    def test_status_requested_in_an_earlier_tenure_shows_no_runs(self):
+        self.hold(make_report())
+        sent_at = self.now
+        self.broker.stop_holding(HOME)
+        self.clock.advance(MS(50))
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports([make_report()], self.now)
+        self.submit(self.make(is_resumed=True))
+        late = runs.WorkerStatus("1", MS(10_000), (), ())
+        actions = self.broker.handle_status("w-0", late, sent_at, self.now)
+        self.assertEqual([], self.starts(actions))
+
+    # Each further answer caused a further poll, so that a worker was polled twice as
+    # often from then on.
+    def test_late_status_does_not_cause_a_second_poll(self):
+        self.hold(make_report())
+        sent_at = self.now
+        self.clock.advance(MS(50))
+        self.broker.start_holding(HOME, 9, self.now)
+        late = runs.WorkerStatus("1", MS(10_000), (), ())
+        actions = self.broker.handle_status("w-0", late, sent_at, self.now)
+        self.assertEqual(
+            [], [x for x in actions if isinstance(x, broker_messages.PollWorker)]
+        )
+
+
+class TestFailedDecisions(BrokerCase):
+    """Exceptions in the middle of a decision."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold(make_report())
+        [self.start] = self.starts(self.submit(self.make()))
+        self.answer(self.start)
+
+    def fail_status(self):
+        """Let the status with the end of the run fail once."""
+        record_run = self.broker.estimates.record_run
+
+        def fail(*args):
+            self.broker.estimates.record_run = record_run
+            raise ZeroDivisionError
+
+        self.broker.estimates.record_run = fail
+        self.assertRaises(ZeroDivisionError, self.finish, self.start)
+
+    # A worker was never polled again, so that ends of its runs were never read.
+    def test_worker_is_polled_again_after_a_failed_status(self):
+        self.fail_status()
+        polls = []
+        for _ in range(100):
+            self.clock.advance(MS(20))
+            actions = self.broker.tick(self.now)
+            polls += [x for x in actions if isinstance(x, broker_messages.PollWorker)]
+        self.assertNotEqual([], polls)
+
+    # An end that was never processed was acknowledged, and its job timed out.
+    def test_end_in_a_failed_status_is_processed_with_the_next_one(self):
+        self.fail_status()
+        self.assert_sent([jobs.Verdict.COMPLETED], self.finish(self.start))
+
+
 class TestTakeover(BrokerCase):
     """Runs that an earlier holder has ordered."""
 
@@ -391,6 +498,16 @@
         stopped = self.stops(self.broker.tick(self.now))
         self.assertEqual([run], [x.run for x in stopped])
 
+    # Runs of one number on two workers: only one of them was stopped.
+    def test_unmatched_runs_of_one_number_are_all_stopped(self):
+        _, run = self.hold_with_inherited_run()
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.poll(make_report(0), running=[run])
+        self.poll(make_report(1), running=[run])
+        self.clock.advance(MS(500))
+        stopped = self.stops(self.broker.tick(self.now))
+        self.assertEqual(["w-0", "w-1"], sorted(x.worker.worker_id for x in stopped))
+
     def test_fenced_holder_releases_the_data_centre(self):
         report = make_report()
         self.hold(report)
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -141,6 +141,12 @@
             {"away": 1}, view.plan("search", make_requirements()).tasks_by_data_centre
         )
 
+    # Tasks were planned for workers that had gone, since their last load still counted.
+    def test_service_that_is_missing_in_a_newer_report_has_no_load(self):
+        view = self.make(home=make_load([(32, 1.4)]))
+        view.record_load("home", ())
+        self.assertIsNone(view.plan("search", make_requirements()))
+
     def test_there_is_no_plan_without_loads(self):
         self.assertIsNone(self.make().plan("search", make_requirements()))
 
