Ignore answers to polls from before the worker was held

What callers could see: after a late answer, tasks that the holder in between had started were started again, or a restarted worker stayed unused.

Cause: handle_status took any answer for one about the present ledger. An answer of an earlier incarnation that was processed after the report of the next one counted as a restart, and the present incarnation was barred as one that had ended. An answer from an earlier tenure set has_status, so that a resumed shard no longer waited for the runs of the holder in between; and each one caused a further poll for good. Class: reports about one holder or incarnation taken for those of another. It takes an answer that is read late, as on a daemon that was frozen or is short of processor time.

An answer counts only if its poll was sent after the worker was held. Instants come from one monotonic clock, and a worker's first poll is sent after held_since, so its own answers always count.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -150,9 +150,12 @@
         requested_at: datetime.datetime,
         now: datetime.datetime,
     ) -> list[broker_messages.Action]:
-        """Process a worker's answer to a poll; poll again if the worker is held."""
+        """Process a worker's answer to a poll; poll again if the worker is held.
+
+        An answer to a poll that was sent before the worker was held is ignored.
+        """
         worker = self._workers.get(worker_id)
-        if worker is None:
+        if worker is None or requested_at < worker.held_since:
             return self._actions.drain()
         if status.incarnation != worker.report.incarnation:
             self._handle_restart(worker_id)
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -36,6 +36,8 @@
 
     Attributes
     ----------
+    held_since : datetime.datetime
+        When it was held; an answer to a poll sent earlier is not about its ledger.
     confirmed_sequence : int
         Highest sequence number whose acknowledgement the worker has certainly received.
     """
@@ -48,6 +50,7 @@
         self.run_progress = run_progress.RunProgress()
         self.is_draining = report.is_draining
         self.missing_since: datetime.datetime | None = None
+        self.held_since = now
         self.confirmed_sequence = 0
         self._sent_sequence = 0
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
