Keep the shards of an incarnation with its first heartbeat

Clients of a restarted daemon waited until their timeout (504) for shards that it had sent before its first heartbeat: the broker withdrew all shards of the VM, those of the new incarnation too, and dropped their outcomes.

The heartbeat of an unknown incarnation now withdraws only the shards of others.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -352,7 +352,8 @@
             logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
         self._last_heartbeats[sender.vm] = now
         if self.election.daemon(sender.vm, sender.incarnation) is None:
-            self.perform(self.broker.handle_gateway_lost(sender.vm, now), now)
+            lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
+            self.perform(lost, now)
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -395,14 +395,24 @@
         return self._actions.drain()
 
     def handle_gateway_lost(
-        self, vm: str, now: datetime.datetime
+        self, vm: str, now: datetime.datetime, successor: str = ""
     ) -> list[broker_messages.Action]:
-        """Withdraw all shards of a daemon whose messages have stopped."""
+        """Withdraw the shards of a daemon that has ended or fallen silent.
+
+        Parameters
+        ----------
+        vm : str
+            VM of the daemon.
+        now : datetime.datetime
+            Present instant.
+        successor : str, optional
+            Incarnation that has replaced it, whose shards are kept.
+        """
         decided: list[broker_messages.Action] = []
-        for shard_id in [
-            x.shard_id for x in self._jobs.all() if x.shard_id.gateway.vm == vm
-        ]:
-            decided.extend(self.withdraw(shard_id, now))
+        for shard_id in [x.shard_id for x in self._jobs.all()]:
+            gateway = shard_id.gateway
+            if gateway.vm == vm and gateway.incarnation != successor:
+                decided.extend(self.withdraw(shard_id, now))
         return decided
 
     # Placement and timeouts
