Count a configuration as in force once it is applied

A configuration whose limits could not be applied counted as in force, and the front end kept the earlier one until the next version. Found by review; nothing is known to raise there. The test failed before.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -110,9 +110,9 @@
     newest = message.configuration
     if present is not None and newest.version <= present.version:
         return
-    loop.configuration = newest
     loop.apply_limits(newest.limits)
     loop.dependencies.front_end.configure(newest)
+    loop.configuration = newest
     logs.log_event(
         "configuration", "Configuration in force.", version=newest.version,
         queues=len(newest.queues), services=len(newest.services),
