Close the reply of a connection that was closed before the wait

select.poll refuses a closed socket with ValueError before the statement that closes the reply: it stayed pending, a leaving daemon was never idle, and a later outcome left a byte in the thread's pipe that ended its next wait (504). Found by review. The test failed before.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/replies.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/replies.py
@@ -83,10 +83,12 @@
             passed first.
         """
         read_fd, _ = self._pipe()
-        poll = select.poll()
-        poll.register(read_fd, select.POLLIN)
-        poll.register(client.fileno(), select.POLLIN | select.POLLRDHUP)
         try:
+            if client.fileno() < 0:
+                return None
+            poll = select.poll()
+            poll.register(read_fd, select.POLLIN)
+            poll.register(client.fileno(), select.POLLIN | select.POLLRDHUP)
             for fd, event in poll.poll(timeout_s * 1000.0):
                 if fd != read_fd and _has_disconnected(client, event):
                     return self._pending[reply_id].outcome
