Ignore refusals of polls from before the worker was held

A data centre that was lost and held again was released for good when the refusal of a poll with the earlier token arrived late: the daemon held no workers, while its holder record was the newest and it sent heartbeats, so that nobody claimed it. A late failure also caused a second poll for good.

The test failed before: no token was left.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -64,8 +64,9 @@
         )
     else:
         actions = loop.broker.handle_poll_failure(
-            worker.worker_id, worker.incarnation, message.result, now
-        )
+            worker.worker_id, worker.incarnation, message.result, now,
+            message.requested_at,
+        )  # fmt: skip
     loop.perform(actions, now)
 
 
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -213,6 +213,32 @@
         self.assertIn("poll", [name for name, _ in self.workers.calls])
 
 
+class TestLatePolls(DecisionLoopCase):
+    """Polls that were sent before the worker was held as it is now."""
+
+    # The refusal of a poll with an earlier token released a data centre that was held
+    # again, and nobody held it from then on.
+    def test_late_refusal_of_an_earlier_token_releases_nothing(self):
+        self.hold_worker()
+        sent_at = self.clock.now()
+        self.clock.advance(MS(50))
+        now = self.clock.now()
+        for vm, incarnation, token in (
+            (REMOTE.vm, REMOTE.incarnation, 6),
+            (ME.vm, ME.incarnation, 7),
+        ):
+            holder = daemons.Holder("home", vm, incarnation, token)
+            self.loop.record_holder(holder, now)
+        [worker_id] = self.loop.broker.worker_ids()
+        report = runs.WorkerReport(
+            worker_id, "1", "search", "w-0:1", "home", jobs.NO_RESOURCES
+        )
+        self.loop.handle(
+            messages.WorkerStatusReceived(report, runs.OrderResult.FENCED, sent_at)
+        )
+        self.assertEqual({"home": 7}, self.loop.broker.tokens())
+
+
 class TestFailedTicks(DecisionLoopCase):
     """Timed steps that raise an exception."""
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -188,8 +188,25 @@
         incarnation: str,
         result: runs.OrderResult,
         now: datetime.datetime,
+        requested_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
-        """Record a poll that returned no status; poll again if the worker is held."""
+        """Record a poll that returned no status; poll again if the worker is held.
+
+        Parameters
+        ----------
+        worker_id, incarnation : str
+            Name and incarnation of the worker.
+        result : runs.OrderResult
+            Why there is no status.
+        now : datetime.datetime
+            Present instant.
+        requested_at : datetime.datetime, optional
+            When the poll was sent; ``now`` by default. One that was sent before the
+            worker was held is ignored.
+        """
+        held = self._workers.get(worker_id)
+        if held is not None and (requested_at or now) < held.held_since:
+            return self._actions.drain()
         worker = self._get_unfenced(worker_id, incarnation, result)
         if worker is None:
             return self._actions.drain()
