Add a failing test of a holder that was refused by mistake

A refusal for the token releases the data centre although the daemon's own holder record is the newest: 30 s later nobody holds its workers and nobody has claimed it.

--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -239,6 +239,25 @@
         self.assertEqual({"home": 7}, self.loop.broker.tokens())
 
 
+class TestRefusedOrders(DecisionLoopCase):
+    """Orders that a worker refuses because of their token."""
+
+    # The refusal of a late order with an earlier token left the data centre without a
+    # daemon that held its workers, and nobody claimed it.
+    def test_refused_holder_with_the_newest_record_claims_again(self):
+        self.hold_worker()
+        report = runs.WorkerReport(
+            "w-0", "1", "search", "w-0:1", "home", jobs.NO_RESOURCES
+        )
+        run = runs.Run(runs.Task("a" * 16, 0, 0, 0), 1)
+        self.loop.handle(
+            messages.StartResultReceived(report, run, runs.OrderResult.FENCED)
+        )
+        self.pass_time(30_000)
+        claims = [name for name, _ in self.loop.dependencies.claims.calls]
+        self.assertTrue(self.loop.broker.tokens() or "claim" in claims)
+
+
 class TestFailedTicks(DecisionLoopCase):
     """Timed steps that raise an exception."""
 
