--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -64,8 +64,9 @@
         )
     else:
         actions = loop.broker.handle_poll_failure(
-            worker.worker_id, worker.incarnation, message.result, now
-        )
+            worker.worker_id, worker.incarnation, message.result, now,
+            message.requested_at,
+        )  # fmt: skip
     loop.perform(actions, now)
 
 
@@ -110,9 +111,9 @@
     newest = message.configuration
     if present is not None and newest.version <= present.version:
         return
-    loop.configuration = newest
     loop.apply_limits(newest.limits)
     loop.dependencies.front_end.configure(newest)
+    loop.configuration = newest
     logs.log_event(
         "configuration", "Configuration in force.", version=newest.version,
         queues=len(newest.queues), services=len(newest.services),
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -150,9 +150,12 @@
         requested_at: datetime.datetime,
         now: datetime.datetime,
     ) -> list[broker_messages.Action]:
-        """Process a worker's answer to a poll; poll again if the worker is held."""
+        """Process a worker's answer to a poll; poll again if the worker is held.
+
+        An answer to a poll that was sent before the worker was held is ignored.
+        """
         worker = self._workers.get(worker_id)
-        if worker is None:
+        if worker is None or requested_at < worker.held_since:
             return self._actions.drain()
         if status.incarnation != worker.report.incarnation:
             self._handle_restart(worker_id)
@@ -185,8 +188,25 @@
         incarnation: str,
         result: runs.OrderResult,
         now: datetime.datetime,
+        requested_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
-        """Record a poll that returned no status; poll again if the worker is held."""
+        """Record a poll that returned no status; poll again if the worker is held.
+
+        Parameters
+        ----------
+        worker_id, incarnation : str
+            Name and incarnation of the worker.
+        result : runs.OrderResult
+            Why there is no status.
+        now : datetime.datetime
+            Present instant.
+        requested_at : datetime.datetime, optional
+            When the poll was sent; ``now`` by default. One that was sent before the
+            worker was held is ignored.
+        """
+        held = self._workers.get(worker_id)
+        if held is not None and (requested_at or now) < held.held_since:
+            return self._actions.drain()
         worker = self._get_unfenced(worker_id, incarnation, result)
         if worker is None:
             return self._actions.drain()
@@ -392,14 +412,24 @@
         return self._actions.drain()
 
     def handle_gateway_lost(
-        self, vm: str, now: datetime.datetime
+        self, vm: str, now: datetime.datetime, successor: str = ""
     ) -> list[broker_messages.Action]:
-        """Withdraw all shards of a daemon whose messages have stopped."""
+        """Withdraw the shards of a daemon that has ended or fallen silent.
+
+        Parameters
+        ----------
+        vm : str
+            VM of the daemon.
+        now : datetime.datetime
+            Present instant.
+        successor : str, optional
+            Incarnation that has replaced it, whose shards are kept.
+        """
         decided: list[broker_messages.Action] = []
-        for shard_id in [
-            x.shard_id for x in self._jobs.all() if x.shard_id.gateway.vm == vm
-        ]:
-            decided.extend(self.withdraw(shard_id, now))
+        for shard_id in [x.shard_id for x in self._jobs.all()]:
+            gateway = shard_id.gateway
+            if gateway.vm == vm and gateway.incarnation != successor:
+                decided.extend(self.withdraw(shard_id, now))
         return decided
 
     # Placement and timeouts
