Repeat a poll whose result was lost with an exception

An exception while a status was handled, or while a poll was handed over, ended the polling of that worker: its leases lapsed, its ends were never read, and their jobs timed out (504). The next poll was ordered only at the end of the handling of the last one.

The tick repeats a poll without any result for 1.5 s beyond its wait, as one of a silent worker. A result of an earlier poll than the newest causes no further one, so that never two circulate.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -179,9 +179,19 @@
             )  # fmt: skip
         self._stall_detector.stop_stalled_runs(worker, now)
         self._place(now)
-        self._actions.add(worker.next_poll(self._terms, now))
+        self._poll_again(worker, requested_at, now)
         return self._actions.drain()
 
+    def _poll_again(
+        self,
+        worker: held_worker.HeldWorker,
+        requested_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        """Poll a worker after the result of a poll, unless a later one is under way."""
+        if worker.is_newest_poll(requested_at):
+            self._actions.add(worker.next_poll(self._terms, now))
+
     def handle_poll_failure(
         self,
         worker_id: str,
@@ -211,7 +221,7 @@
         if worker is None:
             return self._actions.drain()
         self._mark_silent(worker, result)
-        self._actions.add(worker.next_poll(self._terms, now))
+        self._poll_again(worker, requested_at or now, now)
         return self._actions.drain()
 
     def _mark_silent(
@@ -524,8 +534,14 @@
     def _check_worker(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
     ) -> None:
-        """Act on a worker that is silent or missing, and stop uncertain runs."""
+        """Act on a worker that is silent or missing, and stop uncertain runs.
+
+        A poll whose result was lost with an exception is repeated, without a lease.
+        """
         worker_id = worker.report.worker_id
+        if worker.is_poll_overdue(now):
+            self._mark_silent(worker, runs.OrderResult.NO_ANSWER)
+            self._actions.add(worker.next_poll(self._terms, now))
         if worker.health.is_silent and worker.is_lease_expired(self._terms, now):
             for run in worker.ledger.drop_expired():
                 self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -22,6 +22,10 @@
 expired while the store was down are back within two seconds."""
 
 
+POLL_TIMEOUT = clock.milliseconds(1500)
+"""A poll without any result for so long, beyond its wait, was never sent."""
+
+
 class HeldWorker:
     """One incarnation of a worker that this daemon holds.
 
@@ -53,6 +57,8 @@
         self.held_since = now
         self.confirmed_sequence = 0
         self._sent_sequence = 0
+        self._polled_at = now
+        self._poll_wait = clock.milliseconds(0)
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
         self._extended_at = now
 
@@ -127,6 +133,14 @@
             now >= self._extended_at + terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
         )
 
+    def is_newest_poll(self, requested_at: datetime.datetime) -> bool:
+        """Return whether no later poll was ordered than the one sent at an instant."""
+        return requested_at >= self._polled_at
+
+    def is_poll_overdue(self, now: datetime.datetime) -> bool:
+        """Return whether the newest poll has had no result for too long."""
+        return now - self._polled_at > self._poll_wait + POLL_TIMEOUT
+
     def next_poll(
         self, terms: broker_messages.Terms, now: datetime.datetime
     ) -> broker_messages.PollWorker:
@@ -143,6 +157,7 @@
         if not self.ledger.has_status or self.health.is_silent:
             wait = clock.milliseconds(0)
         self._sent_sequence = self.ledger.acknowledged_sequence
+        self._polled_at, self._poll_wait = now, wait
         return broker_messages.PollWorker(
             self.report,
             self.ledger.token,
