--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -22,7 +22,7 @@
 expired while the store was down are back within two seconds."""
 
 
-POLL_TIMEOUT = clock.milliseconds(1500)
+POLL_TIMEOUT = clock.milliseconds(1200)
 """A poll without any result for so long, beyond its wait, was never sent."""
 
 
