Acknowledge the end of a run only once it has been processed

An exception while a status was handled lost the ends that it listed: they counted as read, were acknowledged with the next poll, and their jobs timed out (504).

Cause: the ledger raised the sequence number to acknowledge before the broker had processed the ends. Now the broker reports each processed end to the ledger.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -167,6 +167,7 @@
         changes = worker.handle_status(status, requested_at, now)
         for finished in changes.finished:
             self._handle_finished_run(worker, finished, now)
+            worker.ledger.record_processed(finished)
         for run in changes.vanished:
             self._actions.log("run_vanished", run.task.job_id, run=str(run.task))
             self._jobs.requeue_task(run, worker_id)
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -53,7 +53,7 @@
     Parameters
     ----------
     finished : tuple of runs.FinishedRun
-        Finished runs that no earlier status reported.
+        Finished runs that have not been processed yet.
     vanished : tuple of runs.Run
         Runs that the worker reports neither as running nor as finished.
     inherited : tuple of runs.Run
@@ -200,9 +200,6 @@
         )
         for finished_run in finished:
             self._remove(finished_run.run)
-            self.acknowledged_sequence = max(
-                self.acknowledged_sequence, finished_run.sequence
-            )
         for run in running:
             entry = self._entries.get(run)
             if entry is None:
@@ -229,6 +226,12 @@
             self._set(run, Entry(RunState.RUNNING, None, requested_at))
         return StatusChanges(finished, tuple(vanished), inherited)
 
+    def record_processed(self, finished_run: runs.FinishedRun) -> None:
+        """Record that a finished run has been processed, so that it is acknowledged."""
+        self.acknowledged_sequence = max(
+            self.acknowledged_sequence, finished_run.sequence
+        )
+
     def unreported(self) -> dict[runs.Run, Entry]:
         """Return the entries of runs that no status has reported as running.
 
