Settle a start or stop order that could not be handed over

A task whose start order raised an exception kept its worker's resources and was neither started nor stopped until the job's deadline (504).

Cause: the ledger reserves the resources before the order is handed over, and nothing told it that the handing over had failed. Such an order now counts as one without an answer, since it may have been sent: it is stopped, and the task starts again once that is proved.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -5,13 +5,12 @@
 the type name of a message to the function that handles it; ``action_handlers`` maps
 the type name of an action, which a decision returns, to the function that carries it
 out. An exception ends only the handling of one message, action or timed step: it is
-logged, and ``failure_handlers`` maps the type name of a message to the function that
-then settles what the message began.
+logged, and ``failure_handlers`` maps the type name of a message or an action to the
+function that then settles what it began.
 """
 
 import asyncio
 import collections.abc
-import contextlib
 import datetime
 import typing
 
@@ -229,19 +228,18 @@
             handlers.get(kind)(self, message, now)
         except Exception as exc:
             self._log_failure("Message failed.", kind, message, exc)
-            if kind in failure_handlers.names():
-                with self._logging_failure("Failure not settled.", kind, message):
-                    failure_handlers.get(kind)(self, message, now)
-
-    @contextlib.contextmanager
-    def _logging_failure(
-        self, text: str, kind: str, subject: typing.Any
-    ) -> collections.abc.Iterator[None]:
-        """Log an exception of the enclosed statements and go on after them."""
+            self._settle_failure(kind, message, now)
+
+    def _settle_failure(
+        self, kind: str, subject: typing.Any, now: datetime.datetime
+    ) -> None:
+        """Call the failure handler of a kind of message or action, if it has one."""
+        if kind not in failure_handlers.names():
+            return
         try:
-            yield
+            failure_handlers.get(kind)(self, subject, now)
         except Exception as exc:
-            self._log_failure(text, kind, subject, exc)
+            self._log_failure("Failure not settled.", kind, subject, exc)
 
     def _log_failure(
         self, text: str, kind: str, subject: typing.Any, exc: Exception
@@ -308,8 +306,11 @@
         """
         for action in actions:
             kind = type(action).__name__
-            with self._logging_failure("Action failed.", kind, action):
+            try:
                 action_handlers.get(kind)(self, action, now)
+            except Exception as exc:
+                self._log_failure("Action failed.", kind, action, exc)
+                self._settle_failure(kind, action, now)
 
     def log_decision(
         self, name: str, subject: str, fields: dict[str, typing.Any]
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -277,6 +277,34 @@
     loop.dependencies.workers.start(action)
 
 
+@decision_loop.failure_handlers.register("StartRun")
+def _settle_start(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.StartRun,
+    now: datetime.datetime,
+) -> None:
+    """Treat a failed start order as one without an answer: it may have been sent."""
+    worker, no_answer = action.worker, runs.OrderResult.NO_ANSWER
+    actions = loop.broker.handle_start_result(
+        worker.worker_id, worker.incarnation, action.run, no_answer, now
+    )
+    loop.perform(actions, now)
+
+
+@decision_loop.failure_handlers.register("StopRun")
+def _settle_stop(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.StopRun,
+    now: datetime.datetime,
+) -> None:
+    """Treat a failed stop order as one without an answer: the tick repeats it."""
+    worker, no_answer = action.worker, runs.OrderResult.NO_ANSWER
+    actions = loop.broker.handle_stop_result(
+        worker.worker_id, worker.incarnation, action.run, no_answer, now
+    )
+    loop.perform(actions, now)
+
+
 @decision_loop.action_handlers.register("StopRun")
 def _perform_stop(
     loop: decision_loop.DecisionLoop,
