Answer the gateway of a shard whose submission failed

A gateway waited until its client's timeout for a shard that its broker had failed to handle (504 after 1.5 s).

The broker now ends such a shard as unknown at once, stops what it may have started, and tells the gateway.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -235,6 +235,15 @@
     loop.perform(loop.broker.submit(submission, gateway_id, now), now)
 
 
+@decision_loop.failure_handlers.register("Submit")
+def _abandon_shard(
+    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+) -> None:
+    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
+    shard_id = broker_messages.ShardId(sent[1].job.job_id, sent[1].shard, gateway_id)
+    loop.perform(loop.broker.abandon(shard_id, now), now)
+
+
 @decision_loop.handlers.register("Withdraw")
 def _handle_withdraw(
     loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -422,6 +422,19 @@
             self._jobs.outcomes.record_outcome(shard_id, outcome, now)
         return self._actions.drain()
 
+    def abandon(
+        self, shard_id: broker_messages.ShardId, now: datetime.datetime
+    ) -> list[broker_messages.Action]:
+        """End a shard whose submission could not be handled; it may have started."""
+        shard = self._jobs.get(shard_id)
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.INTERNAL_ERROR)
+        if shard is not None:
+            self._jobs.finish(shard, outcome, now)
+        else:
+            self._jobs.outcomes.record_outcome(shard_id, outcome, now)
+            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+        return self._actions.drain()
+
     def handle_gateway_lost(
         self, vm: str, now: datetime.datetime, successor: str = ""
     ) -> list[broker_messages.Action]:
