Record a daemon with its first message, so that it can be answered

The outcome of a shard was dropped if no heartbeat of its gateway had arrived yet, as after a restart; the client waited until its timeout (504).

A daemon was known only from the store or from a heartbeat, and an outcome to an unknown one goes nowhere. Now the sender of any message is recorded; the shards of its earlier incarnation are withdrawn there, too.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -355,6 +355,19 @@
             if vm not in self._streams:
                 self._streams[vm] = self._open_stream(peer)
 
+    def record_sender(self, sender: daemons.Daemon, now: datetime.datetime) -> None:
+        """Record the sender of messages, so that they can be answered.
+
+        An unknown incarnation means that the daemon has restarted, so the shards of its
+        earlier incarnation are withdrawn.
+        """
+        if self.election.daemon(sender.vm, sender.incarnation) is not None:
+            return
+        lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
+        self.perform(lost, now)
+        self.election.record_message(sender, False, now)
+        self.update_streams()
+
     def handle_heartbeat(
         self,
         sender: daemons.Daemon,
@@ -363,16 +376,12 @@
     ) -> None:
         """Record a daemon's heartbeat: its state, the holders and the loads it knows.
 
-        A heartbeat of an unknown incarnation means that the daemon has restarted, so
-        the shards of its earlier incarnation are withdrawn. The stream to the sender
-        is restarted if the sender receives nothing from this daemon.
+        The stream to the sender is restarted if the sender receives nothing from this
+        daemon.
         """
         if sender.vm not in self._last_heartbeats:
             logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
         self._last_heartbeats[sender.vm] = now
-        if self.election.daemon(sender.vm, sender.incarnation) is None:
-            lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
-            self.perform(lost, now)
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -180,6 +180,7 @@
     message: messages.PeerMessagesReceived,
     now: datetime.datetime,
 ) -> None:
+    loop.record_sender(message.sender, now)
     for item in message.messages:
         loop.dispatch(type(item).__name__, (message.sender, item), now)
 
