Let only its own outcome, its client and its timeout end a wait

A client could get 504 at once because a byte of an earlier reply was left in its thread's pipe (if an exception had come between opening and waiting), and one that sent further bytes could wait up to twice its timeout.

The wait goes on until its own outcome is set, empties the pipe of what is not its own, and ends at one instant.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/replies.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/replies.py
@@ -4,13 +4,14 @@
 pipe of its own, so both an outcome and a disconnect of the client end the wait.
 """
 
+import datetime
 import os
 import select
 import socket
 import threading
 import typing
 
-from carawaysail_types import jobs
+from carawaysail_types import clock, jobs
 
 PEEK_BYTES = 1
 
@@ -25,9 +26,15 @@
     """Pending replies by number; thread-safe.
 
     A thread calls ``open`` and ``wait``; the decision loop calls ``put``.
+
+    Parameters
+    ----------
+    source : clock.Clock, optional
+        Source of the present instant; by default a ``clock.SystemClock``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source: clock.Clock | None = None) -> None:
+        self._clock = source or clock.SystemClock()
         self._lock = threading.Lock()
         self._pending: dict[int, _PendingReply] = {}
         self._last_id = 0
@@ -74,7 +81,7 @@
             Connection of the client. A disconnect ends the wait. Further bytes from the
             client don't, but the connection is no longer watched after them.
         timeout_s : float
-            Longest wait in seconds; starts anew after bytes from the client.
+            Longest wait in seconds.
 
         Returns
         -------
@@ -83,19 +90,27 @@
             passed first.
         """
         read_fd, _ = self._pipe()
+        end = self._clock.now() + datetime.timedelta(seconds=timeout_s)
         try:
             if client.fileno() < 0:
                 return None
             poll = select.poll()
             poll.register(read_fd, select.POLLIN)
             poll.register(client.fileno(), select.POLLIN | select.POLLRDHUP)
-            for fd, event in poll.poll(timeout_s * 1000.0):
-                if fd != read_fd and _has_disconnected(client, event):
-                    return self._pending[reply_id].outcome
-                if fd != read_fd:
-                    poll.unregister(client.fileno())
-                    poll.poll(timeout_s * 1000.0)
-            return self._pending[reply_id].outcome
+            while True:
+                remaining = max(datetime.timedelta(), end - self._clock.now())
+                events = poll.poll(clock.to_milliseconds(remaining))
+                outcome = self._pending[reply_id].outcome
+                if outcome is not None or not events:
+                    return outcome
+                for fd, event in events:
+                    if fd == read_fd:
+                        # Of an earlier reply that was opened but never waited for.
+                        os.read(read_fd, 1)
+                    elif _has_disconnected(client, event):
+                        return None
+                    else:
+                        poll.unregister(client.fileno())
         finally:
             self._close(reply_id, read_fd)
 
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -49,6 +49,20 @@
 
         self.assertEqual(DONE, self.wait(prepare))
 
+    # A wait lasted up to twice its timeout if the client sent further bytes.
+    def test_further_bytes_of_the_client_do_not_extend_the_wait(self):
+        source = clock.ManualClock()
+        self.replies = replies.Replies(source)
+
+        def prepare(reply_id):
+            def send():
+                source.advance(clock.milliseconds(60_000))
+                self.client.send(b"GET / HTTP/1.1")
+
+            threading.Timer(0.05, send).start()
+
+        self.assertIsNone(self.wait(prepare, 60.0))
+
     def test_timeout_returns_none(self):
         self.assertIsNone(self.wait(lambda n: None, 0.01))
 
