--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -5,13 +5,12 @@
 the type name of a message to the function that handles it; ``action_handlers`` maps
 the type name of an action, which a decision returns, to the function that carries it
 out. An exception ends only the handling of one message, action or timed step: it is
-logged, and ``failure_handlers`` maps the type name of a message to the function that
-then settles what the message began.
+logged, and ``failure_handlers`` maps the type name of a message or an action to the
+function that then settles what it began.
 """
 
 import asyncio
 import collections.abc
-import contextlib
 import datetime
 import typing
 
@@ -176,6 +175,7 @@
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._next_heartbeat = now
         self._next_load_check = now
+        self._step_failures: set[tuple[str, str]] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -197,7 +197,8 @@
                 received = []
             for message in received:
                 self.handle(message)
-            self.tick()
+            if not self.tick():
+                await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
@@ -227,19 +228,18 @@
             handlers.get(kind)(self, message, now)
         except Exception as exc:
             self._log_failure("Message failed.", kind, message, exc)
-            if kind in failure_handlers.names():
-                with self._logging_failure("Failure not settled.", kind, message):
-                    failure_handlers.get(kind)(self, message, now)
-
-    @contextlib.contextmanager
-    def _logging_failure(
-        self, text: str, kind: str, subject: typing.Any
-    ) -> collections.abc.Iterator[None]:
-        """Log an exception of the enclosed statements and go on after them."""
+            self._settle_failure(kind, message, now)
+
+    def _settle_failure(
+        self, kind: str, subject: typing.Any, now: datetime.datetime
+    ) -> None:
+        """Call the failure handler of a kind of message or action, if it has one."""
+        if kind not in failure_handlers.names():
+            return
         try:
-            yield
+            failure_handlers.get(kind)(self, subject, now)
         except Exception as exc:
-            self._log_failure(text, kind, subject, exc)
+            self._log_failure("Failure not settled.", kind, subject, exc)
 
     def _log_failure(
         self, text: str, kind: str, subject: typing.Any, exc: Exception
@@ -251,12 +251,28 @@
             subject=str(subject)[:MAX_LOGGED_CHARACTERS],
         )  # fmt: skip
 
-    def tick(self) -> None:
-        """Do the timed work: deadlines, silent peers, claims and heartbeats."""
+    def tick(self) -> bool:
+        """Do the timed work: deadlines, silent peers, claims and heartbeats.
+
+        A step that fails is logged, once if the type of its exception repeats.
+
+        Returns
+        -------
+        bool
+            Whether all steps were done.
+        """
         now = self.clock.now()
+        failures = set()
         for step in _TIMED_STEPS:
-            with self._logging_failure("Timed step failed.", step.__name__, ""):
+            try:
                 step(self, now)
+            except Exception as exc:
+                failure = (step.__name__, type(exc).__name__)
+                failures.add(failure)
+                if failure not in self._step_failures:
+                    self._log_failure("Timed step failed.", step.__name__, "", exc)
+        self._step_failures = failures
+        return not failures
 
     def _check_broker(self, now: datetime.datetime) -> None:
         self.perform(self.broker.tick(now), now)
@@ -290,8 +306,11 @@
         """
         for action in actions:
             kind = type(action).__name__
-            with self._logging_failure("Action failed.", kind, action):
+            try:
                 action_handlers.get(kind)(self, action, now)
+            except Exception as exc:
+                self._log_failure("Action failed.", kind, action, exc)
+                self._settle_failure(kind, action, now)
 
     def log_decision(
         self, name: str, subject: str, fields: dict[str, typing.Any]
@@ -336,6 +355,19 @@
             if vm not in self._streams:
                 self._streams[vm] = self._open_stream(peer)
 
+    def record_sender(self, sender: daemons.Daemon, now: datetime.datetime) -> None:
+        """Record the sender of messages, so that they can be answered.
+
+        An unknown incarnation means that the daemon has restarted, so the shards of its
+        earlier incarnation are withdrawn.
+        """
+        if self.election.daemon(sender.vm, sender.incarnation) is not None:
+            return
+        lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
+        self.perform(lost, now)
+        self.election.record_message(sender, False, now)
+        self.update_streams()
+
     def handle_heartbeat(
         self,
         sender: daemons.Daemon,
@@ -344,15 +376,12 @@
     ) -> None:
         """Record a daemon's heartbeat: its state, the holders and the loads it knows.
 
-        A heartbeat of an unknown incarnation means that the daemon has restarted, so
-        the shards of its earlier incarnation are withdrawn. The stream to the sender
-        is restarted if the sender receives nothing from this daemon.
+        The stream to the sender is restarted if the sender receives nothing from this
+        daemon.
         """
         if sender.vm not in self._last_heartbeats:
             logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
         self._last_heartbeats[sender.vm] = now
-        if self.election.daemon(sender.vm, sender.incarnation) is None:
-            self.perform(self.broker.handle_gateway_lost(sender.vm, now), now)
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -64,8 +64,9 @@
         )
     else:
         actions = loop.broker.handle_poll_failure(
-            worker.worker_id, worker.incarnation, message.result, now
-        )
+            worker.worker_id, worker.incarnation, message.result, now,
+            message.requested_at,
+        )  # fmt: skip
     loop.perform(actions, now)
 
 
@@ -110,9 +111,9 @@
     newest = message.configuration
     if present is not None and newest.version <= present.version:
         return
-    loop.configuration = newest
     loop.apply_limits(newest.limits)
     loop.dependencies.front_end.configure(newest)
+    loop.configuration = newest
     logs.log_event(
         "configuration", "Configuration in force.", version=newest.version,
         queues=len(newest.queues), services=len(newest.services),
@@ -179,6 +180,7 @@
     message: messages.PeerMessagesReceived,
     now: datetime.datetime,
 ) -> None:
+    loop.record_sender(message.sender, now)
     for item in message.messages:
         loop.dispatch(type(item).__name__, (message.sender, item), now)
 
@@ -234,6 +236,15 @@
     loop.perform(loop.broker.submit(submission, gateway_id, now), now)
 
 
+@decision_loop.failure_handlers.register("Submit")
+def _abandon_shard(
+    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+) -> None:
+    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
+    shard_id = broker_messages.ShardId(sent[1].job.job_id, sent[1].shard, gateway_id)
+    loop.perform(loop.broker.abandon(shard_id, now), now)
+
+
 @decision_loop.handlers.register("Withdraw")
 def _handle_withdraw(
     loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
@@ -276,6 +287,34 @@
     loop.dependencies.workers.start(action)
 
 
+@decision_loop.failure_handlers.register("StartRun")
+def _settle_start(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.StartRun,
+    now: datetime.datetime,
+) -> None:
+    """Treat a failed start order as one without an answer: it may have been sent."""
+    worker, no_answer = action.worker, runs.OrderResult.NO_ANSWER
+    actions = loop.broker.handle_start_result(
+        worker.worker_id, worker.incarnation, action.run, no_answer, now
+    )
+    loop.perform(actions, now)
+
+
+@decision_loop.failure_handlers.register("StopRun")
+def _settle_stop(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.StopRun,
+    now: datetime.datetime,
+) -> None:
+    """Treat a failed stop order as one without an answer: the tick repeats it."""
+    worker, no_answer = action.worker, runs.OrderResult.NO_ANSWER
+    actions = loop.broker.handle_stop_result(
+        worker.worker_id, worker.incarnation, action.run, no_answer, now
+    )
+    loop.perform(actions, now)
+
+
 @decision_loop.action_handlers.register("StopRun")
 def _perform_stop(
     loop: decision_loop.DecisionLoop,
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from carawaysail_fleet import backoff, messages, ports
+from carawaysail_fleet import backoff, member_records, messages, ports
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, daemons
@@ -30,17 +30,14 @@
 CONFIGURATION_RETRY_S = 0.2
 """Pause before the next read if the store has no configuration."""
 
-PREFIX = "carawaysail/"
-DAEMONS_PREFIX = PREFIX + "daemon/"
-HOLDERS_PREFIX = PREFIX + "holder/"
-
 _encode = msgspec.json.encode
 
 
 class _Task:
     """A thread that repeats a step until it is stopped.
 
-    After a failed step it waits with exponential backoff and tries again.
+    After a failed step, whatever its exception, it waits with exponential backoff and
+    tries again.
 
     Parameters
     ----------
@@ -63,6 +60,7 @@
         self._backoff = backoff.Backoff(random.Random(seed))
         self._is_stopping = threading.Event()
         self._is_reachable = True
+        self._last_failure = ""
         self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
 
     def start(self) -> None:
@@ -86,6 +84,9 @@
             except type_errors.CarawaysailError as exc:
                 self._log_unreachable(exc)
                 pause_s = self._backoff.next_pause_s()
+            except Exception as exc:
+                self._handle_failure(exc)
+                pause_s = self._backoff.next_pause_s()
             else:
                 self._record_success()
             self._is_stopping.wait(pause_s)
@@ -99,8 +100,16 @@
             self._is_reachable = False
             logs.log_error("store", "Store unreachable.", exc, task=self.name)
 
+    def _handle_failure(self, exc: Exception) -> None:
+        """Log an exception that nobody expects; once if its type repeats."""
+        failure = type(exc).__name__
+        if failure != self._last_failure:
+            self._last_failure = failure
+            logs.log_error("store", "Task failed.", exc, task=self.name)
+
     def _record_success(self) -> None:
         self._backoff.reset()
+        self._last_failure = ""
         if not self._is_reachable:
             self._is_reachable = True
             logs.log_event("store", "Store reachable again.", task=self.name)
@@ -116,6 +125,12 @@
         # Last known revision; 0 makes the next step start with a read.
         self._after = 0
 
+    def _handle_failure(self, exc: Exception) -> None:
+        """Log an exception that nobody expects; the next step starts with a read."""
+        super()._handle_failure(exc)
+        # A change that was received may not have been published.
+        self._after = 0
+
     def _watch(self, prefix: str) -> ports.WatchResult:
         """Wait for changes since the last known revision.
 
@@ -210,7 +225,7 @@
         return LEASE_RENEWAL_INTERVAL.total_seconds()
 
     def _register(self) -> None:
-        key = DAEMONS_PREFIX + self._me.vm
+        key = member_records.DAEMONS_PREFIX + self._me.vm
         item = self._store.read(key)
         revision = item.revision if item is not None else 0
         self._store.compare_and_swap(key, revision, _encode(self._me), self._lease)
@@ -235,14 +250,15 @@
     ) -> None:
         super().__init__(store, loop_inbox, seed)
         self._items: dict[str, ports.Item] = {}
+        self._unreadable_keys: set[str] = set()
 
     def _step(self) -> float:
         if not self._after:
-            snapshot = self._store.list(PREFIX)
+            snapshot = self._store.list(member_records.PREFIX)
             self._items = {item.key: item for item in snapshot.items}
             self._after = snapshot.revision
             self._publish()
-        result = self._watch(PREFIX)
+        result = self._watch(member_records.PREFIX)
         for key in result.removed:
             self._items.pop(key, None)
         for item in result.changed:
@@ -253,35 +269,21 @@
 
     def _publish(self) -> None:
         registered, holders = [], []
+        unreadable_keys = set()
         for item in self._items.values():
             try:
-                if item.key.startswith(DAEMONS_PREFIX):
-                    registered.append(
-                        msgspec.json.decode(item.value, type=daemons.Daemon)
-                    )
-                elif item.key.startswith(HOLDERS_PREFIX):
-                    holders.append(decode_holder(item))
-            except msgspec.MsgspecError as exc:
-                logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+                if item.key.startswith(member_records.DAEMONS_PREFIX):
+                    registered.append(member_records.decode_daemon(item))
+                elif item.key.startswith(member_records.HOLDERS_PREFIX):
+                    holders.append(member_records.decode_holder(item))
+            except type_errors.BadInputError as exc:
+                unreadable_keys.add(item.key)
+                if item.key not in self._unreadable_keys:
+                    logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+        self._unreadable_keys = unreadable_keys
         self._loop_inbox.put(messages.MembersRead(tuple(registered), tuple(holders)))
 
 
-def decode_holder(item: ports.Item) -> daemons.Holder:
-    """Return the holder that an entry of the store names.
-
-    The data centre is taken from the entry's key; the fencing token is the revision of
-    the entry's last write.
-
-    Raises
-    ------
-    msgspec.MsgspecError
-        If the value is not the record of a daemon.
-    """
-    daemon = msgspec.json.decode(item.value, type=daemons.Daemon)
-    data_centre = item.key.removeprefix(HOLDERS_PREFIX)
-    return daemons.Holder(data_centre, daemon.vm, daemon.incarnation, item.revision)
-
-
 class ReportsTask(_Task):
     """Reads the workers' reports at an interval while this daemon needs them.
 
@@ -416,7 +418,7 @@
         data_centre, token = claim
         try:
             holder = self._write_claim(data_centre, token)
-        except type_errors.CarawaysailError:
+        except Exception:
             self._loop_inbox.put(messages.ClaimResultReceived(data_centre, None))
             raise
         self._loop_inbox.put(messages.ClaimResultReceived(data_centre, holder))
@@ -427,11 +429,24 @@
 
         After a conflict, or a write whose result is unknown, the entry is read.
         """
-        key = HOLDERS_PREFIX + data_centre
+        key = member_records.HOLDERS_PREFIX + data_centre
         me = self._me
         try:
             revision = self._store.compare_and_swap(key, token, _encode(me))
         except (errors.WriteConflictError, errors.WriteUncertainError):
             item = self._store.read(key)
-            return decode_holder(item) if item is not None else None
+            return self._holder_of(item) if item is not None else None
         return daemons.Holder(data_centre, me.vm, me.incarnation, revision)
+
+    def _holder_of(self, item: ports.Item) -> daemons.Holder:
+        """Return the holder of an entry; one without a VM if it is unreadable.
+
+        The revision of an unreadable entry is the fencing token that the next claim
+        needs to replace it.
+        """
+        try:
+            return member_records.decode_holder(item)
+        except type_errors.BadInputError as exc:
+            logs.log_error("store", "Entry unreadable.", exc, key=item.key)
+            data_centre = item.key.removeprefix(member_records.HOLDERS_PREFIX)
+            return daemons.Holder(data_centre, "", "", item.revision)
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -2,10 +2,24 @@
 
 import random
 
+import eliot
+import msgspec
 import testtools
 
 from carawaysail_fleet import backoff, ports, store_tasks
 from carawaysail_platform import errors
+from carawaysail_types import clock, daemons
+
+ME = daemons.Daemon("a-1", "a", "incarnation", "127.0.0.1:7720")
+TIMEOUT_S = 5.0
+NESTED = b"[" * 100_000
+ODD_RECORDS = (
+    b"", b"\xff", b"7", b"{}", b"[]", NESTED, b'{"a":' * 100_000, b'["a-2",' + NESTED,
+    b'["a-2","a","i","127.0.0.1:70000"]', b'["a-2","a","i","nowhere"]',
+    b'["a-2","a","i","h:\xc2\xb2"]', b'["a-2","a","i",7]',
+    b'["a-2","a","\\ud800","h:1"]',
+    b'["a-2","a","i","h:1",' + NESTED, b'["\xff","a","i","h:1"]',
+)  # fmt: skip
 
 
 class Store:
@@ -15,6 +29,8 @@
         self.calls = []
         self.failure = None
         self.changed = ()
+        self.items = ()
+        self.value = b"old"
         self.revision = 5
 
     def _record(self, call):
@@ -25,11 +41,11 @@
 
     def read(self, key):
         self._record("read")
-        return ports.Item(key, b"old", self.revision)
+        return ports.Item(key, self.value, self.revision)
 
     def list(self, prefix, allow_stale=False):
         self._record("list")
-        return ports.Snapshot((), self.revision)
+        return ports.Snapshot(self.items, self.revision)
 
     def watch(self, prefix, after_revision, timeout):
         self._record(("watch", after_revision))
@@ -37,6 +53,13 @@
         changed, self.changed = self.changed, ()
         return ports.WatchResult(changed, (), self.revision)
 
+    def compare_and_swap(self, key, expected_revision, value, lease=0):
+        self._record(("write", expected_revision))
+        if expected_revision != self.revision:
+            raise errors.WriteConflictError(key, expected_revision, self.revision)
+        self.revision += 1
+        return self.revision
+
 
 class FakeInbox:
     """Collects the messages that a task sends."""
@@ -125,3 +148,116 @@
         self.step()
         published = [x.configuration for x in self.inbox.messages]
         self.assertEqual([b"old", b"new"], published)
+
+
+class TestUnexpectedExceptions(testtools.TestCase):
+    """A task goes on after an exception that nobody expects."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+        self.log = []
+        eliot.add_destinations(self.log.append)
+        # The first destination receives what was logged before.
+        self.log.clear()
+        self.addCleanup(eliot.remove_destination, self.log.append)
+
+    def run_until(self, task, condition):
+        """Run a task's thread until a condition holds."""
+        task._is_stopping.wait = lambda pause_s: self.pauses.append(pause_s)
+        self.pauses = []
+        task.start()
+        source = clock.SystemClock()
+        while not condition() and source.seconds() < TIMEOUT_S:
+            source.sleep_s(0.01)
+        task.stop()
+        task._thread.join(TIMEOUT_S)
+        self.assertTrue(condition())
+
+    def failures(self):
+        return [x["text"] for x in self.log if x["text"] == "Task failed."]
+
+    # The thread ended without a log line, and the list was not followed any more.
+    def test_watch_goes_on_with_a_read(self):
+        self.store.failure = RecursionError("too deep")
+        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        self.run_until(task, lambda: len(self.inbox.messages) > 0)
+        self.assertEqual(["list", "list"], self.store.calls[:2])
+        self.assertEqual(1, len(self.failures()))
+        self.assertGreater(self.pauses[0], 0.0)
+
+    def test_failed_watch_is_followed_by_a_read(self):
+        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        task._step()
+        task._handle_failure(ValueError("odd"))
+        task._handle_failure(ValueError("odd"))
+        self.store.calls.clear()
+        task._step()
+        self.assertEqual("list", self.store.calls[0])
+        self.assertEqual(1, len(self.failures()))
+
+    def test_claim_has_a_result(self):
+        self.store.failure = OverflowError("odd")
+        task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+        task.claim("a", 5)
+        task.claim("a", 5)
+        self.run_until(task, lambda: len(self.inbox.messages) == 2)
+        self.assertIsNone(self.inbox.messages[0].holder)
+        self.assertEqual("a-1", self.inbox.messages[1].holder.vm)
+
+
+class TestMembers(testtools.TestCase):
+    """Entries of daemons and holders; an odd one hides no other."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+
+    def read(self, *items):
+        self.store.items = items
+        store_tasks.MembersTask(self.store, self.inbox, 1)._step()
+        return self.inbox.messages[-1]
+
+    def test_odd_records_are_ignored(self):
+        good = ports.Item("carawaysail/daemon/a-1", msgspec.json.encode(ME), 3)
+        held = ports.Item("carawaysail/holder/a", msgspec.json.encode(ME), 4)
+        holder = daemons.Holder("a", "a-1", "incarnation", 4)
+        for value in ODD_RECORDS:
+            with self.subTest(value=value[:40]):
+                members = self.read(
+                    ports.Item("carawaysail/daemon/a-2", value, 1), good,
+                    ports.Item("carawaysail/holder/b", value, 2), held,
+                )  # fmt: skip
+                self.assertEqual(((ME,), (holder,)), members)
+
+    def test_record_of_another_vm_is_ignored(self):
+        item = ports.Item("carawaysail/daemon/a-2", msgspec.json.encode(ME), 3)
+        self.assertEqual((), self.read(item).registered)
+
+
+class TestClaims(testtools.TestCase):
+    """Claims of data centres."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.inbox = FakeInbox()
+        self.task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+
+    def claim(self, token):
+        self.task.claim("a", token)
+        self.task._step()
+        return self.inbox.messages[-1].holder
+
+    # The claim's thread ended, so that the data centre had no holder any more.
+    def test_unreadable_holder_can_be_replaced(self):
+        for value in ODD_RECORDS:
+            with self.subTest(value=value[:40]):
+                self.store.value = value
+                unreadable = self.claim(0)
+                revision = self.store.revision
+                self.assertEqual(daemons.Holder("a", "", "", revision), unreadable)
+                holder = self.claim(unreadable.token)
+                self.assertEqual(ME.incarnation, holder.incarnation)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -150,9 +150,12 @@
         requested_at: datetime.datetime,
         now: datetime.datetime,
     ) -> list[broker_messages.Action]:
-        """Process a worker's answer to a poll; poll again if the worker is held."""
+        """Process a worker's answer to a poll; poll again if the worker is held.
+
+        An answer to a poll that was sent before the worker was held is ignored.
+        """
         worker = self._workers.get(worker_id)
-        if worker is None:
+        if worker is None or requested_at < worker.held_since:
             return self._actions.drain()
         if status.incarnation != worker.report.incarnation:
             self._handle_restart(worker_id)
@@ -164,6 +167,7 @@
         changes = worker.handle_status(status, requested_at, now)
         for finished in changes.finished:
             self._handle_finished_run(worker, finished, now)
+            worker.ledger.record_processed(finished)
         for run in changes.vanished:
             self._actions.log("run_vanished", run.task.job_id, run=str(run.task))
             self._jobs.requeue_task(run, worker_id)
@@ -176,22 +180,49 @@
             )  # fmt: skip
         self._stall_detector.stop_stalled_runs(worker, now)
         self._place(now)
-        self._actions.add(worker.next_poll(self._terms, now))
+        self._poll_again(worker, requested_at, now)
         return self._actions.drain()
 
+    def _poll_again(
+        self,
+        worker: held_worker.HeldWorker,
+        requested_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        """Poll a worker after the result of a poll, unless a later one is under way."""
+        if worker.is_newest_poll(requested_at):
+            self._actions.add(worker.next_poll(self._terms, now))
+
     def handle_poll_failure(
         self,
         worker_id: str,
         incarnation: str,
         result: runs.OrderResult,
         now: datetime.datetime,
+        requested_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
-        """Record a poll that returned no status; poll again if the worker is held."""
+        """Record a poll that returned no status; poll again if the worker is held.
+
+        Parameters
+        ----------
+        worker_id, incarnation : str
+            Name and incarnation of the worker.
+        result : runs.OrderResult
+            Why there is no status.
+        now : datetime.datetime
+            Present instant.
+        requested_at : datetime.datetime, optional
+            When the poll was sent; ``now`` by default. One that was sent before the
+            worker was held is ignored.
+        """
+        held = self._workers.get(worker_id)
+        if held is not None and (requested_at or now) < held.held_since:
+            return self._actions.drain()
         worker = self._get_unfenced(worker_id, incarnation, result)
         if worker is None:
             return self._actions.drain()
         self._mark_silent(worker, result)
-        self._actions.add(worker.next_poll(self._terms, now))
+        self._poll_again(worker, requested_at or now, now)
         return self._actions.drain()
 
     def _mark_silent(
@@ -391,15 +422,38 @@
             self._jobs.outcomes.record_outcome(shard_id, outcome, now)
         return self._actions.drain()
 
+    def abandon(
+        self, shard_id: broker_messages.ShardId, now: datetime.datetime
+    ) -> list[broker_messages.Action]:
+        """End a shard whose submission could not be handled; it may have started."""
+        shard = self._jobs.get(shard_id)
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.INTERNAL_ERROR)
+        if shard is not None:
+            self._jobs.finish(shard, outcome, now)
+        else:
+            self._jobs.outcomes.record_outcome(shard_id, outcome, now)
+            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+        return self._actions.drain()
+
     def handle_gateway_lost(
-        self, vm: str, now: datetime.datetime
+        self, vm: str, now: datetime.datetime, successor: str = ""
     ) -> list[broker_messages.Action]:
-        """Withdraw all shards of a daemon whose messages have stopped."""
+        """Withdraw the shards of a daemon that has ended or fallen silent.
+
+        Parameters
+        ----------
+        vm : str
+            VM of the daemon.
+        now : datetime.datetime
+            Present instant.
+        successor : str, optional
+            Incarnation that has replaced it, whose shards are kept.
+        """
         decided: list[broker_messages.Action] = []
-        for shard_id in [
-            x.shard_id for x in self._jobs.all() if x.shard_id.gateway.vm == vm
-        ]:
-            decided.extend(self.withdraw(shard_id, now))
+        for shard_id in [x.shard_id for x in self._jobs.all()]:
+            gateway = shard_id.gateway
+            if gateway.vm == vm and gateway.incarnation != successor:
+                decided.extend(self.withdraw(shard_id, now))
         return decided
 
     # Placement and timeouts
@@ -494,8 +548,14 @@
     def _check_worker(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
     ) -> None:
-        """Act on a worker that is silent or missing, and stop uncertain runs."""
+        """Act on a worker that is silent or missing, and stop uncertain runs.
+
+        A poll whose result was lost with an exception is repeated, without a lease.
+        """
         worker_id = worker.report.worker_id
+        if worker.is_poll_overdue(now):
+            self._mark_silent(worker, runs.OrderResult.NO_ANSWER)
+            self._actions.add(worker.next_poll(self._terms, now))
         if worker.health.is_silent and worker.is_lease_expired(self._terms, now):
             for run in worker.ledger.drop_expired():
                 self._actions.log(
