Keep a plan for each fault that the soak has found

A lapse of the lease or a crash between the listing and the acknowledgement of an end (completed_means_every_end_stands; 3 to 6 violations a play), and SIGHUP before a daemon handles signals (exit code -1). Plans may have comments.

--- a/libs/carawaysail_soak/src/carawaysail_soak/connections.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/connections.py
@@ -48,14 +48,20 @@
 
     def close(self, with_reset: bool = False) -> None:
         """Close the connection, optionally with a reset."""
-        sock = self._writer.get_extra_info("socket")
-        if with_reset and sock is not None and sock.fileno() >= 0:
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            self._writer.transport.abort()
+        if with_reset:
+            reset(self._writer)
         self._writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, without sending what is buffered."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _state(body: bytes) -> str:
     try:
         record = msgspec.json.decode(body) if body else {}
--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -23,6 +23,7 @@
 
 import asyncio
 import json
+import logging
 import pathlib
 import shutil
 import sys
@@ -140,6 +141,9 @@
         print("checks:", ", ".join(checks.names()))
         return 0
     logs.open_log(args["--log"] or "")
+    for name in ("asyncio", "aiohttp.server"):
+        # They report each connection that a fault breaks.
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     out = pathlib.Path(args["--out"])
     passed = True
     try:
--- a/libs/carawaysail_soak/src/carawaysail_soak/plan.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/plan.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+import json5
 import msgspec
 
 from carawaysail_types import errors, registry
@@ -251,7 +252,7 @@
 
 
 def read(path: pathlib.Path) -> Plan:
-    """Read a plan from a JSON file.
+    """Read a plan from a JSON file, which may have comments.
 
     Raises
     ------
@@ -261,12 +262,16 @@
         If the kind of a step is not registered.
     """
     try:
-        row = msgspec.json.decode(path.read_bytes())
-        size = msgspec.convert(list(Size(**row["size"])), Size)
-        steps = tuple(msgspec.convert(list(Step(**x)), Step) for x in row["steps"])
+        row = json5.loads(path.read_text(encoding="utf-8"))
+        size = msgspec.convert(list(Size(**row["size"])), Size, strict=False)
+        steps = tuple(
+            msgspec.convert(list(Step(**x)), Step, strict=False) for x in row["steps"]
+        )
         plan = Plan(int(row["seed"]), size, steps)
     except (OSError, msgspec.MsgspecError, TypeError, KeyError, ValueError) as exc:
-        raise errors.BadInputError(str(path), repr(exc), "a plan as JSON") from exc
+        raise errors.BadInputError(
+            str(path), repr(exc), "a plan as JSON with comments"
+        ) from exc
     for step in plan.steps:
         kinds.get(step.kind)
     return plan
--- a/libs/carawaysail_soak/src/carawaysail_soak/proxy.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/proxy.py
@@ -7,10 +7,10 @@
 import asyncio
 import collections.abc
 import itertools
-import socket
-import struct
 import typing
 
+from carawaysail_soak import connections
+
 FORTH = "forth"
 BACK = "back"
 """Directions of the bytes of a link: from the source to the target, and back."""
@@ -100,11 +100,7 @@
     def reset(self) -> None:
         """Reset both sockets, without sending what is buffered."""
         for writer in self.writers:
-            sock = writer.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            connections.reset(writer)
 
 
 class Proxy:
@@ -242,11 +238,11 @@
             await self._lanes[link, FORTH].wait_until_clear()
             far_reader, far_writer = await _connect(endpoint)
         except OSError:
-            _Connection(writer, writer).reset()
+            connections.reset(writer)
             return
         connection = _Connection(writer, far_writer)
-        connections = self._connections[link]
-        connections.add(connection)
+        open_connections = self._connections[link]
+        open_connections.add(connection)
         pumps = (
             self._pump(link, FORTH, connection, reader, far_writer),
             self._pump(link, BACK, connection, far_reader, writer),
@@ -256,7 +252,7 @@
         except OSError:
             connection.reset()
         finally:
-            connections.discard(connection)
+            open_connections.discard(connection)
             writer.close()
             far_writer.close()
 
--- a/libs/carawaysail_soak/tests/test_soak.py
+++ b/libs/carawaysail_soak/tests/test_soak.py
@@ -10,9 +10,10 @@
 from carawaysail_types import errors
 
 CFG = settings.load()
+PLANS = pathlib.Path(__file__).with_name("plans")
 
 
-class TestSoak(testtools.TestCase):
+class PlayCase(testtools.TestCase):
     """Plans that have to pass."""
 
     def play(self, what):
@@ -27,6 +28,10 @@
         self.assertEqual([], result["violations"])
         self.assertGreater(result["counts"]["RequestAnswered"], 50)
 
+
+class TestSoak(PlayCase):
+    """Plans that are drawn."""
+
     def test_seed_1(self):
         self.play(plan.draw(1, CFG.sizes["small"]))
 
@@ -37,6 +42,22 @@
         self.play(plan.draw(3, CFG.sizes["small"]))
 
 
+class TestPlans(PlayCase):
+    """Plans by hand, each for a fault that was found; its cause is in the file."""
+
+    def play_file(self, name):
+        self.play(plan.read(PLANS / f"{name}.json"))
+
+    def test_lapse_before_acknowledgement(self):
+        self.play_file("lapse_before_acknowledgement")
+
+    def test_crash_around_the_end(self):
+        self.play_file("crash_around_the_end")
+
+    def test_signal_at_start(self):
+        self.play_file("signal_at_start")
+
+
 class TestSettings(testtools.TestCase):
     """Settings of the soak."""
 
