Stop unmatched runs of one number on every worker

Of two inherited runs of the same number on two workers, only one was stopped when no shard matched them; the other kept its worker's resources.

Inherited runs are now kept by run and worker.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -325,8 +325,8 @@
         now: datetime.datetime,
     ) -> None:
         task = finished.run.task
-        self._jobs.inherited.drop_run(finished.run)
         name, worker_id = actions.label(finished.run), worker.report.worker_id
+        self._jobs.inherited.drop_run(finished.run, worker_id)
         how = finished.result.value
         shard, state = self._jobs.shard_of(task), self._jobs.task_state(finished.run)
         self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/inherited_runs.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/inherited_runs.py
@@ -13,34 +13,33 @@
     """Inherited runs that are not matched with a shard yet."""
 
     def __init__(self) -> None:
-        self._runs: dict[runs.Run, tuple[str, datetime.datetime]] = {}
+        # By run and worker: two workers may have runs of one number.
+        self._recorded_at: dict[tuple[runs.Run, str], datetime.datetime] = {}
 
     def add(self, run: runs.Run, worker_id: str, now: datetime.datetime) -> None:
         """Add a run that a worker has reported."""
-        self._runs[run] = (worker_id, now)
+        self._recorded_at[run, worker_id] = now
 
     def runs_of(self, task: runs.Task) -> list[tuple[runs.Run, str]]:
         """Return the runs of a task, each with the name of its worker."""
-        return [(run, x[0]) for run, x in self._runs.items() if run.task == task]
+        return [x for x in self._recorded_at if x[0].task == task]
 
-    def drop_run(self, run: runs.Run) -> None:
-        """Remove a run, if it is here."""
-        self._runs.pop(run, None)
+    def drop_run(self, run: runs.Run, worker_id: str) -> None:
+        """Remove a run on a worker, if it is here."""
+        self._recorded_at.pop((run, worker_id), None)
 
     def drop_worker(self, worker_id: str) -> None:
         """Remove all runs of a worker."""
-        self._runs = {k: v for k, v in self._runs.items() if v[0] != worker_id}
+        self._recorded_at = {
+            k: v for k, v in self._recorded_at.items() if k[1] != worker_id
+        }
 
     def pop_unmatched(self, now: datetime.datetime) -> list[tuple[runs.Run, str]]:
         """Remove and return the runs that no shard has matched in time.
 
         Each comes with the name of its worker.
         """
-        expired = [
-            (run, worker_id)
-            for run, (worker_id, recorded_at) in self._runs.items()
-            if now - recorded_at > MATCH_TIMEOUT
-        ]
-        for run, _ in expired:
-            del self._runs[run]
+        expired = [k for k, v in self._recorded_at.items() if now - v > MATCH_TIMEOUT]
+        for key in expired:
+            del self._recorded_at[key]
         return expired
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -125,7 +125,7 @@
             for run, worker_id in self.inherited.runs_of(task):
                 worker = self._workers.get(worker_id)
                 if worker is not None and state.phase is shard_state.Phase.WAITING:
-                    self.inherited.drop_run(run)
+                    self.inherited.drop_run(run, worker_id)
                     self.match_run(worker, run, state, now)
 
     def _refusal_reason(
@@ -233,7 +233,7 @@
 
         Runs that are not the present run of their task on that worker are ignored.
         """
-        self.inherited.drop_run(run)
+        self.inherited.drop_run(run, worker_id)
         state = self.task_state(run)
         if (
             state is not None
