Claim a data centre again after a refusal that no newer holder explains

If the refusal of an order with an earlier token came late, the holder released its workers although its own record was the newest. Nobody claimed them, since the daemon itself went on with its heartbeats: all jobs of the data centre were refused or timed out until its next restart.

A holder that a worker has refused claims its data centre again after 1 s in which it has heard of no newer holder. The claim is a conditional write, so a newer one that it does not know wins.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -374,6 +374,7 @@
     action: broker_messages.HolderFenced,
     now: datetime.datetime,
 ) -> None:
+    loop.election.record_refused_holder(action.data_centre, now)
     loop.update_worker_links()
 
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -32,6 +32,10 @@
 """Time for a restarted daemon to settle before it takes its data centre back from a
 remote holder, or claims another data centre."""
 
+REFUSED_HOLDER_TIMEOUT = clock.milliseconds(1000)
+"""Time in which a holder that a worker has refused hears of the newer one; without one
+it claims its data centre again."""
+
 WORKER_REPORT_MAX_AGE = clock.milliseconds(2500)
 """Workers whose report has changed within this time can reach the store."""
 
@@ -101,6 +105,8 @@
         self._workers_reported_at: dict[str, datetime.datetime] = {}
         self._workers_reporting_since: dict[str, datetime.datetime] = {}
         self._claimed_at: dict[str, datetime.datetime] = {}
+        # When a worker refused this daemon as the holder of its data centre.
+        self._refused_at: dict[str, datetime.datetime] = {}
 
     # Observations
 
@@ -154,6 +160,13 @@
         if peer is not None and peer.daemon == daemon:
             peer.is_refusing = True
 
+    def record_refused_holder(self, data_centre: str, now: datetime.datetime) -> None:
+        """Record that a worker refuses this daemon because of a higher token.
+
+        The refusal may be of an order with an earlier token, so there may be none.
+        """
+        self._refused_at[data_centre] = now
+
     def record_worker_report(self, data_centre: str, now: datetime.datetime) -> None:
         """Record that workers of a data centre report to the store."""
         reported_at = self._workers_reported_at.get(data_centre)
@@ -170,6 +183,7 @@
         self._holder_changed_at[holder.data_centre] = now
         self._claimable_since.pop(holder.data_centre, None)
         self._claimed_at.pop(holder.data_centre, None)
+        self._refused_at.pop(holder.data_centre, None)
         return True
 
     # Current view
@@ -251,7 +265,9 @@
         if known is None:
             return "vacant"
         if self.is_own(known):
-            return ""
+            refused_at = self._refused_at.get(data_centre, now)
+            is_overdue = now - refused_at >= REFUSED_HOLDER_TIMEOUT
+            return "holder was refused" if is_overdue else ""
         age = now - self._holder_changed_at.get(data_centre, now)
         holder = self._peers.get(known.vm)
         if holder is None or holder.daemon.incarnation != known.incarnation:
--- a/libs/carawaysail_holding/tests/test_holder_election.py
+++ b/libs/carawaysail_holding/tests/test_holder_election.py
@@ -72,6 +72,15 @@
     def test_data_centre_without_holder_is_claimed(self):
         self.assert_claims({"dc-0": 0})
 
+    # A data centre whose holder was refused by mistake had no holder from then on.
+    def test_refused_holder_claims_again_unless_there_is_a_newer_one(self):
+        self.record_holder("dc-0", self.me, 5)
+        self.election.record_refused_holder("dc-0", self.now)
+        self.assert_claims({}, 900)
+        self.assert_claims({"dc-0": 5}, 500)
+        self.record_holder("dc-0", self.me, 7)
+        self.assert_claims({})
+
     def test_responsive_holder_is_not_replaced(self):
         self.register_all(self.local_peer)
         self.record_holder("dc-0", self.local_peer, 5)
