Start no resubmission at a successor that lacks its first copy

Seen: a task started twice after an ordinary graceful end. Copy 1 arrived at rosario-e1, which knew that the owner cordoba-e1 had ended and did not know its successor yet, and was bound there; copy 2 arrived at the successor cordoba-e2, which took it as new. Cause: that an owner has ended does not tell whether it handed over. The daemon that binds the only copy cannot learn it (the announcement may be lost, or a partition may hide it), and the successor could not tell a new submission from one that is bound elsewhere. Trace: 03.3065 rosario-e1 attempt 1 BindHere, its record of cordoba-e1: gone; its record of cordoba-e2: alive, inherited () 04.1105 cordoba-e2 sends task 0 of copy 2 to cordoba-runner-1 With a partition of the data centres during the end, rosario-e1 is refused and binds alike. Change: a successor starts no copy with attempt above 1 that the inherited table does not have; it records and answers unknown (owner_lost). It answers a look-up of such a submission as unknown, not as never received. Callers number all copies or none; a submission without numbers is started by the successor as before. FIRST_ATTEMPT moves to carawaysail_types.work, beside the field. Why it works: only a copy with attempt 1 is ever bound away from its owner, and there is one such copy: it is at the successor or elsewhere, and each further copy starts nothing unless the copy with attempt 1 is recorded there. Cost: a resubmission whose first copy never reached the owner is unknown after a graceful end, where it was started before. Tests that failed before: TestOneStarter.test_owner_ended_before_its_successor_is_known and test_owner_ended_behind_a_partition (started 2 times), and in TestOtherOwners test_successor_starts_no_resubmission_that_it_does_not_know (New() for attempt 2) and test_successor_does_not_know_what_others_received (None).

--- a/libs/carawaysail_bench/tests/test_proof.py
+++ b/libs/carawaysail_bench/tests/test_proof.py
@@ -22,8 +22,8 @@
 class RestartingRegister(ownership.OwnershipRegister):
     """Treats every copy of a submission as a new one, so that it starts again."""
 
-    def bind(self, sid, digest, now):
-        verdict = super().bind(sid, digest, now)
+    def bind(self, sid, digest, now, attempt=0):
+        verdict = super().bind(sid, digest, now, attempt)
         is_known = isinstance(verdict, ownership.InProgress | ownership.Finished)
         return ownership.New() if is_known else verdict
 
@@ -324,6 +324,20 @@
         self.case.heal()
         self.assert_started_once("cordoba-e1", ("cordoba-e2", "rosario-e1"))
 
+    # A daemon bound the only copy of an ended owner, whose successor started the next.
+    def test_owner_ended_before_its_successor_is_known(self):
+        self.inject("graceful_end", "cordoba-e1")
+        self.case.advance(clock.milliseconds(305))
+        self.assert_started_once("cordoba-e1", ("rosario-e1", "cordoba-e2"))
+
+    # The same failure where only the refused connection told that the owner had ended.
+    def test_owner_ended_behind_a_partition(self):
+        self.inject("partition_of_places", "cordoba-e1")
+        self.inject("graceful_end", "cordoba-e1")
+        self.case.advance(clock.milliseconds(1_000))
+        self.case.sim.partitions.clear()
+        self.assert_started_once("cordoba-e1", ("rosario-e1", "cordoba-e2"))
+
 
 class TestHistory(testtools.TestCase):
     """The summary counts the events of a history."""
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/coordinator.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/coordinator.py
@@ -75,7 +75,7 @@
         if is_orphan or self.register.has_orphan(sid):
             result = self.register.bind_orphan(sid, digest, now)
         else:
-            result = self.register.bind(sid, digest, now)
+            result = self.register.bind(sid, digest, now, submission.attempt)
         if not isinstance(result, ownership.New):
             return SubmitResult(_status_from(result), [])
         actions = self.handle(
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/forwarding.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/forwarding.py
@@ -8,7 +8,7 @@
 import typing
 
 from carawaysail_decisions import membership
-from carawaysail_types import outcomes
+from carawaysail_types import outcomes, work
 
 
 class ForwardTo(typing.NamedTuple):
@@ -35,9 +35,6 @@
 
 Step = ForwardTo | Finish | BindHere
 
-FIRST_ATTEMPT = 1
-"""The ``attempt`` of a caller that has sent no other copy."""
-
 
 def first_step(location: membership.OwnerLocation, address: str, attempt: int) -> Step:
     """Return the first step for a submission of another owner.
@@ -55,7 +52,7 @@
         return _step_if_lost(attempt)
     if location.peer or address:
         return ForwardTo(location.peer or address)
-    return _step_if_unreachable(attempt == FIRST_ATTEMPT)
+    return _step_if_unreachable(attempt == work.FIRST_ATTEMPT)
 
 
 def step_after_failure(attempt: int, was_sent: bool, was_refused: bool) -> Step:
@@ -72,7 +69,7 @@
     """
     if was_refused and not was_sent:
         return _step_if_lost(attempt)
-    return _step_if_unreachable(attempt == FIRST_ATTEMPT and not was_sent)
+    return _step_if_unreachable(attempt == work.FIRST_ATTEMPT and not was_sent)
 
 
 def step_after_wrong_owner(attempt: int) -> Step:
@@ -82,7 +79,7 @@
 
 def _step_if_lost(attempt: int) -> Step:
     """Bind the only copy here; of several, the lost owner may have started one."""
-    if attempt == FIRST_ATTEMPT:
+    if attempt == work.FIRST_ATTEMPT:
         return BindHere()
     return Finish(outcomes.Unknown(outcomes.Reason.OWNER_LOST))
 
--- a/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
+++ b/libs/carawaysail_decisions/src/carawaysail_decisions/ownership.py
@@ -17,7 +17,7 @@
 import typing
 
 from carawaysail_decisions import handover
-from carawaysail_types import errors, identifiers, outcomes
+from carawaysail_types import errors, identifiers, outcomes, work
 
 EPOCH_DURATION = datetime.timedelta(minutes=1)
 MAX_ANSWER_BYTES = 16_000_000
@@ -347,19 +347,43 @@
             table.window = max(window, table.window)
 
     def bind(
-        self, sid: identifiers.SubmissionId, digest: bytes, now: datetime.datetime
+        self,
+        sid: identifiers.SubmissionId,
+        digest: bytes,
+        now: datetime.datetime,
+        attempt: int = 0,
     ) -> BindResult:
         """Decide what to do with a copy of a submission; see ``SubmissionTable.bind``.
 
+        A resubmission that an inherited table does not have is never started: another
+        daemon may have bound the first copy as an orphan after the owner had ended.
+
+        Parameters
+        ----------
+        sid : identifiers.SubmissionId
+            Identifier of the submission.
+        digest : bytes
+            Hash of its body.
+        now : datetime.datetime
+            The present instant.
+        attempt : int
+            Copies that the caller has sent, this one included; 0 if not stated.
+
         Returns
         -------
         BindResult
-            ``OtherOwner`` if no table here is responsible, or all were handed over.
+            ``OtherOwner`` if no table here is responsible, or all were handed over;
+            ``Finished`` as ``unknown`` if another daemon may have started it.
         """
         table = self.tables.get(sid.owner.incarnation)
         if table is None or self.is_handed_over:
             return OtherOwner(sid.owner)
-        return table.bind(sid, digest, now)
+        result = table.bind(sid, digest, now)
+        is_resubmitted = attempt > work.FIRST_ATTEMPT
+        if isinstance(result, New) and is_resubmitted and self._is_inherited(sid):
+            table.record_outcome(sid, _LOST)
+            return Finished(_LOST)
+        return result
 
     def bind_orphan(
         self, sid: identifiers.SubmissionId, digest: bytes, now: datetime.datetime
@@ -404,7 +428,8 @@
         -------
         InProgress, Finished, Expired, OtherOwner or None
             ``OtherOwner`` if no table here is responsible, or all were handed over;
-            ``None`` if the submission was never received.
+            ``None`` if the submission was never received. One that an inherited table
+            does not have is ``unknown``, as it may be bound elsewhere as an orphan.
         """
         orphan = self._orphans.get(str(sid))
         if orphan is not None:
@@ -413,7 +438,13 @@
         table = self.tables.get(sid.owner.incarnation)
         if table is None or self.is_handed_over:
             return OtherOwner(sid.owner)
-        return table.status_of(sid, now)
+        status = table.status_of(sid, now)
+        if status is None and self._is_inherited(sid):
+            return Finished(_LOST)
+        return status
+
+    def _is_inherited(self, sid: identifiers.SubmissionId) -> bool:
+        return sid.owner.incarnation != self.incarnation
 
     def record_outcome(
         self, sid: identifiers.SubmissionId, outcome: outcomes.Outcome
@@ -464,7 +495,7 @@
 
 
 _LOST = outcomes.Unknown(outcomes.Reason.OWNER_LOST)
-"""Outcome of submissions that had none when their owner ended."""
+"""Outcome of submissions that cannot be told after their owner has ended."""
 
 
 def _size_bytes(local_id: str, outcome: outcomes.Outcome) -> int:
--- a/libs/carawaysail_decisions/tests/test_ownership.py
+++ b/libs/carawaysail_decisions/tests/test_ownership.py
@@ -31,8 +31,9 @@
         owner = (register or self.register).owner(self.clock.now())
         return identifiers.SubmissionId(owner, local_id)
 
-    def bind(self, sid, digest=DIGEST_A, register=None):
-        return (register or self.register).bind(sid, digest, self.clock.now())
+    def bind(self, sid, digest=DIGEST_A, register=None, attempt=0):
+        register = register or self.register
+        return register.bind(sid, digest, self.clock.now(), attempt)
 
     def assert_result(self, kind, result):
         self.assertIsInstance(result, kind)
@@ -130,6 +131,31 @@
         self.assertEqual(ownership.Finished(DONE), self.bind(known, register=successor))
         self.assert_result(ownership.New, self.bind(new, register=successor))
 
+    # A resubmission was started although another daemon had bound the only copy before.
+    def test_successor_starts_no_resubmission_that_it_does_not_know(self):
+        successor = self.make_register("fedcba9876543210", "e2")
+        lost = ownership.Finished(outcomes.Unknown(outcomes.Reason.OWNER_LOST))
+        first, second = self.make_id("first"), self.make_id("second")
+        successor.inherit(self.register.hand_over(self.clock.now()), self.clock.now())
+        self.assertEqual(lost, self.bind(second, register=successor, attempt=2))
+        late = self.bind(second, register=successor, attempt=1)
+        self.assertEqual(lost, late)
+        only = self.bind(first, register=successor, attempt=1)
+        self.assert_result(ownership.New, only)
+        resubmitted = self.bind(first, register=successor, attempt=2)
+        self.assert_result(ownership.InProgress, resubmitted)
+        own = self.make_id("own", successor)
+        self.assert_result(ownership.New, self.bind(own, register=successor, attempt=2))
+
+    # The successor reported a submission as never received that ran elsewhere.
+    def test_successor_does_not_know_what_others_received(self):
+        successor = self.make_register("fedcba9876543210", "e2")
+        sid, own = self.make_id(), self.make_id("own", successor)
+        successor.inherit(self.register.hand_over(self.clock.now()), self.clock.now())
+        now = self.clock.now()
+        self.assertEqual("unknown", successor.status_of(sid, now).outcome.tag)
+        self.assertIsNone(successor.status_of(own, now))
+
     def test_repeated_handover_changes_nothing(self):
         snapshots = self.register.hand_over(self.clock.now())
         successor = self.make_register("fedcba9876543210", "e2")
--- a/libs/carawaysail_types/src/carawaysail_types/work.py
+++ b/libs/carawaysail_types/src/carawaysail_types/work.py
@@ -7,6 +7,9 @@
 
 MAX_JOB_TASKS = 340
 
+FIRST_ATTEMPT = 1
+"""The ``attempt`` of a caller that has sent no other copy."""
+
 
 class TaskResources(typing.NamedTuple):
     """Resources that a task requires of its worker while it runs.
