Count only what a graceful end itself cut off, restarts included

Neither the decisions nor the rule are wrong, but the history: it set was_graceful from the state of the VM when the caller gave up, not from what became of the copy. The same cause, found with it: an answer that the network lost and a copy at a daemon killed while it drained counted as cut off, and a real cut was missed if the VM had been restarted before the caller's timeout. Change: a copy is cut off if it was sent before the end was asked for and the daemon closed its connection, or received it and sent no answer; and if that very incarnation has ended gracefully, or is ending and not paused. The rule is unchanged. Narrower only for the three traced cases: ends.md promises to serve what arrives and to answer each caller, and none of them is in the daemon's hands. Stricter for restarts. Tests that failed before, in TestGracefulEnd: test_lost_copy, test_lost_answer and test_death_while_draining (violation), test_copy_without_answer_at_a_daemon_that_restarted ([] instead of the violation). test_copy_without_answer, test_copy_that_arrives_after_the_end and TestRules.test_end_before_idle show that a real cut still fails the rule.

--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/history.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/history.py
@@ -72,8 +72,9 @@
     Parameters
     ----------
     was_graceful : bool
-        Whether the copy was lost to a graceful end: it was sent before the daemon
-        was asked to end, and the daemon was ending and not paused at the failure.
+        Whether the copy was lost to a graceful end. It was sent before the daemon was
+        asked to end; the daemon closed its connection, or received it and sent no
+        answer; and the daemon has ended gracefully, or was ending and not paused.
     """
 
     at: datetime.datetime
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -65,6 +65,7 @@
     ) -> None:
         super().__init__(sim, name, data_centre)
         self.is_leaving = False
+        self._ended_gracefully: set[int] = set()
         self._fleet = fleet
         self._setup = setup
         self._forwarded = 0
@@ -440,6 +441,17 @@
         incarnation = self.incarnation
         self.sim.schedule(DRAIN_DELAY, lambda: self.post_to(incarnation, self._drain))
 
+    def is_ending_gracefully(self, incarnation: int) -> bool:
+        """Return whether an incarnation has ended gracefully, or does so right now.
+
+        One that was killed before its end was complete has not; one that is paused
+        does not go on with it.
+        """
+        if incarnation in self._ended_gracefully:
+            return True
+        is_running = self.is_alive and self.incarnation == incarnation
+        return is_running and self.is_leaving and not self.is_paused
+
     def _announce_state(self) -> None:
         for record, _ in self.members.all_records(self.sim.now()):
             if record.vm != self.name and record.state != membership.GONE:
@@ -497,6 +509,7 @@
 
         def exit_now() -> None:
             self.is_alive = False
+            self._ended_gracefully.add(incarnation)
 
         wait = clock.milliseconds(50)
         self.sim.schedule(wait, lambda: self.post_to(incarnation, exit_now))
--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/scenario.py
@@ -138,14 +138,26 @@
             )
         )
         sent = submission._replace(attempt=copy, deadline=now + DEADLINE)
-        was_leaving = node.is_leaving
+        incarnation, was_leaving = node.incarnation, node.is_leaving
+        received_by = 0
+        is_answered = False
 
         def handle(answer: simulation.Reply) -> None:
-            node.receive(sent, answer)
+            nonlocal received_by
+            received_by = node.incarnation
+
+            def send_answer(value: typing.Any) -> None:
+                nonlocal is_answered
+                is_answered = True
+                answer(value)
+
+            node.receive(sent, send_answer)
 
         def on_failure(was_sent: bool, was_refused: bool) -> None:
-            is_ending = node.is_leaving and not was_leaving
-            was_graceful = was_sent and is_ending and not node.is_paused
+            was_closed = was_sent and self.sim.now() - now < CALLER_TIMEOUT
+            is_pending = received_by == incarnation and not is_answered
+            is_ending = not was_leaving and node.is_ending_gracefully(incarnation)
+            was_graceful = is_ending and (was_closed or is_pending)
             unanswered = history.CopyUnanswered(
                 self.sim.now(), name, copy, node.name, was_graceful
             )
--- a/libs/carawaysail_bench/tests/test_proof.py
+++ b/libs/carawaysail_bench/tests/test_proof.py
@@ -14,6 +14,7 @@
     rules,
     scenario,
     setups,
+    simulation,
 )
 from carawaysail_decisions import dispatcher, events, forwarding, ownership, versions
 from carawaysail_types import clock, outcomes
@@ -339,6 +340,91 @@
         self.assert_started_once("cordoba-e1", ("rosario-e1", "cordoba-e2"))
 
 
+class TestGracefulEnd(testtools.TestCase):
+    """Which copies count as cut off by a graceful end, and which another fault lost."""
+
+    def make_case(self, **setup):
+        self.case = scenario.Scenario(setups.NodeSetup(**setup))
+
+    def inject(self, name):
+        owner = self.case.fleet["nodes"]["rosario-e1"]
+        faults.faults.get(name).inject(self.case, owner)
+
+    def inject_at(self, step, name):
+        inject = lambda process: self.inject(name)  # noqa: E731
+        self.case.sim.arm_fault(simulation.ArmedFault(step, "order-1", inject))
+
+    def submit(self):
+        return self.case.submit("order-1", "job", NODES)
+
+    def end_before_answer(self):
+        """End the daemon, which does not wait, while its targets work on a copy."""
+        self.make_case(waits_until_idle=False)
+        for target in self.case.fleet["targets"].values():
+            target.mode = "slow"
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.case.advance(clock.milliseconds(1_000))
+
+    def assert_lost_by_another_fault(self):
+        violations = [x.text() for x in self.case.heal_and_check()]
+        self.assertEqual([], violations)
+        unanswered = [
+            event
+            for event in self.case.sim.history
+            if isinstance(event, history.CopyUnanswered)
+        ]
+        self.assertEqual([1], [event.copy for event in unanswered])
+
+    def assert_cut_off(self):
+        violated = [x.rule for x in self.case.heal_and_check()]
+        self.assertEqual(["graceful_end_cuts_nothing"], violated)
+
+    # A copy that the network lost before the daemon had it counted as cut off.
+    def test_lost_copy(self):
+        self.make_case()
+        self.inject("message_lost")
+        self.submit()
+        self.inject("graceful_end")
+        self.assert_lost_by_another_fault()
+
+    # A copy whose answer the network lost counted as cut off.
+    def test_lost_answer(self):
+        self.make_case()
+        self.inject_at("answered", "message_lost")
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.assert_lost_by_another_fault()
+
+    # A copy at a daemon that died while it drained counted as cut off.
+    def test_death_while_draining(self):
+        self.make_case()
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.inject("process_death")
+        self.assert_lost_by_another_fault()
+
+    def test_copy_without_answer(self):
+        self.end_before_answer()
+        self.assert_cut_off()
+
+    # The restart of the daemon before the caller's timeout hid the cut.
+    def test_copy_without_answer_at_a_daemon_that_restarted(self):
+        self.end_before_answer()
+        self.case.heal()
+        self.assert_cut_off()
+
+    def test_copy_that_arrives_after_the_end(self):
+        self.make_case()
+        self.inject("message_delayed")
+        self.submit()
+        self.inject("graceful_end")
+        self.assert_cut_off()
+
+
 class TestHistory(testtools.TestCase):
     """The summary counts the events of a history."""
 
