--- a/libs/carawaysail_bench/tests/test_proof.py
+++ b/libs/carawaysail_bench/tests/test_proof.py
@@ -14,6 +14,7 @@
     rules,
     scenario,
     setups,
+    simulation,
 )
 from carawaysail_decisions import dispatcher, events, forwarding, ownership, versions
 from carawaysail_types import clock, outcomes
@@ -22,8 +23,8 @@
 class RestartingRegister(ownership.OwnershipRegister):
     """Treats every copy of a submission as a new one, so that it starts again."""
 
-    def bind(self, sid, digest, now):
-        verdict = super().bind(sid, digest, now)
+    def bind(self, sid, digest, now, attempt=0):
+        verdict = super().bind(sid, digest, now, attempt)
         is_known = isinstance(verdict, ownership.InProgress | ownership.Finished)
         return ownership.New() if is_known else verdict
 
@@ -262,6 +263,168 @@
     """Interleavings drawn by hypothesis with a fixed seed."""
 
 
+REGRESSION_SEEDS = {
+    # A daemon took the record of an earlier incarnation as proof of the owner's loss.
+    "stale_record_of_owner": 60,
+}
+"""Seeds whose interleavings violated a rule, by the cause."""
+
+UNSHRUNK = hypothesis.settings(
+    Interleavings.TestCase.settings,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+)
+"""Reports a failing example as it was drawn; to shrink it takes minutes."""
+
+
+class TestRegressionSeeds(testtools.TestCase):
+    """Interleavings of the seeds that violated a rule once."""
+
+    def test_no_seed_violates_a_rule(self):
+        for cause, seed in REGRESSION_SEEDS.items():
+            machine = hypothesis.seed(seed)(type(cause, (Interleavings,), {}))
+            hypothesis.stateful.run_state_machine_as_test(machine, settings=UNSHRUNK)
+
+
+class TestOneStarter(testtools.TestCase):
+    """A submission is started by its owner or by one other daemon, never by both.
+
+    The targets' first answers are crossed, so that the caller gets ``unknown`` and
+    resubmits to the next daemon.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.case = scenario.Scenario()
+
+    def inject(self, name, vm):
+        faults.faults.get(name).inject(self.case, self.case.fleet["nodes"][vm])
+
+    def assert_started_once(self, owner, vms):
+        self.inject("answer_crossed", owner)
+        name = self.case.submit("order-1", "request", vms, owner)
+        violations = [x.text() for x in self.case.heal_and_check()]
+        self.assertEqual([], violations)
+        starts = [
+            event
+            for event in self.case.sim.history
+            if isinstance(event, history.TaskStarted) and event.submission == name
+        ]
+        self.assertEqual(1, len(starts))
+
+    # A daemon took the record of an earlier incarnation as proof of the owner's loss.
+    def test_owner_restarted_with_its_clock_set_back(self):
+        self.inject("clock_jump", "cordoba-e1")
+        self.assert_started_once("cordoba-e1", ("cordoba-e2", "rosario-e1"))
+
+    # The same failure without a clock fault: the gossip of the new owner was lost.
+    def test_owner_restarted_behind_a_partition(self):
+        self.case.sim.partition("cordoba-e1", "cordoba-e2")
+        self.case.advance(clock.milliseconds(20))
+        self.inject("restart_without_memory", "cordoba-e1")
+        self.case.advance(clock.milliseconds(20))
+        self.case.heal()
+        self.assert_started_once("cordoba-e1", ("cordoba-e2", "rosario-e1"))
+
+    # A daemon bound the only copy of an ended owner, whose successor started the next.
+    def test_owner_ended_before_its_successor_is_known(self):
+        self.inject("graceful_end", "cordoba-e1")
+        self.case.advance(clock.milliseconds(305))
+        self.assert_started_once("cordoba-e1", ("rosario-e1", "cordoba-e2"))
+
+    # The same failure where only the refused connection told that the owner had ended.
+    def test_owner_ended_behind_a_partition(self):
+        self.inject("partition_of_places", "cordoba-e1")
+        self.inject("graceful_end", "cordoba-e1")
+        self.case.advance(clock.milliseconds(1_000))
+        self.case.sim.partitions.clear()
+        self.assert_started_once("cordoba-e1", ("rosario-e1", "cordoba-e2"))
+
+
+class TestGracefulEnd(testtools.TestCase):
+    """Which copies count as cut off by a graceful end, and which another fault lost."""
+
+    def make_case(self, **setup):
+        self.case = scenario.Scenario(setups.NodeSetup(**setup))
+
+    def inject(self, name):
+        owner = self.case.fleet["nodes"]["rosario-e1"]
+        faults.faults.get(name).inject(self.case, owner)
+
+    def inject_at(self, step, name):
+        inject = lambda process: self.inject(name)  # noqa: E731
+        self.case.sim.arm_fault(simulation.ArmedFault(step, "order-1", inject))
+
+    def submit(self):
+        return self.case.submit("order-1", "job", NODES)
+
+    def end_before_answer(self):
+        """End the daemon, which does not wait, while its targets work on a copy."""
+        self.make_case(waits_until_idle=False)
+        for target in self.case.fleet["targets"].values():
+            target.mode = "slow"
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.case.advance(clock.milliseconds(1_000))
+
+    def assert_lost_by_another_fault(self):
+        violations = [x.text() for x in self.case.heal_and_check()]
+        self.assertEqual([], violations)
+        unanswered = [
+            event
+            for event in self.case.sim.history
+            if isinstance(event, history.CopyUnanswered)
+        ]
+        self.assertEqual([1], [event.copy for event in unanswered])
+
+    def assert_cut_off(self):
+        violated = [x.rule for x in self.case.heal_and_check()]
+        self.assertEqual(["graceful_end_cuts_nothing"], violated)
+
+    # A copy that the network lost before the daemon had it counted as cut off.
+    def test_lost_copy(self):
+        self.make_case()
+        self.inject("message_lost")
+        self.submit()
+        self.inject("graceful_end")
+        self.assert_lost_by_another_fault()
+
+    # A copy whose answer the network lost counted as cut off.
+    def test_lost_answer(self):
+        self.make_case()
+        self.inject_at("answered", "message_lost")
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.assert_lost_by_another_fault()
+
+    # A copy at a daemon that died while it drained counted as cut off.
+    def test_death_while_draining(self):
+        self.make_case()
+        self.submit()
+        self.case.advance(clock.milliseconds(10))
+        self.inject("graceful_end")
+        self.inject("process_death")
+        self.assert_lost_by_another_fault()
+
+    def test_copy_without_answer(self):
+        self.end_before_answer()
+        self.assert_cut_off()
+
+    # The restart of the daemon before the caller's timeout hid the cut.
+    def test_copy_without_answer_at_a_daemon_that_restarted(self):
+        self.end_before_answer()
+        self.case.heal()
+        self.assert_cut_off()
+
+    def test_copy_that_arrives_after_the_end(self):
+        self.make_case()
+        self.inject("message_delayed")
+        self.submit()
+        self.inject("graceful_end")
+        self.assert_cut_off()
+
+
 class TestHistory(testtools.TestCase):
     """The summary counts the events of a history."""
 
