--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from carawaysail_holding import broker_messages, gateway, loads
+from carawaysail_holding import broker_messages, gateway, loads, planning
 from carawaysail_types import clock, daemons, jobs
 
 MS = clock.milliseconds
@@ -42,7 +42,12 @@
 
     def record_free_cores(self, **cores):
         for data_centre, free in cores.items():
-            self.gateway.record_load(data_centre, (make_load(free),))
+            self.record_load(data_centre, make_load(free))
+
+    def record_load(self, data_centre, load):
+        """Record a load report of the data centre's broker."""
+        daemon = self.brokers[data_centre].daemon
+        self.gateway.record_load(daemon, data_centre, (load,))
 
     def submit_job(
         self, number=1, task_count=4, reply_id=1, after=(), run_time_ms=100, priority=0
@@ -130,6 +135,80 @@
         self.assert_answers([jobs.Verdict.COMPLETED] * 2, actions)
 
 
+class TestIdentifiers(GatewayCase):
+    """Jobs of different content that have the same identifier."""
+
+    # A client got the answer to another client's job of the same identifier.
+    def test_other_job_with_the_identifier_of_one_under_way_is_refused(self):
+        [sent] = self.sent(self.submit_job(task_count=1))
+        for other in ({"task_count": 2}, {"task_count": 1, "priority": 1}):
+            actions = self.submit_job(reply_id=2, **other)
+            [answer] = [x for x in actions if isinstance(x, gateway.Answer)]
+            self.assertIs(jobs.Verdict.REFUSED, answer.outcome.verdict)
+            self.assertIs(jobs.Reason.IDENTIFIER_IN_USE, answer.outcome.reason)
+            self.assertEqual(2, answer.reply_id)
+        actions = self.handle_outcome(sent, DONE)
+        self.assert_answers([jobs.Verdict.COMPLETED], actions)
+
+
+class TestUnreachableDataCentre(GatewayCase):
+    """Data centres whose load is known but whose broker cannot be reached."""
+
+    def setUp(self):
+        super().setUp()
+        self.gateway.update_brokers({"home": self.brokers["home"]}, self.now)
+        self.record_free_cores(home=28, away=28)
+
+    def handle_message(self, handler, *args):
+        """Call a handler as the decision loop does, which goes on if it fails."""
+        try:
+            return handler(*args)
+        except Exception:
+            return []
+
+    def change_holders(self):
+        """Replace the holder of the home data centre."""
+        return self.gateway.update_brokers({"home": make_broker(ME, 9)}, self.now)
+
+    # A job was answered as completed while one of its tasks was in no shard.
+    def test_completed_job_has_run_all_its_tasks(self):
+        actions = self.handle_message(self.submit_job)
+        actions = [*actions, *self.change_holders()]
+        tasks = set()
+        for sent in self.sent(actions):
+            tasks.update(sent.submission.tasks)
+            answers = self.handle_outcome(sent, DONE)
+            if any(isinstance(x, gateway.Answer) for x in answers):
+                self.assertEqual({0, 1, 2, 3}, tasks)
+
+    def test_tasks_are_planned_only_where_they_can_be_submitted(self):
+        [sent] = self.sent(self.submit_job())
+        self.assertEqual((0, 1, 2, 3), sent.submission.tasks)
+
+    def test_load_reported_by_another_daemon_than_the_broker_is_ignored(self):
+        other = daemons.Daemon("vm-2", "home", "vm-2-1", "vm-2:1")
+        self.gateway.record_load(other, "home", (make_load(0),))
+        [sent] = self.sent(self.submit_job(task_count=2))
+        self.assertEqual("home", sent.submission.data_centre)
+
+    def replace_plan(self, tasks_by_data_centre):
+        plan = planning.Plan(tasks_by_data_centre, 0.0, 0)
+        self.patch(planning.CapacityView, "plan", lambda *args: plan)
+
+    # A shard of a job that could not be split was submitted to the next holder.
+    def test_job_that_cannot_be_split_leaves_no_shard(self):
+        self.replace_plan({"home": 2, "away": 2})
+        self.assertRaises(KeyError, self.submit_job)
+        self.assertEqual(0, self.gateway.open_jobs())
+        self.assertEqual([], self.sent(self.change_holders()))
+
+    # A job counted as complete once the shards that it had were done.
+    def test_job_is_not_completed_while_a_task_is_in_no_shard(self):
+        self.replace_plan({"home": 3})
+        [sent] = self.sent(self.submit_job(task_count=4))
+        self.assert_answers([], self.handle_outcome(sent, DONE))
+
+
 class TestRefusals(GatewayCase):
     """``REFUSED`` is answered only if no task of the job ran."""
 
@@ -158,7 +237,7 @@
             "search", (), (1.0,), (loads.ExpectedRelease(500.0, 1.0),), 30, 9000.0
         )
         for data_centre in ("home", "away"):
-            self.gateway.record_load(data_centre, (load,))
+            self.record_load(data_centre, load)
         actions = self.submit_job()
         self.assert_answers([jobs.Verdict.REFUSED], actions)
         [answer] = [x for x in actions if isinstance(x, gateway.Answer)]
@@ -182,7 +261,7 @@
             "search", (), (1.0,), (loads.ExpectedRelease(wait_ms, 1.0),) * 8, 0, 0.0
         )
         for data_centre in ("home", "away"):
-            self.gateway.record_load(data_centre, (full,))
+            self.record_load(data_centre, full)
 
     def is_admitted(self, actions):
         return bool(self.sent(actions))
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -75,6 +75,12 @@
         simulation.run(DURATION)
         self.assert_no_violation(simulation)
 
+    def test_streams_reopen_one_by_one_under_load(self):
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                simulation = run_fault("data_centre_cut_heals_slowly", seed, rate=1.0)
+                self.assert_no_violation(simulation)
+
     def test_holders_killed_twice(self):
         simulation = sites.Simulation(SMALL, 5)
         faults.apply(simulation, "holder_killed")
@@ -137,6 +143,13 @@
         self.replace(ledger.Ledger, "record_stop_order", stop)
         self.assert_violated("capacity", run_fault("none", rate=2.0))
 
+    def test_gateway_that_fails_on_a_job(self):
+        def handle_job(self, submission, reply_id, now):
+            raise KeyError(submission.job.job_id)
+
+        self.replace(gateway.Gateway, "handle_job", handle_job)
+        self.assert_violated("no exception in a daemon", run_fault("none"))
+
     def test_broker_that_starts_resumed_shards_at_once(self):
         self.replace(worker_table.WorkerTable, "may_miss_runs", lambda *args: False)
         simulations = [run_fault("holder_killed", seed) for seed in range(8)]
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -215,7 +215,10 @@
 
     ``TOO_LONG`` means that the expected run time exceeds the client's timeout,
     ``TOO_LATE`` that a job which has waited can no longer finish before its deadline,
-    and ``SUPERSEDED`` that another submission of the same tasks has replaced it.
+    ``SUPERSEDED`` that another submission of the same tasks has replaced it,
+    ``INTERNAL_ERROR`` that a daemon has failed to handle it, ``IDENTIFIER_IN_USE`` that
+    a different job with its identifier is under way, and ``LEAVING`` that the daemon
+    stops before it could be served.
     """
 
     NONE = "none"
@@ -232,6 +235,9 @@
     TASK_FAILED = "task_failed"
     SUPERSEDED = "superseded"
     NO_CONFIGURATION = "no_configuration"
+    INTERNAL_ERROR = "internal_error"
+    IDENTIFIER_IN_USE = "identifier_in_use"
+    LEAVING = "leaving"
 
 
 class JobOutcome(typing.NamedTuple):
