Tell lapses from crashes in the strict check of completed jobs; choose checks by name

Cause: trials on real daemons showed two cases in one message: a crash between the listing and the acknowledgement of an end, and a lease that lapsed in that time with nothing running. Whether the second invalidates an end is for the reader to judge.

--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/__init__.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/__init__.py
@@ -22,9 +22,26 @@
 
 
 def judge(
-    recorded: history.History, bounds: evidence.Bounds = evidence.Bounds()
-) -> list[registry.Violation]:
-    """Return all violations of a history, in order of time."""
+    recorded: history.History, bounds: evidence.Bounds = evidence.Bounds(),
+    rules: tuple[str, ...] | None = None,
+) -> list[registry.Violation]:  # fmt: skip
+    """Return all violations of a history, in order of time.
+
+    Parameters
+    ----------
+    recorded : history.History
+        The history.
+    bounds : evidence.Bounds
+        Bounds of the rules.
+    rules : tuple of str, optional
+        Names of the checks; all by default.
+
+    Raises
+    ------
+    errors.UnknownNameError
+        If no check has one of the names.
+    """
     gathered = evidence.gather(recorded, bounds)
-    violations = [x for _, check in registry.checks.items() for x in check(gathered)]
+    chosen = registry.checks.names() if rules is None else rules
+    violations = [x for rule in chosen for x in registry.checks.get(rule)(gathered)]
     return sorted(violations, key=lambda x: x.at)
--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/answers.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/answers.py
@@ -70,12 +70,10 @@
         for task in _task_names(send):
             runs = _done_runs(gathered, task, send.answer.at)
             if runs and all(_is_invalid(x) for x in runs):
-                lost = min(x.invalidated for x in runs)
-                yield (
-                    send.answer.at, task,
-                    f"{send.answer.request_id}: crash or lapse at {lost:.3f}"
-                    " before the end was acknowledged",
-                )  # fmt: skip
+                run = min(runs, key=lambda x: x.invalidated)
+                lost = f"{run.loss} at {run.invalidated:.3f}"
+                detail = f"{send.answer.request_id}: {lost}, before the end was acked"
+                yield send.answer.at, task, detail
 
 
 def _is_invalid(run: evidence.Run) -> bool:
--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/evidence.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/evidence.py
@@ -71,6 +71,8 @@
         When its end was listed and acknowledged for the first time.
     invalidated : float
         When the worker crashed or its lease expired, for the first time after the end.
+    loss : str
+        Which of the two it was, and how many runs the expiry killed.
     cpu, mem_mb : int
         Demand.
     vm : str
@@ -89,6 +91,7 @@
     listed: float = math.inf
     acknowledged: float = math.inf
     invalidated: float = math.inf
+    loss: str = ""
     cpu: int = 0
     mem_mb: int = 0
     vm: str = ""
@@ -164,12 +167,16 @@
 def _gather_runs(recorded: history.History) -> list[Run]:
     vms = {x.address: x.vm for x in recorded.of(history.ProcessStarted) if x.address}
     losses: dict[typing.Any, list[float]] = collections.defaultdict(list)
+    texts: dict[typing.Any, str] = {}
     crashes: dict[typing.Any, float] = {}
     for event in recorded.events:
         if isinstance(event, events.WorkerCrashed | events.LeaseExpired):
             losses[event[1:3]].append(event.at)
         if isinstance(event, events.WorkerCrashed):
             crashes[event[1:3]] = event.at
+            texts[event[1:3], event.at] = "crash"
+        elif isinstance(event, events.LeaseExpired):
+            texts[event[1:3], event.at] = f"lapse that killed {event.killed} runs"
     orders = {
         (x.worker_id, x.incarnation, x.task, x.run_number): x
         for x in reversed(recorded.of(events.OrderReceived))
@@ -190,11 +197,12 @@
         )  # fmt: skip
         if end is not None:
             key = (*worker, end.sequence)
+            invalidated = impairments.first_after(losses[worker], end.at)
             run = run._replace(
                 ended=end.at, result=end.result, sequence=end.sequence,
                 listed=listed.get(key, math.inf),
                 acknowledged=acked.get(key, math.inf),
-                invalidated=impairments.first_after(losses[worker], end.at),
+                invalidated=invalidated, loss=texts.get((worker, invalidated), ""),
             )  # fmt: skip
         runs.append(run)
     return runs
--- a/libs/carawaysail_soak/tests/test_checks.py
+++ b/libs/carawaysail_soak/tests/test_checks.py
@@ -4,6 +4,7 @@
 
 from carawaysail_platform_standins import events
 from carawaysail_soak import checks, history
+from carawaysail_types import errors
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
@@ -106,6 +107,13 @@
         self.assertEqual([], self.judge([]))
         self.assertEqual(20, len(checks.names()))
 
+    def test_some_checks_are_chosen(self):
+        rules = ("refused_never_starts",)
+        cut = history.History([sent(), answered()])
+        self.assertEqual([], checks.judge(cut, BOUNDS, rules))
+        self.assertEqual(1, len(checks.judge(cut, BOUNDS)))
+        self.assertRaises(errors.UnknownNameError, checks.judge, cut, BOUNDS, ("no",))
+
 
 class TestAnswers(CheckCase):
     """An answer belongs to its request."""
@@ -145,6 +153,8 @@
         lapse = events.LeaseExpired(10.55, "i-1", 7)
         self.assert_broken(self.strict, 10.5, *base, lapse, acknowledged(10.6))
         self.assert_kept(self.strict, *base, acknowledged(), lapse)
+        (found,) = self.judge([*base, lapse, acknowledged(10.6)])
+        self.assertIn("lapse that killed 0 runs at 10.55", found.detail)
 
     def test_end_of_another_run_suffices(self):
         base = [sent(), started(), ended(), crashed(10.25), answered()]
