--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/answers.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/answers.py
@@ -70,12 +70,10 @@
         for task in _task_names(send):
             runs = _done_runs(gathered, task, send.answer.at)
             if runs and all(_is_invalid(x) for x in runs):
-                lost = min(x.invalidated for x in runs)
-                yield (
-                    send.answer.at, task,
-                    f"{send.answer.request_id}: crash or lapse at {lost:.3f}"
-                    " before the end was acknowledged",
-                )  # fmt: skip
+                run = min(runs, key=lambda x: x.invalidated)
+                lost = f"{run.loss} at {run.invalidated:.3f}"
+                detail = f"{send.answer.request_id}: {lost}, before the end was acked"
+                yield send.answer.at, task, detail
 
 
 def _is_invalid(run: evidence.Run) -> bool:
@@ -90,11 +88,13 @@
         if send.answer is None or send.answer.state != "failed":
             continue
         at, job_id = send.answer.at, send.request.job_id
-        failures: dict[str, int] = {}
-        for run in gathered.runs:
-            if run.job_id == job_id and run.result == "failed" and run.ended <= at:
-                failures[run.task] = failures.get(run.task, 0) + 1
-        most = max(failures.values(), default=0)
+        most = max(
+            sum(
+                x.result == "failed" and x.ended <= at
+                for x in gathered.tasks.get(task, ())
+            )
+            for task in _task_names(send) or [""]
+        )
         if most < gathered.bounds.max_attempts:
             yield at, job_id, f"{send.answer.request_id}: {most} failed runs of a task"
 
