--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -22,6 +22,7 @@
 """
 
 import asyncio
+import collections
 import json
 import logging
 import pathlib
@@ -44,8 +45,8 @@
 class Result(typing.TypedDict):
     """Result of one plan.
 
-    ``counts`` are numbers of events; ``folder`` holds plan, events and logs of a plan
-    that failed.
+    ``counts`` are numbers of events by type, ``violation_counts`` of violations by
+    rule; ``folder`` holds plan, events and logs of a plan that failed.
     """
 
     seed: int
@@ -54,7 +55,7 @@
     steps: int
     counts: dict[str, int]
     violations: list[dict[str, typing.Any]]
-    violation_count: int
+    violation_counts: dict[str, int]
     folder: str
 
 
@@ -77,12 +78,11 @@
             if is_kept:
                 shutil.rmtree(kept, ignore_errors=True)
                 shutil.copytree(folder, kept)
-    counts: dict[str, int] = {}
-    for event in events.events:
-        counts[type(event).__name__] = counts.get(type(event).__name__, 0) + 1
+    counts = collections.Counter(type(x).__name__ for x in events.events)
     return Result(
-        seed=what.seed, passed=not violations, steps=len(what.steps), counts=counts,
-        seconds=round(time.monotonic() - begin, 1), violation_count=len(violations),
+        seed=what.seed, passed=not violations, steps=len(what.steps), counts=dict(counts),
+        seconds=round(time.monotonic() - begin, 1), 
+        violation_counts=dict(collections.Counter(x.rule for x in violations)),
         violations=[x._asdict() for x in violations[:MAX_REPORTED]],
         folder=str(kept) if is_kept else "",
     )  # fmt: skip
