--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -78,14 +78,20 @@
             if is_kept:
                 shutil.rmtree(kept, ignore_errors=True)
                 shutil.copytree(folder, kept)
-    counts = collections.Counter(type(x).__name__ for x in events.events)
     return Result(
-        seed=what.seed, passed=not violations, steps=len(what.steps), counts=dict(counts),
-        seconds=round(time.monotonic() - begin, 1), 
-        violation_counts=dict(collections.Counter(x.rule for x in violations)),
+        seed=what.seed,
+        passed=not violations,
+        seconds=round(time.monotonic() - begin, 1),
+        steps=len(what.steps),
+        counts=_count(type(x).__name__ for x in events.events),
         violations=[x._asdict() for x in violations[:MAX_REPORTED]],
+        violation_counts=_count(x.rule for x in violations),
         folder=str(kept) if is_kept else "",
-    )  # fmt: skip
+    )
+
+
+def _count(names: typing.Iterable[str]) -> dict[str, int]:
+    return dict(collections.Counter(names))
 
 
 def _bounds(cfg: settings.Settings) -> checks.Bounds:
