Give each soak and each daemon ports of its own

Ports were drawn without a look at those drawn before, on another address than the daemons listen on.

--- a/libs/carawaysail_soak/src/carawaysail_soak/processes.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/processes.py
@@ -1,6 +1,7 @@
 """The daemons of a site, as processes that the soak starts, signals and waits for."""
 
 import asyncio
+import itertools
 import os
 import pathlib
 import signal
@@ -10,12 +11,17 @@
 
 import psutil
 
-from carawaysail_platform_standins import site as standin_site
 from carawaysail_runtime import logs
 from carawaysail_soak import history
 
-PEER_HOST = "127.100.100.100"
-"""Address of the daemons; as long as the proxy's address of each peer link."""
+HOST = f"127.{110 + os.getpid() % 90}.{100 + os.getpid() // 90 % 100}.100"
+"""Address of the daemons; as long as the proxy's address of each link between them.
+
+Two soaks on one machine have different ones, so that their ports do not collide.
+"""
+
+_ports = itertools.count(20_000)
+"""Ports of the daemons; not those that the kernel chooses from."""
 
 GRACE_S = 6.0
 """Time from SIGTERM until the process is killed, in seconds."""
@@ -43,9 +49,8 @@
 
 
 def draw_addresses() -> Addresses:
-    """Return addresses with free ports."""
-    ports = [standin_site.free_port() for _ in range(4)]
-    return Addresses(*(f"{PEER_HOST}:{x}" for x in ports))
+    """Return addresses that no daemon has had."""
+    return Addresses(*(f"{HOST}:{next(_ports)}" for _ in Addresses._fields))
 
 
 def settings_text(
@@ -70,7 +75,7 @@
     port = addresses.peer.rpartition(":")[2]
     lines = [
         f'node_name = "{vm}"',
-        f'ip = "{PEER_HOST}"',
+        f'ip = "{HOST}"',
         f'zone = "{data_centre}"',
         f"port_range = [{port},{port}]",
         "[zones]",
