--- a/libs/carawaysail_soak/src/carawaysail_soak/player.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/player.py
@@ -21,7 +21,7 @@
 FAULT_MODULES = (faults, platform_faults)
 """Modules whose import fills the registry of kinds."""
 
-READY_TIMEOUT_S = 40.0
+READY_TIMEOUT_S = 90.0
 SETTLE_S = 2.0
 """Time after which a daemon no longer works for clients that have left, in seconds."""
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/site.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/site.py
@@ -21,6 +21,12 @@
 STORE_THREADS_PER_DAEMON = 6
 """A daemon has five clients of the store; watches occupy a thread each."""
 
+ANY_VM = "vms"
+"""Source of the links to workers that all daemons share on a large site."""
+
+MAX_WORKER_LINKS = 2_000
+"""Largest number of links to workers with one for each daemon and worker."""
+
 SLOW_CLOCK_RATE = 0.98
 """Rate of every other worker's clock."""
 
@@ -216,19 +222,23 @@
                 f"127.103.{100 + number}.100", self.store.address, self.reader(vm)
             )
             await self._open(proxy.Link(vm, STORE), endpoint)
-            for worker_number, worker_id in enumerate(self._worker_ids):
-                address = self.fleet.address(worker_id)
-                host = f"127.102.{100 + number}.{1 + worker_number}"
-                await self._open(
-                    proxy.Link(vm, worker_id),
-                    proxy.Endpoint(host, address, self.reader(vm)),
-                )
-                self._target_by_address[address] = worker_id
+        for worker_id in self._worker_ids:
+            self._target_by_address[self.fleet.address(worker_id)] = worker_id
+            is_small = self.size.daemons * self.size.workers <= MAX_WORKER_LINKS
+            for vm in self._vm_names if is_small else [ANY_VM]:
+                await self._open_worker_link(vm, worker_id)
         for vm in self._vm_names:
             await self._open_links_to(vm)
         for vm in self._vm_names:
             self.proxy.suspend(vm)
 
+    async def _open_worker_link(self, source: str, worker_id: str) -> None:
+        number = self._vm_names.index(source) if source != ANY_VM else 99
+        host = f"127.102.{100 + number}.{1 + self._worker_ids.index(worker_id)}"
+        local_host = self.reader(source) if source != ANY_VM else ""
+        endpoint = proxy.Endpoint(host, self.fleet.address(worker_id), local_host)
+        await self._open(proxy.Link(source, worker_id), endpoint)
+
     async def _open_links_to(self, vm: str) -> None:
         real = self.processes[vm].addresses
         number = self._vm_names.index(vm)
@@ -263,4 +273,5 @@
         vm, target = self._readers.get(reader), self._target_by_address.get(address)
         if vm is None or target is None:
             return None
-        return self._link_addresses.get(proxy.Link(vm, target))
+        shared = self._link_addresses.get(proxy.Link(ANY_VM, target))
+        return self._link_addresses.get(proxy.Link(vm, target), shared)
--- a/libs/carawaysail_soak/src/carawaysail_soak/targets.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/targets.py
@@ -35,6 +35,8 @@
 def links(where: site.Site, target: str) -> list[proxy.Link]:
     """Return the links that a target ``SOURCE>TARGET`` names.
 
+    ``vms>WORKER`` names a link that all daemons share, too.
+
     A target without ``>`` names all links from and to its VMs, without those of
     clients.
     """
@@ -45,7 +47,7 @@
             x for x in where.proxy.links()
             if (x.source in names or x.target in names) and x.source != site.CLIENTS
         ]  # fmt: skip
-    sources = {site.CLIENTS} if source == site.CLIENTS else set(vms(where, source))
+    sources = {source, *vms(where, source)}
     ends = {end, *vms(where, end), *workers(where, end)}
     return [x for x in where.proxy.links() if x.source in sources and x.target in ends]
 
