Stop the run under way when an earlier run of its task is done

If a worker fell silent past its lease, its task was started elsewhere; when the worker came back and listed the first run as done, the task counted as done and the second run went on unseen, holding its worker's resources.

An end of an earlier run still counts: the work was done, and the worker has said so. The run under way is now stopped.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -356,6 +356,11 @@
             queue = shard.submission.queue.name
             self.estimates.record_run(queue, state.step, worker.report, run_time)
             shard.record_run_time(run_time * self.estimates.speed(worker.report))
+        present_worker = self._workers.get(state.worker_id)
+        present_run = runs.Run(run.task, state.last_run_number)
+        is_present = present_worker is worker and present_run == run
+        if present_worker is not None and not is_present:
+            self._jobs.stop_run(present_worker, present_run, now)
         state.record_done(run.number)
         if shard.is_done():
             self._jobs.finish(shard, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
