Take the record of a simulated gossip before the exchange, as the daemon does

Seen: reading the places that call record_dead for the fault of the stale record; no run had shown it. In the simulation a refused gossip marked as gone whichever incarnation was known when the failure arrived, so one that had started in the meantime. peers_task takes the record before it sends, so only the simulation concluded what the daemon cannot; a false GONE counts as proof of an owner's loss, and would show as a double start that is none. Change: nodes takes the record before the exchange, too. Test that failed before: TestNode.test_refused_gossip_concerns_the_incarnation_it_was_meant_for ('alive' != 'gone').

--- a/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/proof/nodes.py
@@ -298,13 +298,13 @@
 
     def _exchange_gossip(self, peer: "Node") -> None:
         message = self.members.gossip(peer.data_centre)
+        record = self.members.record_at(peer.name)
 
         def handle(answer: simulation.Reply) -> None:
             peer._merge_gossip(message)
             answer(peer.members.gossip(self.data_centre))
 
         def fail(was_sent: bool, was_refused: bool) -> None:
-            record = self.members.record_at(peer.name)
             if was_refused and record is not None:
                 self.members.record_dead(record.vm, record.incarnation)
 
--- a/libs/carawaysail_bench/tests/test_proof.py
+++ b/libs/carawaysail_bench/tests/test_proof.py
@@ -16,7 +16,14 @@
     setups,
     simulation,
 )
-from carawaysail_decisions import dispatcher, events, forwarding, ownership, versions
+from carawaysail_decisions import (
+    dispatcher,
+    events,
+    forwarding,
+    membership,
+    ownership,
+    versions,
+)
 from carawaysail_types import clock, outcomes
 
 
@@ -425,6 +432,23 @@
         self.assert_cut_off()
 
 
+class TestNode(testtools.TestCase):
+    """A simulated daemon concludes from an exchange what the real one does."""
+
+    # A refused connection to an ended incarnation marked the next one as gone.
+    def test_refused_gossip_concerns_the_incarnation_it_was_meant_for(self):
+        case = scenario.Scenario()
+        sender, peer = (case.fleet["nodes"][x] for x in ("rosario-e2", "rosario-e1"))
+        peer.kill()
+        sender._exchange_gossip(peer)
+        peer.start()
+        sender._merge_gossip(membership.Gossip((peer.members.own_record,)))
+        case.advance(simulation.LOCAL_LATENCY)
+        record = sender.members.record_at(peer.name)
+        self.assertEqual(peer.members.own_record.incarnation, record.incarnation)
+        self.assertEqual(membership.ALIVE, record.state)
+
+
 class TestHistory(testtools.TestCase):
     """The summary counts the events of a history."""
 
