--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -69,6 +69,8 @@
         Reads the settings file again and returns the settings.
     settings_version : callable
         Returns a value that differs after each change of the settings file.
+    loaded_version : object
+        That value before the settings were loaded.
     """
 
     open_store: collections.abc.Callable[[], ports.Store]
@@ -77,6 +79,7 @@
     client_codec: ports.ClientCodec
     reload: collections.abc.Callable[[], ports.Settings]
     settings_version: collections.abc.Callable[[], object]
+    loaded_version: object
 
 
 class Daemon:
@@ -228,7 +231,7 @@
 
     async def _watch_settings(self) -> None:
         """Reload the settings when the file changes, also without a SIGHUP."""
-        version = self._adapter.settings_version()
+        version = self._adapter.loaded_version
         while True:
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL.total_seconds())
             newest = self._adapter.settings_version()
