Treat a connection that is closed at once as lost, not as a failure

A peer that accepts a connection and resets it at once made the stream fail with AttributeError ('Connection' object has no attribute '_transport'), which ended the stream's task for good before the handling of odd entries, and was logged as unexpected since.

The missing transport now counts as a reset connection. The test fails on the code before: the failure is reported.

--- a/libs/carawaysail_streams/src/carawaysail_streams/transport.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/transport.py
@@ -221,8 +221,16 @@
 
 
 def _set_user_timeout(protocol: typing.Any) -> None:
-    """Let the kernel break the connection if the peer stops acknowledging bytes."""
-    transport = protocol.connection._transport
+    """Let the kernel break the connection if the peer stops acknowledging bytes.
+
+    Raises
+    ------
+    ConnectionResetError
+        If the peer has closed the connection already.
+    """
+    transport = getattr(protocol.connection, "_transport", None)
+    if transport is None:
+        raise ConnectionResetError
     sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+import types
 
+import grpclib.client
 import hypothesis
 import hypothesis.strategies
 import msgspec
@@ -172,6 +174,23 @@
 
         asyncio.run(run())
 
+    # A connection that the peer had reset at once was reported as an unexpected failure.
+    def test_connection_that_is_closed_at_once_is_no_failure(self):
+        async def connect(channel):
+            calls.append(channel)
+            return types.SimpleNamespace(connection=types.SimpleNamespace())
+
+        async def run():
+            events = []
+            stream = self.make_stream(self.free_port(), events)
+            await self.until(lambda: len(calls) == 2)
+            self.assertEqual([], events)
+            stream.close()
+
+        calls = []
+        self.patch(grpclib.client.Channel, "__connect__", connect)
+        asyncio.run(run())
+
     def test_stream_to_an_odd_address_is_reported_once(self):
         async def run():
             events = []
