--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -174,7 +174,7 @@
 
         asyncio.run(run())
 
-    # A connection that the peer had reset at once was reported as an unexpected failure.
+    # A connection that the peer reset at once was reported as an unexpected failure.
     def test_connection_that_is_closed_at_once_is_no_failure(self):
         async def connect(channel):
             calls.append(channel)
