--- a/libs/carawaysail_soak/src/carawaysail_soak/history.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/history.py
@@ -1,8 +1,7 @@
 """History of a soak: typed events of clients, workers, processes and faults.
 
-Every event begins with ``at``, in seconds of ``time.monotonic()``, which is one clock
-for all processes of the machine. Events are written as JSON lines, an object with the
-name of the event and its fields.
+Every event begins with ``at``, in seconds of ``time.monotonic()``, one clock for all
+processes of the machine. In files, an event is a line of JSON with its name and fields.
 """
 
 import collections.abc
