Take the soak's instants from its recorder

The house rule asks for a clock that is passed in: the recorder is given the source of the present instant, and clients, processes, site and player ask it. 63 tests of the soak without daemons pass, and small seed 3 (26 s).

--- a/libs/carawaysail_soak/src/carawaysail_soak/clients.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/clients.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections.abc
 import random
-import time
 import typing
 
 import msgspec
@@ -111,12 +110,12 @@
         self._job_count = 0
         self._send_count = 0
         self._home = self.rng.choice(directory.vms())
-        self._due = time.monotonic()
+        self._due = self.recorder.now()
         self._connections: dict[str, connections.Connection] = {}
 
     async def wait_until_due(self) -> None:
         """Wait until the next job is due; a client that is late sends at once."""
-        now = time.monotonic()
+        now = self.recorder.now()
         self._due = max(self._due, now - MAX_LAG_S) + self.rng.expovariate(self._rate)
         await asyncio.sleep(max(0.0, self._due - now))
 
@@ -188,7 +187,7 @@
         request_id = f"{self._number}-{self._send_count}"
         self.recorder.record(
             history.RequestSent(
-                time.monotonic(), request_id, job.job_id, vm, job.queue,
+                self.recorder.now(), request_id, job.job_id, vm, job.queue,
                 job.kind.task_count, DEADLINE_S, job.kind.cpu, job.kind.mem_mb,
                 is_whole,
             )
@@ -197,7 +196,7 @@
 
     def record_left(self, request_id: str) -> None:
         """Record that the client closes the connection before the answer."""
-        self.recorder.record(history.ClientLeft(time.monotonic(), request_id))
+        self.recorder.record(history.ClientLeft(self.recorder.now(), request_id))
 
     async def send(
         self, job: Job, vm: str, pieces: int = 1
@@ -228,12 +227,12 @@
         except (OSError, EOFError, ValueError, IndexError) as exc:
             cause = _cause(exc)
             self.recorder.record(
-                history.RequestBroken(time.monotonic(), request_id, cause)
+                history.RequestBroken(self.recorder.now(), request_id, cause)
             )
             self.drop(vm)
             return None
         self.recorder.record(
-            history.RequestAnswered(time.monotonic(), request_id, *answer)
+            history.RequestAnswered(self.recorder.now(), request_id, *answer)
         )
         return answer
 
@@ -258,7 +257,7 @@
         connection.write(
             f"GET {queue} HTTP/1.1\r\nHost: {self.directory.host}\r\n\r\n".encode()
         )
-        sent_at = time.monotonic()
+        sent_at = self.recorder.now()
         try:
             async with asyncio.timeout(DEADLINE_S):
                 answer = await connection.read_answer()
@@ -266,7 +265,7 @@
             self.drop(vm)
             return
         self.recorder.record(
-            history.JobsPending(time.monotonic(), sent_at, vm, queue, answer.status)
+            history.JobsPending(self.recorder.now(), sent_at, vm, queue, answer.status)
         )
 
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/history.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/history.py
@@ -7,6 +7,7 @@
 import collections.abc
 import pathlib
 import threading
+import time
 import typing
 
 import msgspec
@@ -235,9 +236,18 @@
 
 
 class Recorder:
-    """Collects events from any thread."""
+    """Collects events from any thread.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    now : callable
+        Returns the present instant, in seconds of the clock that the stand-ins use.
+    """
+
+    def __init__(
+        self, now: collections.abc.Callable[[], float] = time.monotonic
+    ) -> None:
+        self.now = now
         self._lock = threading.Lock()
         self._events: list[Event] = []
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -30,14 +30,13 @@
 import shutil
 import sys
 import tempfile
-import time
 import typing
 
 import docopt
 
 from carawaysail_runtime import logs
 from carawaysail_soak import checks, history, plan, player, settings
-from carawaysail_types import errors
+from carawaysail_types import clock, errors
 
 MAX_REPORTED = 20
 """Violations in a result, for each plan."""
@@ -66,7 +65,7 @@
     what: plan.Plan, cfg: settings.Settings, out: pathlib.Path, keep: bool = False
 ) -> Result:
     """Play a plan, check its history, and keep the files if a check failed."""
-    begin = time.monotonic()
+    stopwatch = clock.SystemClock()
     kept = out / str(what.seed)
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = pathlib.Path(name)
@@ -85,7 +84,7 @@
     return Result(
         seed=what.seed,
         passed=not violations,
-        seconds=round(time.monotonic() - begin, 1),
+        seconds=round(stopwatch.seconds(), 1),
         steps=len(what.steps),
         counts=_count(type(x).__name__ for x in events.events),
         violations=[x._asdict() for x in violations[:MAX_REPORTED]],
--- a/libs/carawaysail_soak/src/carawaysail_soak/player.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/player.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import signal
-import time
 
 from carawaysail_runtime import logs
 from carawaysail_soak import (
@@ -62,7 +61,7 @@
         await asyncio.sleep(WARM_UP_S)
         await _inject(what, where, recorder)
         await asyncio.sleep(what.size.calm_s)
-        recorder.record(history.TrafficEnded(time.monotonic()))
+        recorder.record(history.TrafficEnded(recorder.now()))
         for task in tasks:
             task.cancel()
         ends = await asyncio.gather(*tasks, return_exceptions=True)
@@ -92,7 +91,7 @@
     what: plan.Plan, where: site.Site, recorder: history.Recorder
 ) -> None:
     """Inject all faults, each at its time; return when the last has ended."""
-    begin = time.monotonic()
+    begin = recorder.now()
     async with asyncio.TaskGroup() as group:
         for number, step in enumerate(what.steps):
             group.create_task(_inject_step(number, step, begin, where, recorder))
@@ -102,16 +101,16 @@
     number: int, step: plan.Step, begin: float, where: site.Site,
     recorder: history.Recorder,
 ) -> None:  # fmt: skip
-    await asyncio.sleep(max(0.0, begin + step.at_s - time.monotonic()))
+    await asyncio.sleep(max(0.0, begin + step.at_s - recorder.now()))
     kind = plan.kinds.get(step.kind)
     # A step may end while another one of the same kind and target lasts.
     target = f"{step.target}#{number}"
     vms = tuple(targets.impaired_vms(where, step.target))
     logs.log_event("soak", "Fault begun.", kind=step.kind, target=target, vms=vms)
     recorder.record(
-        history.FaultBegun(time.monotonic(), step.kind, target, kind.layer, vms)
+        history.FaultBegun(recorder.now(), step.kind, target, kind.layer, vms)
     )
     try:
         await kind.play(where, step)
     finally:
-        recorder.record(history.FaultEnded(time.monotonic(), step.kind, target))
+        recorder.record(history.FaultEnded(recorder.now(), step.kind, target))
--- a/libs/carawaysail_soak/src/carawaysail_soak/processes.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/processes.py
@@ -6,7 +6,6 @@
 import pathlib
 import signal
 import sys
-import time
 import typing
 
 import psutil
@@ -156,7 +155,7 @@
             self._process, self._is_expected_to_end = process, False
             self._recorder.record(
                 history.ProcessStarted(
-                    time.monotonic(), self.vm, process.pid, self._source
+                    self._recorder.now(), self.vm, process.pid, self._source
                 )
             )
             self._watch = asyncio.create_task(self._watch_process(process))
@@ -169,7 +168,7 @@
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._is_expected_to_end = True
         self._recorder.record(
-            history.Signalled(time.monotonic(), self.vm, pid, number.name)
+            history.Signalled(self._recorder.now(), self.vm, pid, number.name)
         )
         process.send_signal(number)
 
@@ -181,7 +180,7 @@
         with process.oneshot():
             self._recorder.record(
                 history.ProcessMeasured(
-                    time.monotonic(), self.vm, process.pid,
+                    self._recorder.now(), self.vm, process.pid,
                     round(process.memory_info().rss / 2**20, 1), process.num_fds(),
                     process.num_threads(),
                 )
@@ -233,7 +232,7 @@
         ready.cancel()
         self._observer.on_ended(self.vm)
         self._recorder.record(
-            history.ProcessEnded(time.monotonic(), self.vm, process.pid, exit_code)
+            history.ProcessEnded(self._recorder.now(), self.vm, process.pid, exit_code)
         )
         if not self._is_expected_to_end and not self._is_closed:
             logs.log_event("soak", "Process ended by itself.", vm=self.vm)
@@ -246,7 +245,7 @@
         await self._observer.on_listening(self.vm)
         while not await self.is_ready():
             await asyncio.sleep(READY_STEP_S)
-        self._recorder.record(history.ProcessReady(time.monotonic(), self.vm, pid))
+        self._recorder.record(history.ProcessReady(self._recorder.now(), self.vm, pid))
 
 
 async def _accepts(address: str) -> bool:
--- a/libs/carawaysail_soak/src/carawaysail_soak/site.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/site.py
@@ -4,7 +4,6 @@
 import collections.abc
 import itertools
 import pathlib
-import time
 
 import msgspec
 
@@ -181,7 +180,9 @@
         ]  # fmt: skip
         value = {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
         self.store.put("op/config", msgspec.json.encode(value))
-        self.recorder.record(history.ConfigWritten(time.monotonic(), version, prefixes))
+        self.recorder.record(
+            history.ConfigWritten(self.recorder.now(), version, prefixes)
+        )
         self._all_queues += [x for x in prefixes if x not in self._all_queues]
 
     # What clients know
