--- a/libs/carawaysail_soak/src/carawaysail_soak/main.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/main.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seed N | --seeds RANGE | --plan FILE] [--size NAME] [--settings FILE]
-       [--out DIR] [--keep] [--shrink] [--strict] [--log FILE]
+       [--out DIR] [--keep] [--shrink] [--log FILE]
   soak --list
 
 Options:
@@ -14,7 +14,6 @@
   --out DIR        Directory for plan, events and logs of each seed that failed
                    [default: target/soak].
   --keep           Keep the files of plans that pass as well.
-  --strict         Let the checks that are only reported fail a plan, too.
   --shrink         Cut a plan that fails down to the steps that it needs to fail.
   --log FILE       Append the soak's own log to a file instead of standard error.
   --list           List the kinds of faults and the checks.
@@ -158,8 +157,6 @@
     passed = True
     try:
         cfg = settings.load(args["--settings"])
-        if args["--strict"]:
-            cfg = cfg._replace(reported_only=frozenset())
         for what in _plans(args, cfg):
             for step in what.steps:
                 logs.log_event("soak", "Step.", **step._asdict())
