--- a/libs/carawaysail_entry/src/carawaysail_entry/dispatch_task.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/dispatch_task.py
@@ -261,6 +261,9 @@
         except Exception as exc:
             kind = type(message).__name__
             logs.log_error("dispatch", "Message handler failed.", exc, message=kind)
+            reply: replies.Reply[typing.Any] | None = getattr(message, "reply", None)
+            if reply is not None:
+                reply.fail(kind, exc)
 
     def _post_event(self, event: target_links.TargetEvent) -> None:
         self.inbox.put(TargetEventReceived(event))
--- a/libs/carawaysail_entry/src/carawaysail_entry/peers_task.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peers_task.py
@@ -119,14 +119,19 @@
     async def _gossip_round(self) -> None:
         reply: replies.Reply[dispatch_task.Description] = replies.Reply()
         self._dispatch.inbox.put(dispatch_task.Describe(reply))
-        described = await asyncio.wrap_future(reply.fut)
+        try:
+            described = await asyncio.wrap_future(reply.fut)
+        except replies.TaskFailedError:
+            # The last description stays; other daemons must go on hearing of this one.
+            pass
+        else:
+            self.members.update_own_record(
+                demand=self._demand.record_tasks(described.demand, self._clock.now()),
+                settings=self._settings.versions.digest(),
+                ejected=described.ejected,
+                leaving=tuple(sorted({*described.leaving, *self._vm_list_leaving})),
+            )
         now = self._clock.now()
-        self.members.update_own_record(
-            demand=self._demand.record_tasks(described.demand, now),
-            settings=self._settings.versions.digest(),
-            ejected=described.ejected,
-            leaving=tuple(sorted({*described.leaving, *self._vm_list_leaving})),
-        )
         for address in self.members.tick(now):
             self._spawn(self._gossip(address))
         self._apply_shares()
@@ -463,7 +468,12 @@
             return False
         reply: replies.Reply[typing.Any] = replies.Reply()
         self._dispatch.inbox.put(dispatch_task.HandOver(reply))
-        for snapshot in await asyncio.wrap_future(reply.fut):
+        try:
+            snapshots = await asyncio.wrap_future(reply.fut)
+        except replies.TaskFailedError as exc:
+            logs.log_error("peers", "Nothing to hand over.", exc)
+            return False
+        for snapshot in snapshots:
             for chunk in handover.split_into_chunks(snapshot):
                 if not await self._send_chunk(successor, chunk):
                     return False
@@ -503,8 +513,6 @@
 ) -> submission_status.SubmissionStatus:
     fut = asyncio.wrap_future(reply.fut)
     done, _ = await asyncio.wait([fut], timeout=max(0.0, wait_ms) / 1000.0)
-    return (
-        fut.result()
-        if done
-        else submission_status.SubmissionStatus(submission_status.State.IN_PROGRESS)
-    )
+    if not done or fut.exception() is not None:
+        return submission_status.SubmissionStatus(submission_status.State.IN_PROGRESS)
+    return fut.result()
--- a/libs/carawaysail_entry/src/carawaysail_entry/replies.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/replies.py
@@ -1,11 +1,34 @@
 """Single-use replies from a task of the event loop to a thread or another task."""
 
 import concurrent.futures
+import dataclasses
 import typing
 
+from carawaysail_types import errors
+
 Value = typing.TypeVar("Value")
 
 
+@dataclasses.dataclass(eq=False)
+class TaskFailedError(errors.CarawaysailError):
+    """The task that should have replied raised an exception, which is in its log.
+
+    Parameters
+    ----------
+    request : str
+        Kind of the request.
+    cause : str
+        Type of the exception.
+    """
+
+    request: str
+    cause: str
+
+    def __str__(self) -> str:
+        """Return a sentence with the request and the cause."""
+        return f"no reply to {self.request}: its handler raised {self.cause}"
+
+
 class Reply(typing.Generic[Value]):
     """One value that one task sets and a thread or another task waits for."""
 
@@ -17,8 +40,21 @@
         if not self.fut.done():
             self.fut.set_result(value)
 
+    def fail(self, request: str, exc: Exception) -> None:
+        """Settle the reply without a value; has no effect if it is already set.
+
+        Parameters
+        ----------
+        request : str
+            Kind of the request.
+        exc : Exception
+            What its handler raised.
+        """
+        if not self.fut.done():
+            self.fut.set_exception(TaskFailedError(request, type(exc).__name__))
+
     def wait(self, timeout_s: float) -> Value | None:
-        """Block the calling thread until the value is set.
+        """Block the calling thread until the reply is settled.
 
         Parameters
         ----------
@@ -28,9 +64,9 @@
         Returns
         -------
         Value or None
-            The value, or ``None`` after the timeout.
+            The value, or ``None`` after the timeout or a failure of the task.
         """
         try:
             return self.fut.result(max(0.0, timeout_s))
-        except concurrent.futures.TimeoutError:
+        except (concurrent.futures.TimeoutError, TaskFailedError):
             return None
--- a/libs/carawaysail_entry/tests/test_front.py
+++ b/libs/carawaysail_entry/tests/test_front.py
@@ -259,6 +259,13 @@
 
         self.assertTrue(asyncio.run(main()))
 
+    def test_thread_that_waits_for_a_failed_request_goes_on(self):
+        reply = replies.Reply()
+        reply.fail("Describe", KeyError("odd"))
+        self.assertIsNone(reply.wait(60.0))
+        exc = reply.fut.exception()
+        self.assertEqual(("Describe", "KeyError"), (exc.request, exc.cause))
+
 
 class TestTraces(testtools.TestCase):
     """Export of spans to a file, and W3C trace context."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -118,7 +118,11 @@
     def record_load(
         self, data_centre: str, service_loads: tuple[loads.ServiceLoad, ...]
     ) -> None:
-        """Replace the load of a data centre by a newer report."""
+        """Replace the load of a data centre by a newer report.
+
+        A service that is missing in it has no workers there any more.
+        """
+        self._loads = {k: v for k, v in self._loads.items() if k[0] != data_centre}
         for load in service_loads:
             self._loads[data_centre, load.service] = load
 
