--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -59,8 +59,8 @@
     ----------
     open_store : callable
         Returns a new client of the store; each task has its own.
-    workers : ports.WorkersClient
-        Makes calls to workers.
+    worker_codec : ports.WorkerCodec
+        Formats of calls to workers.
     store_codec : ports.StoreCodec
         Keys and formats in the store.
     client_codec : ports.ClientCodec
@@ -74,7 +74,7 @@
     """
 
     open_store: collections.abc.Callable[[], ports.Store]
-    workers: ports.WorkersClient
+    worker_codec: ports.WorkerCodec
     store_codec: ports.StoreCodec
     client_codec: ports.ClientCodec
     reload: collections.abc.Callable[[], ports.Settings]
@@ -134,8 +134,9 @@
     def _create_components(self, loop: asyncio.AbstractEventLoop) -> None:
         cfg, adapter = self._cfg, self._adapter
         self._me = daemons.Daemon(
-            cfg.vm, cfg.data_centre, secrets.token_hex(8), cfg.peer
-        )
+            cfg.vm, cfg.data_centre, secrets.token_hex(8), cfg.peer,
+            cfg.limits.processor_milli,
+        )  # fmt: skip
         self._inbox: inbox.Inbox[messages.Message] = inbox.Inbox(
             loop, decision_loop.MAX_INBOX_MESSAGES
         )
@@ -156,7 +157,10 @@
             adapter.open_store(), adapter.store_codec, loop_inbox, seed
         )
         self._store_tasks = (configuration, members, self._lease, reports, claims)
-        links = worker_links.WorkerLinks(adapter.workers, loop_inbox, self._clock)
+        links = worker_links.WorkerLinks(
+            adapter.worker_codec, loop_inbox, self._clock, self._metrics,
+            loop.call_later,
+        )  # fmt: skip
         self._front_end = front_end.FrontEnd(
             adapter.client_codec, loop_inbox, self._replies, self._metrics, self._clock,
             FRONT_END_THREADS - SPARE_THREADS,
@@ -166,23 +170,22 @@
                 links, claims, reports, self._replies, self._metrics, self._front_end
             )
         )
-        self._peer_server = transport.Server(decision_loop.PeerReceiver(loop_inbox))
+        self._link = transport.Link(
+            stream_messages.encode_introduction(self._me),
+            stream_messages.encode,
+            decision_loop.PeerReceiver(loop_inbox),
+        )
+        self._peer_server = transport.Server(self._link)
         self._servers = self._make_servers()
 
     def _open_stream(self, peer: daemons.Daemon) -> transport.PeerStream:
-        def encode(batch: list[typing.Any]) -> bytes:
-            return stream_messages.encode(self._me, batch)
-
-        def on_open(peer: daemons.Daemon) -> None:
-            self._inbox.put(messages.StreamOpened(peer))
-
         def on_refused(peer: daemons.Daemon) -> None:
             self._inbox.put(messages.ConnectionRefused(peer))
 
         def on_failure(peer: daemons.Daemon, exc: Exception) -> None:
             logs.log_error("peers", "Stream failed.", exc, vm=peer.vm)
 
-        return transport.PeerStream(peer, encode, on_open, on_refused, on_failure)
+        return transport.PeerStream(peer, self._link, on_refused, on_failure)
 
     def _make_servers(self) -> list[http_server.Server]:
         cfg = self._cfg
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -23,9 +23,9 @@
     store_tasks,
     worker_links,
 )
-from carawaysail_holding import broker, gateway, holder_election, loads
+from carawaysail_holding import broker, contacts, gateway, holder_election, loads
 from carawaysail_runtime import inbox, logs
-from carawaysail_streams import errors
+from carawaysail_streams import errors, transport
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, daemons, jobs, registry
 
@@ -35,24 +35,16 @@
 IDLE_TICK_INTERVAL = clock.milliseconds(75)
 """Interval of the same checks while no job is open; half of a heartbeat interval."""
 
-HEARTBEAT_INTERVAL = clock.milliseconds(150)
-LOAD_CHECK_INTERVAL = clock.milliseconds(25)
-"""Shortest interval at which a changed load triggers an extra heartbeat; half of the
-run time of a short task."""
+HEARTBEATS_PER_REFRESH = 4
+"""One heartbeat in so many repeats the known holders, and the load if it is unchanged:
+gateways subtract what they have planned from the load until the next report."""
 
 MIN_WAIT = clock.milliseconds(1)
-"""Shortest wait for messages, also if a heartbeat is overdue."""
+"""Shortest wait for messages, also if a tick is overdue."""
 
 MAX_INBOX_MESSAGES = 20_000
 """Size of the inbox; without effect while all messages are added by ``Inbox.put``."""
 
-RECEIVE_TIMEOUT_MS = 450.0
-"""A peer that has received nothing from this daemon for this long gets a new stream;
-three heartbeat intervals."""
-
-STREAM_RESTART_INTERVAL = clock.milliseconds(500)
-"""Shortest time between two restarts of the stream to the same daemon."""
-
 MAX_LOGGED_CHARACTERS = 600
 """Length to which a message that failed is cut in the log."""
 
@@ -60,6 +52,8 @@
     ["DecisionLoop", typing.Any, datetime.datetime], None
 ]
 
+TimedStep = collections.abc.Callable[["DecisionLoop", datetime.datetime], None]
+
 handlers: registry.Registry[Handler] = registry.Registry(
     "decision loop message handlers"
 )
@@ -71,19 +65,29 @@
 )
 
 
-class PeerStream(typing.Protocol):
-    """A stream of messages to one other daemon, ``peer``."""
-
-    peer: daemons.Daemon
+class Connection(typing.Protocol):
+    """A connection to one other daemon; no method blocks."""
 
     def send(self, message: typing.Any) -> None:
-        """Queue a message for sending; returns at once."""
+        """Queue a message for sending."""
 
-    def restart(self) -> None:
-        """Replace the stream by a new one, because the peer receives nothing on it."""
+    def send_shared(self, shared: transport.Shared) -> None:
+        """Send a message that other daemons get as well."""
 
     def close(self) -> None:
-        """Close the stream for good."""
+        """Close the connection for good."""
+
+
+class PeerStream(Connection, typing.Protocol):
+    """A connection that this daemon opens, again and again, to ``peer``."""
+
+    peer: daemons.Daemon
+
+    def count_heartbeat(self) -> int:
+        """Return the number of calls since something was received on it."""
+
+    def restart(self) -> None:
+        """Replace the connection by a new one, because nothing arrives on it."""
 
 
 OpenStream = collections.abc.Callable[[daemons.Daemon], PeerStream]
@@ -170,11 +174,17 @@
         self._dependencies: Dependencies | None = None
         self._open_stream = open_stream
         self._streams: dict[str, PeerStream] = {}
-        self._last_heartbeats: dict[str, datetime.datetime] = {}
-        self._last_restarts: dict[str, datetime.datetime] = {}
+        # Connections that other daemons have opened, by VM.
+        self._accepted: dict[str, tuple[daemons.Daemon, Connection]] = {}
+        self._last_received: dict[str, datetime.datetime] = {}
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
+        self._sent_holders: tuple[daemons.Holder, ...] = ()
+        self._last_tick = self._next_slow_tick = now
+        self._heartbeat_count = 0
+        # VMs that were sent something since the last heartbeats.
+        self._sent_to: set[str] = set()
         self._next_heartbeat = now
-        self._next_load_check = now
+        self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
@@ -190,22 +200,23 @@
     async def run(self) -> None:
         """Handle messages and do the timed work until the task is cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(self.max_wait().total_seconds()):
-                    received = await self.inbox.drain()
-            except TimeoutError:
-                received = []
-            for message in received:
+            wait_s = self.max_wait().total_seconds()
+            for message in await self.inbox.drain(wait_s):
                 self.handle(message)
-            if not self.tick():
+            if self._is_tick_due() and not self.tick():
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
-        is_busy = self.gateway.open_jobs() or self.broker.counts()["jobs"]
+        return max(MIN_WAIT, self._next_tick() - self.clock.now())
+
+    def _is_tick_due(self) -> bool:
+        return self.clock.now() >= self._next_tick()
+
+    def _next_tick(self) -> datetime.datetime:
+        is_busy = self.gateway.open_jobs() or self.broker.open_shards()
         interval = BUSY_TICK_INTERVAL if is_busy else IDLE_TICK_INTERVAL
-        until_heartbeat = self._next_heartbeat - self.clock.now()
-        return max(MIN_WAIT, min(interval, until_heartbeat))
+        return min(self._last_tick + interval, self._next_heartbeat)
 
     def handle(self, message: messages.Message) -> None:
         """Handle one message; settle what it began if that fails."""
@@ -261,9 +272,13 @@
         bool
             Whether all steps were done.
         """
-        now = self.clock.now()
+        now = self._last_tick = self.clock.now()
+        steps: tuple[TimedStep, ...] = _TIMED_STEPS
+        if now >= self._next_slow_tick:
+            self._next_slow_tick = now + IDLE_TICK_INTERVAL
+            steps = (*_SLOW_STEPS, *_TIMED_STEPS)
         failures = set()
-        for step in _TIMED_STEPS:
+        for step in steps:
             try:
                 step(self, now)
             except Exception as exc:
@@ -341,13 +356,22 @@
         if peer == self.me:
             self.inbox.put(messages.PeerMessagesReceived(self.me, (message,)))
             return
+        connection = self._connection_to(peer)
+        if connection is not None:
+            self._sent_to.add(peer.vm)
+            connection.send(message)
+
+    def _connection_to(self, peer: daemons.Daemon) -> Connection | None:
+        """Return the connection to a daemon; ``None`` if there is none."""
         stream = self._streams.get(peer.vm)
         if stream is not None:
-            stream.send(message)
+            return stream
+        accepted_from, connection = self._accepted.get(peer.vm, (None, None))
+        return connection if accepted_from == peer else None
 
-    def update_streams(self) -> None:
-        """Open streams to new daemons; close those to ended or restarted ones."""
-        wanted = {peer.vm: peer for peer in self.election.peers()}
+    def update_streams(self, now: datetime.datetime) -> None:
+        """Open streams to the daemons that are wanted as contacts; close the others."""
+        wanted = {peer.vm: peer for peer in self.election.update_contacts(now)}
         for vm, stream in list(self._streams.items()):
             if wanted.get(vm) != stream.peer:
                 self._streams.pop(vm).close()
@@ -355,18 +379,48 @@
             if vm not in self._streams:
                 self._streams[vm] = self._open_stream(peer)
 
+    def accept(
+        self, sender: daemons.Daemon, connection: Connection, now: datetime.datetime
+    ) -> None:
+        """Use a connection that another daemon has opened; the last one counts."""
+        self.record_sender(sender, now)
+        _, earlier = self._accepted.get(sender.vm, (None, None))
+        self._accepted[sender.vm] = (sender, connection)
+        if earlier is not None and earlier is not connection:
+            earlier.close()
+        connection.send(
+            stream_messages.Heartbeat(self.is_leaving, self.election.holders())
+        )
+        if self._sent_loads:
+            connection.send(stream_messages.Loads(self._sent_loads))
+
+    def forget(self, sender: daemons.Daemon, connection: Connection) -> None:
+        """Drop a connection that another daemon had opened and that has ended."""
+        if self._accepted.get(sender.vm) == (sender, connection):
+            del self._accepted[sender.vm]
+
     def record_sender(self, sender: daemons.Daemon, now: datetime.datetime) -> None:
-        """Record the sender of messages, so that they can be answered.
+        """Record that messages of a daemon have arrived, so that it is alive.
 
         An unknown incarnation means that the daemon has restarted, so the shards of its
         earlier incarnation are withdrawn.
         """
-        if self.election.daemon(sender.vm, sender.incarnation) is not None:
+        if sender == self.me:
+            return
+        if sender.vm not in self._last_received:
+            logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
+        self._last_received[sender.vm] = now
+        vm, incarnation = sender.vm, sender.incarnation
+        if self.election.daemon(vm, incarnation) is not None:
+            was_responsive = self.election.is_responsive(vm, incarnation, now)
+            self.election.record_message(sender, None, now)
+            if not was_responsive:
+                self._update_brokers(now)
             return
         lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
         self.perform(lost, now)
-        self.election.record_message(sender, False, now)
-        self.update_streams()
+        self.election.record_message(sender, None, now)
+        self.update_streams(now)
 
     def handle_heartbeat(
         self,
@@ -374,39 +428,23 @@
         heartbeat: stream_messages.Heartbeat,
         now: datetime.datetime,
     ) -> None:
-        """Record a daemon's heartbeat: its state, the holders and the loads it knows.
-
-        The stream to the sender is restarted if the sender receives nothing from this
-        daemon.
-        """
-        if sender.vm not in self._last_heartbeats:
-            logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
-        self._last_heartbeats[sender.vm] = now
+        """Record a daemon's heartbeat: its state and the holders that it knows."""
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
-        self._update_brokers(now)
-        for data_centre, load in heartbeat.loads:
-            self.gateway.record_load(sender, data_centre, load)
-        stream = self._streams.get(sender.vm)
-        if stream is None or stream.peer != sender:
-            self.update_streams()
-            return
-        receives_nothing = (
-            heartbeat.last_received_age_ms < 0
-            or heartbeat.last_received_age_ms > RECEIVE_TIMEOUT_MS
-        )
-        last = self._last_restarts.get(sender.vm)
-        if receives_nothing and (last is None or now - last > STREAM_RESTART_INTERVAL):
-            self._last_restarts[sender.vm] = now
-            stream.restart()
+
+    def handle_loads(self, sender: daemons.Daemon, load: stream_messages.Loads) -> None:
+        """Record the load of the workers that a daemon holds."""
+        for data_centre, service_loads in load.loads:
+            self.gateway.record_load(sender, data_centre, service_loads)
 
     def _drop_silent_peers(self, now: datetime.datetime) -> None:
-        """Withdraw shards of daemons without a heartbeat for ``SUSPECT_AFTER``."""
-        for vm, at in list(self._last_heartbeats.items()):
-            if now - at < holder_election.SUSPECT_AFTER:
+        """Withdraw shards of daemons that have sent nothing for too long."""
+        suspect_after = self.election.suspect_after()
+        for vm, at in list(self._last_received.items()):
+            if now - at < suspect_after:
                 continue
-            del self._last_heartbeats[vm]
+            del self._last_received[vm]
             logs.log_event("peers", "Daemon unreachable.", vm=vm)
             self.perform(self.broker.handle_gateway_lost(vm, now), now)
 
@@ -431,6 +469,7 @@
         elif data_centre in self.broker.tokens():
             self.perform(self.broker.stop_holding(data_centre), now)
         self.update_worker_links()
+        self._update_brokers(now)
 
     def update_worker_links(self) -> None:
         """Close links to workers that are not held; make the next heartbeat due now."""
@@ -451,38 +490,79 @@
                 reachable[holder.data_centre] = gateway.ReachableBroker(holder, daemon)
         self.perform(self.gateway.update_brokers(reachable, now), now)
 
-    def _send_due_heartbeats(self, now: datetime.datetime) -> None:
-        """Send heartbeats at their interval, and earlier if the load has changed."""
-        if now >= min(self._next_load_check, self._next_heartbeat):
-            self._next_load_check = now + LOAD_CHECK_INTERVAL
-            loads_by_data_centre = self.broker.loads_by_data_centre(now)
-            for data_centre, load in loads_by_data_centre:
-                self.gateway.record_load(self.me, data_centre, load)
-            if loads_by_data_centre != self._sent_loads:
-                self._sent_loads = loads_by_data_centre
-                self._next_heartbeat = now
-        if now >= self._next_heartbeat:
-            self._next_heartbeat = now + HEARTBEAT_INTERVAL
+    def _send_due_messages(self, now: datetime.datetime) -> None:
+        """Send heartbeats and load reports that are due.
+
+        The holders come first: a load counts only as that of a known holder.
+        """
+        is_heartbeat_due = now >= self._next_heartbeat
+        is_refresh = is_heartbeat_due and self._is_refresh_due()
+        if is_heartbeat_due:
             self._send_heartbeats(now)
+        self._send_due_loads(is_refresh, now)
+
+    def _send_due_loads(self, is_refresh: bool, now: datetime.datetime) -> None:
+        """Report the load of the held workers if it has changed or is repeated."""
+        if now < self._next_loads and not is_refresh:
+            return
+        held = self.broker.loads_by_data_centre(now)
+        for data_centre, load in held:
+            self.gateway.record_load(self.me, data_centre, load)
+        if held == self._sent_loads and not (held and is_refresh):
+            self._next_loads = now + contacts.MIN_LOADS_INTERVAL
+            return
+        self._sent_loads = held
+        connections = [x for x in map(self._connection_to, self._linked()) if x]
+        shared = transport.Shared(stream_messages.Loads(held))
+        for connection in connections:
+            connection.send_shared(shared)
+        self._next_loads = now + contacts.loads_interval(
+            len(connections), shared.size_bytes, self.cfg.limits
+        )
+
+    def _linked(self) -> set[daemons.Daemon]:
+        """Return the daemons that this one has a connection to."""
+        return {x.peer for x in self._streams.values()} | {
+            peer for peer, _ in self._accepted.values()
+        }
+
+    def _is_refresh_due(self) -> bool:
+        return self._heartbeat_count % HEARTBEATS_PER_REFRESH == 0
 
     def _send_heartbeats(self, now: datetime.datetime) -> None:
-        version = self.configuration.version if self.configuration else 0
+        """Send a heartbeat on each connection; replace those on which nothing comes.
+
+        What was sent since the last heartbeat stands for one that has no news.
+        """
+        self._next_heartbeat = now + self.election.heartbeat_interval()
+        heartbeat = self._heartbeat(self._is_refresh_due())
+        shared = transport.Shared(heartbeat)
+        self._heartbeat_count += 1
+        has_news = heartbeat.is_leaving or heartbeat.holders
+        skipped = set() if has_news else self._sent_to
+        self._sent_to = set()
+        for peer, connection in self._accepted.values():
+            if peer.vm not in skipped or peer.vm in self._streams:
+                connection.send_shared(shared)
         for vm, stream in self._streams.items():
-            at = self._last_heartbeats.get(vm)
-            age_ms = -1.0 if at is None else clock.to_milliseconds(now - at)
-            stream.send(
-                stream_messages.Heartbeat(
-                    self.is_leaving,
-                    self.election.holders(),
-                    self._sent_loads,
-                    age_ms,
-                    version,
-                )
-            )
+            if vm not in skipped:
+                stream.send_shared(shared)
+            if stream.count_heartbeat() > contacts.UNANSWERED_HEARTBEATS:
+                logs.log_event("peers", "Connection is silent.", vm=stream.peer.vm)
+                stream.restart()
         self.dependencies.metrics.set_sizes(
             {**self.broker.counts(), "open_calls": self.gateway.open_jobs()}
         )
 
+    def _heartbeat(self, with_holders: bool) -> stream_messages.Heartbeat:
+        """Return a heartbeat; with the holders if asked for, or if they changed."""
+        holders = self.election.holders()
+        if holders == self._sent_holders and not with_holders:
+            holders = ()
+        else:
+            self._sent_holders = holders
+        return stream_messages.Heartbeat(self.is_leaving, holders)
+
     # Shutdown
 
     def start_leaving(self, now: datetime.datetime) -> None:
@@ -510,20 +590,27 @@
         """Close the streams to other daemons and the links to workers."""
         for stream in self._streams.values():
             stream.close()
+        for _, connection in self._accepted.values():
+            connection.close()
         self.dependencies.workers.close()
 
 
 _TIMED_STEPS = (
     DecisionLoop._check_broker,
+    DecisionLoop._check_gateway,
+    DecisionLoop._send_due_messages,
+    DecisionLoop._end_if_idle,
+)
+"""What each tick does, in this order."""
+
+_SLOW_STEPS = (
+    DecisionLoop.update_streams,
     DecisionLoop._drop_silent_peers,
     DecisionLoop._request_reports,
     DecisionLoop._update_brokers,
-    DecisionLoop._check_gateway,
     DecisionLoop._claim_data_centres,
-    DecisionLoop._send_due_heartbeats,
-    DecisionLoop._end_if_idle,
 )
-"""What a tick does, in this order."""
+"""What a tick does first at intervals of ``IDLE_TICK_INTERVAL``, in this order."""
 
 
 def _ignore(limits: jobs.Limits) -> None:
@@ -541,20 +628,45 @@
 
     def __init__(self, loop_inbox: "inbox.Inbox[messages.Message]") -> None:
         self._loop_inbox = loop_inbox
-        self._unidentified: set[int] = set()
+        self._senders: dict[transport.Connection, daemons.Daemon] = {}
 
-    def on_open(self, connection: int) -> None:
-        """Record a stream whose sender is unknown until its first frame."""
-        self._unidentified.add(connection)
+    def on_introduction(self, connection: transport.Connection, data: bytes) -> None:
+        """Record who is at the other end; close a connection to somebody else.
 
-    def on_frame(self, connection: int, data: bytes) -> None:
+        The address of a daemon that has ended may belong to another incarnation.
+        """
+        try:
+            sender = stream_messages.decode_introduction(data)
+        except errors.BadFrameError as exc:
+            logs.log_error("peers", "Bad introduction.", exc)
+            connection.close()
+            return
+        wanted = connection.peer
+        if wanted is None:
+            self._senders[connection] = sender
+            self._loop_inbox.put(messages.ConnectionAccepted(sender, connection))
+        elif (sender.vm, sender.incarnation) == (wanted.vm, wanted.incarnation):
+            self._senders[connection] = wanted
+            self._loop_inbox.put(messages.StreamOpened(wanted))
+        else:
+            connection.close()
+            self._loop_inbox.put(messages.ConnectionRefused(wanted))
+            self._loop_inbox.put(messages.PeerMessagesReceived(sender, ()))
+
+    def on_frame(self, connection: transport.Connection, data: bytes) -> None:
         """Decode a frame; log and discard one that cannot be decoded."""
+        sender = self._senders.get(connection)
+        if sender is None:
+            return
         try:
-            sender, received = stream_messages.decode(data)
+            received = stream_messages.decode(data)
         except errors.BadFrameError as exc:
             logs.log_error("peers", "Bad frame.", exc)
             return
-        if connection in self._unidentified:
-            self._unidentified.discard(connection)
-            self._loop_inbox.put(messages.StreamOpened(sender))
         self._loop_inbox.put(messages.PeerMessagesReceived(sender, tuple(received)))
+
+    def on_closed(self, connection: transport.Connection) -> None:
+        """Pass on that a connection has ended."""
+        sender = self._senders.pop(connection, None)
+        if sender is not None and connection.peer is None:
+            self._loop_inbox.put(messages.ConnectionClosed(sender, connection))
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -143,7 +143,7 @@
     loop.election.record_registrations(message.registered, (), now)
     for holder in message.holders:
         loop.record_holder(holder, now)
-    loop.update_streams()
+    loop.update_streams(now)
 
 
 @decision_loop.handlers.register("ClaimResultReceived")
@@ -165,6 +165,25 @@
     loop.perform(loop.gateway.resend_shards(message.peer), now)
 
 
+@decision_loop.handlers.register("ConnectionAccepted")
+def _handle_connection_accepted(
+    loop: decision_loop.DecisionLoop,
+    message: messages.ConnectionAccepted,
+    now: datetime.datetime,
+) -> None:
+    loop.accept(message.sender, message.connection, now)
+    loop.perform(loop.gateway.resend_shards(message.sender), now)
+
+
+@decision_loop.handlers.register("ConnectionClosed")
+def _handle_connection_closed(
+    loop: decision_loop.DecisionLoop,
+    message: messages.ConnectionClosed,
+    now: datetime.datetime,
+) -> None:
+    loop.forget(message.sender, message.connection)
+
+
 @decision_loop.handlers.register("ConnectionRefused")
 def _handle_connection_refused(
     loop: decision_loop.DecisionLoop,
@@ -216,6 +235,13 @@
     loop.handle_heartbeat(sent[0], sent[1], now)
 
 
+@decision_loop.handlers.register("Loads")
+def _handle_loads(
+    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+) -> None:
+    loop.handle_loads(sent[0], sent[1])
+
+
 @decision_loop.handlers.register("Submit")
 def _handle_submit(
     loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -151,14 +151,31 @@
 
 
 class StreamOpened(typing.NamedTuple):
-    """A stream from or to another daemon was opened.
+    """A connection to another daemon was opened, and that daemon has answered.
 
-    Messages on the stream that it replaces may have been lost.
+    Messages on the connection that it replaces may have been lost.
     """
 
     peer: daemons.Daemon
 
 
+class ConnectionAccepted(typing.NamedTuple):
+    """Another daemon has opened a connection; it can be answered there.
+
+    Messages on the connection that it replaces may have been lost.
+    """
+
+    sender: daemons.Daemon
+    connection: typing.Any
+
+
+class ConnectionClosed(typing.NamedTuple):
+    """A connection that another daemon had opened has ended."""
+
+    sender: daemons.Daemon
+    connection: typing.Any
+
+
 class ConnectionRefused(typing.NamedTuple):
     """No process listens at a daemon's address, so the daemon has ended."""
 
@@ -201,6 +218,8 @@
     | MembersRead
     | ClaimResultReceived
     | StreamOpened
+    | ConnectionAccepted
+    | ConnectionClosed
     | ConnectionRefused
     | PeerMessagesReceived
     | SettingsReloaded
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -6,7 +6,8 @@
 import datetime
 import typing
 
-from carawaysail_holding import broker_messages, policies
+from carawaysail_holding import broker_messages, contacts, policies
+from carawaysail_platform import http_calls
 from carawaysail_types import errors, jobs, runs
 
 
@@ -131,26 +132,23 @@
         """End a lease at once; the keys that are bound to it are removed."""
 
 
-class WorkersClient(typing.Protocol):
-    """Client of all workers.
+class WorkerCodec(typing.Protocol):
+    """Encodes calls to workers and decodes the replies."""
 
-    No method raises for a failed call: the result says whether the order was executed,
-    may have been executed, or was not.
-    """
+    def start(self, order: broker_messages.StartRun) -> http_calls.Request:
+        """Encode an order that starts a run."""
 
-    def start(self, order: broker_messages.StartRun) -> runs.OrderResult:
-        """Order a worker to start a run."""
+    def stop(self, order: broker_messages.StopRun) -> http_calls.Request:
+        """Encode an order that stops a run."""
 
-    def stop(self, order: broker_messages.StopRun) -> runs.OrderResult:
-        """Order a worker to stop a run."""
+    def poll(self, order: broker_messages.PollWorker) -> http_calls.Request:
+        """Encode a poll."""
 
-    def poll(
-        self, order: broker_messages.PollWorker
-    ) -> runs.WorkerStatus | runs.OrderResult:
-        """Renew a worker's lease; return the worker's status, or why there is none."""
+    def order_result(self, reply: http_calls.Reply) -> runs.OrderResult:
+        """Decode the reply to an order: whether it was executed, or why not."""
 
-    def forget(self, worker_id: str) -> None:
-        """Close the connections to a worker that is no longer polled."""
+    def status(self, reply: http_calls.Reply) -> runs.WorkerStatus | runs.OrderResult:
+        """Decode the reply to a poll: the worker's status, or why there is none."""
 
 
 class StoreCodec(typing.Protocol):
@@ -200,6 +198,8 @@
         Names of the broker's policies.
     admission : str
         Name of the gateway's admission policy.
+    limits : contacts.Limits
+        Limits of the VM.
     """
 
     vm: str
@@ -213,6 +213,7 @@
     grace: datetime.timedelta
     policy_names: policies.PolicyNames = policies.PolicyNames()
     admission: str = "yielding"
+    limits: contacts.Limits = contacts.Limits()
 
 
 class Request(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -27,6 +27,10 @@
 REPORTS_INTERVAL = clock.milliseconds(700)
 """A draining worker may still be used for two seconds, which allows for two reads."""
 
+WATCH_PAUSE_PER_MEMBER_S = 0.001
+"""Pause between two watches of the daemons, for each daemon; while a large fleet
+starts, one watch then returns the changes of many."""
+
 CONFIGURATION_RETRY_S = 0.2
 """Pause before the next read if the store has no configuration."""
 
@@ -249,39 +253,55 @@
         self, store: ports.Store, loop_inbox: "inbox.Inbox[messages.Message]", seed: int
     ) -> None:
         super().__init__(store, loop_inbox, seed)
-        self._items: dict[str, ports.Item] = {}
+        self._registered: dict[str, daemons.Daemon] = {}
+        self._holders: dict[str, daemons.Holder] = {}
         self._unreadable_keys: set[str] = set()
 
     def _step(self) -> float:
         if not self._after:
             snapshot = self._store.list(member_records.PREFIX)
-            self._items = {item.key: item for item in snapshot.items}
+            self._registered.clear()
+            self._holders.clear()
+            for item in snapshot.items:
+                self._record(item)
             self._after = snapshot.revision
             self._publish()
         result = self._watch(member_records.PREFIX)
         for key in result.removed:
-            self._items.pop(key, None)
+            self._remove(key)
         for item in result.changed:
-            self._items[item.key] = item
+            self._record(item)
         if result.changed or result.removed:
             self._publish()
-        return 0.0
+        return WATCH_PAUSE_PER_MEMBER_S * len(self._registered)
+
+    def _record(self, item: ports.Item) -> None:
+        """Record an entry; one that cannot be read counts as removed, and is logged."""
+        key = item.key
+        try:
+            if key.startswith(member_records.DAEMONS_PREFIX):
+                self._registered[key] = member_records.decode_daemon(item)
+            elif key.startswith(member_records.HOLDERS_PREFIX):
+                self._holders[key] = member_records.decode_holder(item)
+            self._unreadable_keys.discard(key)
+        except type_errors.BadInputError as exc:
+            is_known = key in self._unreadable_keys
+            self._remove(key)
+            self._unreadable_keys.add(key)
+            if not is_known:
+                logs.log_error("store", "Entry unreadable.", exc, key=key)
+
+    def _remove(self, key: str) -> None:
+        self._registered.pop(key, None)
+        self._holders.pop(key, None)
+        self._unreadable_keys.discard(key)
 
     def _publish(self) -> None:
-        registered, holders = [], []
-        unreadable_keys = set()
-        for item in self._items.values():
-            try:
-                if item.key.startswith(member_records.DAEMONS_PREFIX):
-                    registered.append(member_records.decode_daemon(item))
-                elif item.key.startswith(member_records.HOLDERS_PREFIX):
-                    holders.append(member_records.decode_holder(item))
-            except type_errors.BadInputError as exc:
-                unreadable_keys.add(item.key)
-                if item.key not in self._unreadable_keys:
-                    logs.log_error("store", "Entry unreadable.", exc, key=item.key)
-        self._unreadable_keys = unreadable_keys
-        self._loop_inbox.put(messages.MembersRead(tuple(registered), tuple(holders)))
+        self._loop_inbox.put(
+            messages.MembersRead(
+                tuple(self._registered.values()), tuple(self._holders.values())
+            )
+        )
 
 
 class ReportsTask(_Task):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
@@ -1,171 +1,231 @@
-"""Links to workers: a polling thread for each worker, and a pool that sends orders."""
+"""Links to workers: their connections, and the calls under way on them."""
 
 import collections.abc
-import concurrent.futures
-import queue
-import threading
+import datetime
 import typing
 
-from carawaysail_fleet import messages, ports
+from carawaysail_fleet import messages, metrics, ports
 from carawaysail_holding import actions, broker_messages
+from carawaysail_platform import errors, http_calls
 from carawaysail_runtime import inbox, logs
-from carawaysail_types import clock, runs
+from carawaysail_types import addresses, clock, runs
 
-ORDER_THREADS = 24
-"""Orders that can be under way at the same time; each blocks for a round trip."""
+MAX_IDLE_CONNECTIONS = 6
+"""Idle connections kept to a worker: one waits for the reply to a poll, the others send
+orders."""
 
-Order = typing.TypeVar("Order", broker_messages.StartRun, broker_messages.StopRun)
+RETRY_PAUSE = clock.milliseconds(100)
+"""Pause before a poll that was refused, unsent or failed is repeated."""
 
+NO_REPLY_OUTCOME = "lost"
+"""Outcome in the metrics of a call without a reply."""
 
-class _Link:
-    """The thread that polls one worker; it owns the connection for polls."""
+Result = runs.WorkerStatus | runs.OrderResult
+PostMessage = collections.abc.Callable[[messages.Message], None]
 
-    def __init__(
-        self,
-        worker_id: str,
-        workers: ports.WorkersClient,
-        loop_inbox: "inbox.Inbox[messages.Message]",
-        source: clock.Clock,
-    ) -> None:
-        self._workers = workers
-        self._loop_inbox = loop_inbox
-        self._clock = source
-        self._has_failed = False
-        self._orders: queue.SimpleQueue[broker_messages.PollWorker | None] = (
-            queue.SimpleQueue()
-        )
-        self._thread = threading.Thread(
-            target=self._run, name=f"poll {worker_id}", daemon=True
-        )
-        self._thread.start()
 
-    def poll(self, order: broker_messages.PollWorker) -> None:
-        self._orders.put(order)
+class _Call(typing.Protocol):
+    """One call to a worker: its request, and what follows from its result."""
 
-    def close(self) -> None:
-        self._orders.put(None)
-
-    def _run(self) -> None:
-        while (order := self._orders.get()) is not None:
-            requested_at = self._clock.now()
-            result = self._poll(order)
-            self._loop_inbox.put(
-                messages.WorkerStatusReceived(order.worker, result, requested_at)
+    worker: runs.WorkerReport
+
+    def request(self) -> http_calls.Request:
+        """Return the request."""
+
+    def decode(self, reply: http_calls.Reply) -> Result:
+        """Return the result that a reply means."""
+
+    def post(self, result: Result) -> None:
+        """Pass the result to the decision loop."""
+
+    def fail(self, exc: Exception) -> None:
+        """Pass on that the call raised an exception, so it may have been executed."""
+
+
+class _Poll:
+    """A poll: renews a worker's lease and requests its status."""
+
+    def __init__(self, order: broker_messages.PollWorker, links: "WorkerLinks") -> None:
+        self.worker = order.worker
+        self._order = order
+        self._links = links
+        self._requested_at = links.clock.now()
+
+    def request(self) -> http_calls.Request:
+        return self._links.codec.poll(self._order)
+
+    def decode(self, reply: http_calls.Reply) -> Result:
+        status = self._links.codec.status(reply)
+        self._links.failed_polls.discard(self.worker.worker_id)
+        return status
+
+    def post(self, result: Result) -> None:
+        # A poll without an answer has waited; others would be repeated at once.
+        is_immediate = (
+            isinstance(result, runs.OrderResult)
+            and result is not runs.OrderResult.NO_ANSWER
+        )
+        self._post(result, RETRY_PAUSE if is_immediate else clock.milliseconds(0))
+
+    def fail(self, exc: Exception) -> None:
+        worker_id = self.worker.worker_id
+        if worker_id not in self._links.failed_polls:
+            self._links.failed_polls.add(worker_id)
+            logs.log_error("workers", "Poll failed.", exc, worker=worker_id)
+        self._post(runs.OrderResult.NO_ANSWER, RETRY_PAUSE)
+
+    def _post(self, result: Result, pause: datetime.timedelta) -> None:
+        message = messages.WorkerStatusReceived(self.worker, result, self._requested_at)
+        if pause:
+            self._links.call_later(
+                pause.total_seconds(), self._links.loop_inbox.put, message
             )
+        else:
+            self._links.loop_inbox.put(message)
 
-    def _poll(
-        self, order: broker_messages.PollWorker
-    ) -> runs.WorkerStatus | runs.OrderResult:
-        """Send a poll; an exception counts as a poll without an answer."""
-        try:
-            result = self._workers.poll(order)
-        except Exception as exc:
-            if not self._has_failed:
-                self._has_failed = True
-                worker_id = order.worker.worker_id
-                logs.log_error("workers", "Poll failed.", exc, worker=worker_id)
-            self._pause()
-            return runs.OrderResult.NO_ANSWER
-        self._has_failed = False
-        self._pause_after_error(result, order)
-        return result
-
-    def _pause_after_error(
+
+class _Order:
+    """An order that starts or stops a run.
+
+    Parameters
+    ----------
+    order : broker_messages.StartRun or broker_messages.StopRun
+        The order.
+    encode : callable
+        Encodes it.
+    make_message : callable
+        Makes the message with its result.
+    links : WorkerLinks
+        The links.
+    """
+
+    def __init__(
         self,
-        result: runs.WorkerStatus | runs.OrderResult,
-        order: broker_messages.PollWorker,
+        order: typing.Any,
+        encode: collections.abc.Callable[[typing.Any], http_calls.Request],
+        make_message: collections.abc.Callable[..., messages.Message],
+        links: "WorkerLinks",
     ) -> None:
-        """Wait after a refused or unsent poll, which is otherwise repeated at once."""
-        if (
-            isinstance(result, runs.OrderResult)
-            and result is not runs.OrderResult.NO_ANSWER
-        ):
-            self._pause()
+        self.worker: runs.WorkerReport = order.worker
+        self._order = order
+        self._encode = encode
+        self._make_message = make_message
+        self._links = links
 
-    def _pause(self) -> None:
-        typing.cast(clock.SystemClock, self._clock).sleep(RETRY_PAUSE)
+    def request(self) -> http_calls.Request:
+        return self._encode(self._order)
 
+    def decode(self, reply: http_calls.Reply) -> Result:
+        return self._links.codec.order_result(reply)
 
-RETRY_PAUSE = clock.milliseconds(100)
+    def post(self, result: Result) -> None:
+        message = self._make_message(self.worker, self._order.run, result)
+        self._links.loop_inbox.put(message)
+
+    def fail(self, exc: Exception) -> None:
+        run = self._order.run
+        logs.log_error(
+            "workers", "Order failed.", exc, id=run.task.job_id,
+            run=actions.label(run), worker=self.worker.worker_id,
+        )  # fmt: skip
+        self.post(runs.OrderResult.NO_ANSWER)
 
 
 class WorkerLinks:
-    """Links to all workers that one daemon holds; used by the decision loop only.
+    """Links to all workers that one daemon holds; used in the event loop only.
 
     No method blocks; results come as messages to the decision loop.
 
     Parameters
     ----------
-    workers : ports.WorkersClient
-        Makes the calls to workers.
+    codec : ports.WorkerCodec
+        Encodes the calls and decodes the replies.
     loop_inbox : inbox.Inbox
         Inbox of the decision loop.
     source : clock.Clock
         Source of the present instant.
+    daemon_metrics : metrics.DaemonMetrics
+        Records duration and status of each call.
+    call_later : callable
+        Calls a function with an argument after some seconds.
     """
 
     def __init__(
         self,
-        workers: ports.WorkersClient,
+        codec: ports.WorkerCodec,
         loop_inbox: "inbox.Inbox[messages.Message]",
         source: clock.Clock,
+        daemon_metrics: metrics.DaemonMetrics,
+        call_later: collections.abc.Callable[[float, PostMessage, typing.Any], object],
     ) -> None:
-        self._workers = workers
-        self._loop_inbox = loop_inbox
-        self._clock = source
-        self._links: dict[str, _Link] = {}
-        self._pool = concurrent.futures.ThreadPoolExecutor(ORDER_THREADS, "order")
+        self.codec = codec
+        self.loop_inbox = loop_inbox
+        self.clock = source
+        self.call_later = call_later
+        # Workers whose last poll raised an exception.
+        self.failed_polls: set[str] = set()
+        self._metrics = daemon_metrics
+        self._clients: dict[str, http_calls.Client] = {}
 
     def poll(self, order: broker_messages.PollWorker) -> None:
         """Poll a worker: renew its lease and request its status."""
-        worker_id = order.worker.worker_id
-        link = self._links.get(worker_id)
-        if link is None:
-            link = _Link(worker_id, self._workers, self._loop_inbox, self._clock)
-            self._links[worker_id] = link
-        link.poll(order)
+        self._make(_Poll(order, self))
 
     def start(self, order: broker_messages.StartRun) -> None:
         """Order a worker to start a run."""
-        self._pool.submit(self._start, order)
+        self._make(_Order(order, self.codec.start, messages.StartResultReceived, self))
 
     def stop(self, order: broker_messages.StopRun) -> None:
         """Order a worker to stop a run."""
-        self._pool.submit(self._stop, order)
+        self._make(_Order(order, self.codec.stop, messages.StopResultReceived, self))
 
-    def close_except(self, worker_ids: frozenset[str]) -> None:
-        """Close the links to all workers but the given ones, which are still held."""
-        for worker_id in [x for x in self._links if x not in worker_ids]:
-            self._links.pop(worker_id).close()
-            self._workers.forget(worker_id)
+    def _make(self, call: _Call) -> None:
+        """Make a call; pass on its result, or an exception on the way."""
+        started = self.clock.now()
 
-    def close(self) -> None:
-        """Close all links and cancel orders that have not been sent."""
-        self.close_except(frozenset())
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        def handle(reply: http_calls.Reply | errors.NoReplyError) -> None:
+            try:
+                result = self._decode(call, reply, self.clock.now() - started)
+            except Exception as exc:
+                call.fail(exc)
+            else:
+                call.post(result)
 
-    def _start(self, order: broker_messages.StartRun) -> None:
-        result = _send(self._workers.start, order)
-        self._loop_inbox.put(
-            messages.StartResultReceived(order.worker, order.run, result)
-        )
+        try:
+            self._client(call.worker).call(call.request(), handle)
+        except Exception as exc:
+            call.fail(exc)
 
-    def _stop(self, order: broker_messages.StopRun) -> None:
-        result = _send(self._workers.stop, order)
-        self._loop_inbox.put(
-            messages.StopResultReceived(order.worker, order.run, result)
-        )
+    def _decode(
+        self,
+        call: _Call,
+        reply: http_calls.Reply | errors.NoReplyError,
+        elapsed: datetime.timedelta,
+    ) -> Result:
+        if isinstance(reply, http_calls.Reply):
+            self._metrics.record_call("worker", str(reply.status), elapsed)
+            return call.decode(reply)
+        self._metrics.record_call("worker", NO_REPLY_OUTCOME, elapsed)
+        if reply.is_unsent:
+            return runs.OrderResult.NOT_SENT
+        return runs.OrderResult.NO_ANSWER
 
+    def _client(self, worker: runs.WorkerReport) -> http_calls.Client:
+        client = self._clients.get(worker.worker_id)
+        if client is None or client.address != worker.address:
+            if client is not None:
+                client.close()
+            host, port = addresses.split(worker.address)
+            client = http_calls.Client(worker.address, host, port, MAX_IDLE_CONNECTIONS)
+            self._clients[worker.worker_id] = client
+        return client
 
-def _send(
-    call: collections.abc.Callable[[Order], runs.OrderResult], order: Order
-) -> runs.OrderResult:
-    """Send an order; after an exception it may have been executed."""
-    try:
-        return call(order)
-    except Exception as exc:
-        logs.log_error(
-            "workers", "Order failed.", exc, id=order.run.task.job_id,
-            run=actions.label(order.run), worker=order.worker.worker_id,
-        )  # fmt: skip
-        return runs.OrderResult.NO_ANSWER
+    def close_except(self, worker_ids: frozenset[str]) -> None:
+        """Close the links to all workers but the given ones, which are still held."""
+        for worker_id in [x for x in self._clients if x not in worker_ids]:
+            self._clients.pop(worker_id).close()
+            self.failed_polls.discard(worker_id)
+
+    def close(self) -> None:
+        """Close all links."""
+        self.close_except(frozenset())
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -593,6 +593,10 @@
         """Return the names of the held workers."""
         return frozenset(x.report.worker_id for x in self._workers.all())
 
+    def open_shards(self) -> int:
+        """Return the number of shards without an outcome."""
+        return self._jobs.count()
+
     def counts(self) -> dict[str, int]:
         """Return the gauges for the metrics, by label."""
-        return {"jobs": len(self._jobs.all()), **self._workers.counts()}
+        return {"jobs": self._jobs.count(), **self._workers.counts()}
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -12,11 +12,9 @@
 import hashlib
 import typing
 
+from carawaysail_holding import contacts
 from carawaysail_types import clock, daemons
 
-SUSPECT_AFTER = clock.milliseconds(600)
-"""Time without a message after which a daemon is suspected: four heartbeats."""
-
 FIRST_HEARTBEAT_TIMEOUT = clock.milliseconds(1000)
 """Time for the first message of a daemon that is registered in the store."""
 
@@ -39,6 +37,9 @@
 WORKER_REPORT_MAX_AGE = clock.milliseconds(2500)
 """Workers whose report has changed within this time can reach the store."""
 
+SMALL_HOLDER_FACTOR = 2
+"""A holder with less than one in so many of another daemon's processors is replaced."""
+
 REREGISTRATION_TIME = clock.milliseconds(2000)
 """Time for the daemons of a data centre that was cut off to register again, once its
 workers report to the store again."""
@@ -66,12 +67,13 @@
     """An incarnation of another daemon.
 
     ``is_refusing`` is true while connections to it are refused, ``is_registered`` while
-    it has a lease in the store.
+    it has a lease in the store. ``contacted_at`` is when this daemon began to connect
+    to it, ``None`` without such a connection.
     """
 
-    def __init__(self, daemon: daemons.Daemon, now: datetime.datetime) -> None:
+    def __init__(self, daemon: daemons.Daemon) -> None:
         self.daemon = daemon
-        self.first_recorded_at = now
+        self.contacted_at: datetime.datetime | None = None
         self.last_received_at: datetime.datetime | None = None
         self.is_leaving = False
         self.is_refusing = False
@@ -99,6 +101,7 @@
         self.is_leaving = False
         self._started_at = now
         self._peers: dict[str, _Peer] = {}
+        self._suspect_after = contacts.suspect_after(0)
         self._holders: dict[str, daemons.Holder] = {}
         self._holder_changed_at: dict[str, datetime.datetime] = {}
         self._claimable_since: dict[str, datetime.datetime] = {}
@@ -129,7 +132,7 @@
         """
         for daemon in registered:
             if daemon.vm != self.me.vm:
-                self._record_peer(daemon, now)
+                self._record_peer(daemon)
         incarnations = {(daemon.vm, daemon.incarnation) for daemon in registered}
         for peer in self._peers.values():
             peer.is_registered = (
@@ -139,19 +142,31 @@
         for holder in holders:
             self.record_holder(holder, now)
 
-    def _record_peer(self, daemon: daemons.Daemon, now: datetime.datetime) -> _Peer:
+    def _record_peer(self, daemon: daemons.Daemon) -> _Peer:
         peer = self._peers.get(daemon.vm)
         if peer is None or peer.daemon.incarnation != daemon.incarnation:
-            peer = self._peers[daemon.vm] = _Peer(daemon, now)
+            peer = self._peers[daemon.vm] = _Peer(daemon)
+            self._suspect_after = contacts.suspect_after(len(self._peers))
         return peer
 
     def record_message(
-        self, daemon: daemons.Daemon, is_leaving: bool, now: datetime.datetime
+        self, daemon: daemons.Daemon, is_leaving: bool | None, now: datetime.datetime
     ) -> None:
-        """Record a message of another daemon."""
-        peer = self._record_peer(daemon, now)
+        """Record a message of another daemon.
+
+        Parameters
+        ----------
+        daemon : daemons.Daemon
+            The daemon.
+        is_leaving : bool or None
+            Whether it is shutting down; ``None`` if the message does not say that.
+        now : datetime.datetime
+            Present instant.
+        """
+        peer = self._record_peer(daemon)
         peer.last_received_at = now
-        peer.is_leaving = is_leaving
+        if is_leaving is not None:
+            peer.is_leaving = is_leaving
         peer.is_refusing = False
 
     def record_refusal(self, daemon: daemons.Daemon) -> None:
@@ -199,6 +214,44 @@
     def _has_sent_message(self, peer: _Peer) -> bool:
         return peer.last_received_at is not None
 
+    def update_contacts(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
+        """Return the daemons to keep a connection to, and record them as contacted."""
+        view = contacts.View(
+            self.peers(), self._other_holders(), self._candidates_before(now)
+        )
+        wanted = contacts.wanted(view)
+        wanted_vms = {daemon.vm for daemon in wanted}
+        for vm, peer in self._peers.items():
+            if vm not in wanted_vms:
+                peer.contacted_at = None
+            elif peer.contacted_at is None:
+                peer.contacted_at = now
+        return wanted
+
+    def _other_holders(self) -> tuple[daemons.Daemon, ...]:
+        found = (self.daemon(x.vm, x.incarnation) for x in self._holders.values())
+        return tuple(x for x in found if x is not None and x != self.me)
+
+    def _candidates_before(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
+        """Return those that may claim this data centre before, if it needs a holder."""
+        home = self.me.data_centre
+        if self.is_leaving or not self._claim_cause(home, now):
+            return ()
+        own_key = _rank_key(home, self.me)
+        return tuple(
+            x
+            for x in self.peers()
+            if x.data_centre == home and _rank_key(home, x) < own_key
+        )
+
+    def heartbeat_interval(self) -> datetime.timedelta:
+        """Return the interval of heartbeats in a fleet of this size."""
+        return contacts.heartbeat_interval(len(self._peers))
+
+    def suspect_after(self) -> datetime.timedelta:
+        """Return the time without a message after which a daemon is suspected."""
+        return self._suspect_after
+
     def holder(self, data_centre: str) -> daemons.Holder | None:
         """Return the newest known holder of a data centre; ``None`` if unknown."""
         return self._holders.get(data_centre)
@@ -212,7 +265,7 @@
         return holder.vm == self.me.vm and holder.incarnation == self.me.incarnation
 
     def is_responsive(self, vm: str, incarnation: str, now: datetime.datetime) -> bool:
-        """Return whether a daemon has sent a message within ``SUSPECT_AFTER``."""
+        """Return whether a daemon has sent a message within ``suspect_after()``."""
         if vm == self.me.vm:
             return incarnation == self.me.incarnation
         peer = self._peers.get(vm)
@@ -220,7 +273,7 @@
             peer is not None
             and peer.daemon.incarnation == incarnation
             and peer.last_received_at is not None
-            and now - peer.last_received_at < SUSPECT_AFTER
+            and now - peer.last_received_at < self._suspect_after
             and not peer.is_refusing
         )
 
@@ -281,10 +334,14 @@
             if (is_local or not holder.is_registered) and age >= MIN_HOLDING_TIME:
                 return "holder is silent"
             return ""
-        is_remote = holder.daemon.data_centre != data_centre
         has_settled = now - self._started_at >= SETTLING_TIME
-        if is_home and is_remote and has_settled and age >= MIN_HOLDING_TIME:
+        if not is_home or not has_settled or age < MIN_HOLDING_TIME:
+            return ""
+        if holder.daemon.data_centre != data_centre:
             return "holder is in another data centre"
+        processor_milli = holder.daemon.processor_milli
+        if 0 < processor_milli * SMALL_HOLDER_FACTOR < self.me.processor_milli:
+            return "holder is small"
         return ""
 
     def _has_just_started(self, now: datetime.datetime) -> bool:
@@ -292,29 +349,43 @@
         return now - self._started_at < clock.milliseconds(300)
 
     def _is_presumed_alive(self, peer: _Peer, now: datetime.datetime) -> bool:
-        """Return whether a daemon is neither suspected nor refusing connections."""
+        """Return whether a daemon is neither suspected nor refusing connections.
+
+        Without a connection to it, its lease in the store says whether it is alive.
+        """
         if peer.is_refusing:
             return False
-        # A daemon that has sent nothing yet has FIRST_HEARTBEAT_TIMEOUT to do so.
-        since = peer.last_received_at or peer.first_recorded_at + (
-            FIRST_HEARTBEAT_TIMEOUT - SUSPECT_AFTER
-        )
-        return now - since < SUSPECT_AFTER
+        since = peer.last_received_at
+        if peer.contacted_at is None:
+            is_heard = since is not None and now - since < self._suspect_after
+            return peer.is_registered or is_heard
+        if since is None or since < peer.contacted_at:
+            return now - peer.contacted_at < FIRST_HEARTBEAT_TIMEOUT
+        return now - since < self._suspect_after
 
     def has_data_centre_without_daemons(self, now: datetime.datetime) -> bool:
-        """Return whether some data centre may have no daemon of its own."""
-        if now - self._started_at < SETTLING_TIME:
+        """Return whether this daemon may have to hold a data centre without daemons."""
+        if now - self._started_at < SETTLING_TIME or not self._may_hold_remotely():
             return False
         return any(
             self._lacks_daemons(data_centre, now) for data_centre in self._data_centres
         )
 
+    def _may_hold_remotely(self) -> bool:
+        """Return whether this daemon may become the holder of another data centre.
+
+        In a large fleet only holders may: only they are connected to all others.
+        """
+        if contacts.is_full_mesh(len(self._peers)):
+            return True
+        return any(self.is_own(x) for x in self._holders.values())
+
     def _needs_remote_holder(self, data_centre: str, now: datetime.datetime) -> bool:
         """Return whether a data centre has workers but no daemon of its own."""
         reported_at = self._workers_reported_at.get(data_centre)
         if reported_at is None or now - reported_at > WORKER_REPORT_MAX_AGE:
             return False
-        if now - self._started_at < SETTLING_TIME:
+        if now - self._started_at < SETTLING_TIME or not self._may_hold_remotely():
             return False
         if not self._lacks_daemons(data_centre, now):
             return False
@@ -352,7 +423,7 @@
     def _rank(self, data_centre: str, now: datetime.datetime) -> int:
         """Return the number of daemons that should claim before this one.
 
-        The order is by a hash, so that all daemons agree on it.
+        The order is the same for all daemons: the largest first, then by a hash.
         """
         others = [
             peer.daemon
@@ -361,9 +432,14 @@
         ]
         if data_centre == self.me.data_centre:
             others = [x for x in others if x.data_centre == data_centre]
-        own_hash = _rank_hash(data_centre, self.me.vm)
-        return sum(_rank_hash(data_centre, x.vm) < own_hash for x in others)
+        elif not contacts.is_full_mesh(len(self._peers)):
+            holders = self._other_holders()
+            others = [x for x in others if x in holders]
+        own_key = _rank_key(data_centre, self.me)
+        return sum(_rank_key(data_centre, x) < own_key for x in others)
 
 
-def _rank_hash(data_centre: str, vm: str) -> bytes:
-    return hashlib.blake2b(f"{data_centre}|{vm}".encode(), digest_size=8).digest()
+def _rank_key(data_centre: str, daemon: daemons.Daemon) -> tuple[int, bytes]:
+    text = f"{data_centre}|{daemon.vm}"
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return -daemon.processor_milli, digest
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -54,6 +54,10 @@
         """Return all shards, as a new list."""
         return list(self._shards.values())
 
+    def count(self) -> int:
+        """Return the number of shards."""
+        return len(self._shards)
+
     def admit(
         self,
         shard_id: broker_messages.ShardId,
--- a/libs/carawaysail_holding/tests/test_holder_election.py
+++ b/libs/carawaysail_holding/tests/test_holder_election.py
@@ -46,6 +46,7 @@
         """
         for _ in range(ms // 100):
             self.clock.advance(MS(100))
+            self.election.update_contacts(self.now)
             self.receive_message(*senders)
             for data_centre in reporting:
                 self.election.record_worker_report(data_centre, self.now)
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -8,6 +8,7 @@
 from carawaysail_fleet import decision_loop, handlers, messages, ports
 from carawaysail_holding import broker_messages
 from carawaysail_model import engine, store, workers
+from carawaysail_streams import transport
 from carawaysail_types import clock, daemons, jobs, runs
 
 HANDLER_MODULES = (handlers,)
@@ -45,6 +46,12 @@
     def send(self, message: typing.Any) -> None:
         self._node.send(self.peer, message)
 
+    def send_shared(self, shared: transport.Shared) -> None:
+        self._node.send(self.peer, shared.message)
+
+    def count_heartbeat(self) -> int:
+        return 0
+
     def restart(self) -> None:
         pass
 
@@ -169,6 +176,7 @@
         self.needs_reports = False
         self.on_outcome = on_outcome
         self.on_failure = on_failure
+        self._connected: dict[str, daemons.Daemon] = {}
         self._engine = event_engine
         self._network = network
         self._store = shared_store
@@ -230,10 +238,17 @@
             if node is None:
                 self.put(messages.ConnectionRefused(peer))
             elif node.me == peer:
-                node.put(messages.PeerMessagesReceived(self.me, (message,)))
+                node.receive(self.me, message)
 
         self._engine.after(delay, deliver)
 
+    def receive(self, sender: daemons.Daemon, message: typing.Any) -> None:
+        """Pass on a message of another daemon, and first that it has connected."""
+        if self._connected.get(sender.vm) != sender:
+            self._connected[sender.vm] = sender
+            self.put(messages.ConnectionAccepted(sender, _PeerStream(self, sender)))
+        self.put(messages.PeerMessagesReceived(sender, (message,)))
+
     # Workers
 
     def send_order(
--- a/libs/carawaysail_platform/src/carawaysail_platform/errors.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/errors.py
@@ -113,3 +113,24 @@
             f"the changes under {self.prefix} after revision {self.after} are "
             "no longer available: read all keys again"
         )
+
+
+@dataclasses.dataclass(eq=False)
+class NoReplyError(errors.CarawaysailError):
+    """A call got no reply.
+
+    Parameters
+    ----------
+    detail : str
+        The cause.
+    is_unsent : bool
+        Whether the request was certainly not sent.
+    """
+
+    detail: str
+    is_unsent: bool
+
+    def __str__(self) -> str:
+        """Return a sentence with the cause and whether the call may have an effect."""
+        sent = "it was not sent" if self.is_unsent else "it may have been carried out"
+        return f"no reply to a call, {sent}: {self.detail}"
--- a/libs/carawaysail_platform/src/carawaysail_platform/http.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/http.py
@@ -1,12 +1,5 @@
-"""Connection pools to platform services, with TCP keep-alive probes.
+"""Connection pools to platform services."""
 
-An established connection can stop delivering packets for good while new connections
-work. Keep-alive probes detect this within ``DEAD_CONNECTION_TIMEOUT_S``, also while a
-slow task sends nothing, because the kernel of the other host answers them and not the
-task.
-"""
-
-import socket
 import typing
 import urllib.parse
 
@@ -14,24 +7,7 @@
 import urllib3.connection
 import urllib3.exceptions
 
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-DEAD_CONNECTION_TIMEOUT_S = KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_COUNT
-
-_SocketOption = tuple[int, int, int]
-
-
-def socket_options() -> list[_SocketOption]:
-    """Return the socket options of every connection to a platform service."""
-    return [
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_CONNECTION_TIMEOUT_S * 1000),
-    ]
+from carawaysail_platform import tcp
 
 
 def open_pool(
@@ -61,7 +37,7 @@
         block=False,
         retries=False,
         timeout=urllib3.Timeout(connect=connect_s, read=read_s),
-        socket_options=socket_options(),
+        socket_options=tcp.socket_options(),
     )
 
 
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/inbox.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/inbox.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import threading
 import typing
 
 Message = typing.TypeVar("Message")
@@ -16,7 +17,7 @@
     Parameters
     ----------
     loop : asyncio.AbstractEventLoop
-        Event loop that the receiving task runs in.
+        Event loop that the receiving task runs in; the inbox is created in its thread.
     max_messages : int
         Number of waiting messages from which ``try_put`` refuses more; ``put`` has no
         limit.
@@ -26,15 +27,26 @@
         self._loop = loop
         self._max_messages = max_messages
         self._items: collections.deque[Message] = collections.deque()
-        self._event = asyncio.Event()
+        # What the receiving task waits for; ``None`` while it does not wait.
+        self._waiter: asyncio.Future[None] | None = None
         self._is_signalled = False
+        # Thread of the event loop, which can be signalled without a system call.
+        self._thread_id = threading.get_ident()
 
     def put(self, message: Message) -> None:
         """Add a message that must not be lost, such as a target's response."""
         self._items.append(message)
-        if not self._is_signalled:
-            self._is_signalled = True
-            self._loop.call_soon_threadsafe(self._event.set)
+        if self._is_signalled:
+            return
+        self._is_signalled = True
+        if threading.get_ident() == self._thread_id:
+            self._wake()
+        else:
+            self._loop.call_soon_threadsafe(self._wake)
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     def try_put(self, message: Message) -> bool:
         """Add a message unless the inbox is full.
@@ -49,14 +61,37 @@
         self.put(message)
         return True
 
-    async def drain(self) -> list[Message]:
-        """Wait for messages; return all that have arrived, at least one, in order."""
-        while True:
-            await self._event.wait()
-            self._event.clear()
-            self._is_signalled = False
-            drained = []
-            while self._items:
-                drained.append(self._items.popleft())
-            if drained:
-                return drained
+    async def drain(self, timeout_s: float | None = None) -> list[Message]:
+        """Wait for messages; return all that have arrived, in order.
+
+        Parameters
+        ----------
+        timeout_s : float, optional
+            Longest wait in seconds, after which there may be no messages; by default
+            there is no limit, and at least one message is returned.
+        """
+        while not self._items:
+            await self._wait(timeout_s)
+            if timeout_s is not None:
+                break
+        self._is_signalled = False
+        drained = []
+        while self._items:
+            drained.append(self._items.popleft())
+        return drained
+
+    async def _wait(self, timeout_s: float | None) -> None:
+        """Wait for a message, or until the timeout."""
+        self._is_signalled = False
+        self._waiter = self._loop.create_future()
+        timer = None
+        if timeout_s is not None:
+            timer = self._loop.call_later(timeout_s, self._wake)
+        try:
+            # A message of another thread may have come before there was a waiter.
+            while not self._items and not self._waiter.done():
+                await self._waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
@@ -17,8 +17,13 @@
 
 import eliot
 
+from carawaysail_types import clock
+
 PREFIX = "carawaysail"
 
+_clock = clock.SystemClock()
+_logger = eliot.Logger()
+
 MAX_QUEUED_LINES = 5_000
 """Largest number of lines that wait to be written; about one second of peak load."""
 
@@ -134,7 +139,7 @@
     **fields
         Values, each written under its keyword.
     """
-    eliot.log_message(message_type=f"{PREFIX}:{component}:info", text=text, **fields)
+    _write(f"{PREFIX}:{component}:info", {"text": text, **fields})
 
 
 def log_error(
@@ -153,10 +158,15 @@
     **fields
         Values, each written under its keyword.
     """
-    eliot.log_message(
-        message_type=f"{PREFIX}:{component}:error",
-        text=text,
-        error=type(exc).__name__,
-        detail=str(exc),
-        **fields,
-    )
+    described = {"text": text, "error": type(exc).__name__, "detail": str(exc)}
+    _write(f"{PREFIX}:{component}:error", {**described, **fields})
+
+
+def _write(message_type: str, fields: dict[str, typing.Any]) -> None:
+    """Pass a message to all destinations.
+
+    It belongs to no action of eliot's, so it gets no identifier, whose random bytes
+    would cost a system call for each line.
+    """
+    timestamp = _clock.now().timestamp()
+    _logger.write({**fields, "timestamp": timestamp, "message_type": message_type})
--- a/libs/carawaysail_runtime/tests/test_runtime.py
+++ b/libs/carawaysail_runtime/tests/test_runtime.py
@@ -61,6 +61,26 @@
 class TestInbox(testtools.TestCase):
     """Messages from threads to an asyncio task."""
 
+    def test_wait_without_messages_ends_with_the_timeout(self):
+        async def run():
+            box = inbox.Inbox(asyncio.get_running_loop(), 10)
+            self.assertEqual([], await box.drain(0.01))
+            box.put(1)
+            self.assertEqual([1], await box.drain(0.01))
+            self.assertEqual([], await box.drain(0.01))
+
+        asyncio.run(run())
+
+    def test_message_of_the_loops_own_thread_ends_the_wait(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            box = inbox.Inbox(loop, 10)
+            loop.call_later(0.01, box.put, 1)
+            self.assertEqual([1], await box.drain(10.0))
+            self.assertEqual([], await box.drain(0.01))
+
+        asyncio.run(run())
+
     def test_messages_of_many_threads_arrive_once(self):
         async def run():
             box = inbox.Inbox(asyncio.get_running_loop(), 1000)
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -18,28 +18,26 @@
 
 @kinds.register("heartbeat")
 class Heartbeat(typing.NamedTuple):
-    """State of the sending daemon, sent to every other daemon several times a second.
+    """State of the sending daemon, sent on all its connections several times a second.
 
     Parameters
     ----------
     is_leaving : bool
         Whether the daemon is shutting down.
     holders : tuple of daemons.Holder
-        Newest holder of each data centre that the daemon knows.
-    loads : tuple of (str, tuple of loads.ServiceLoad)
-        Load of the workers that the daemon holds, by data centre and service.
-    last_received_age_ms : float
-        Time since the sender last received a heartbeat of the receiver, in ms;
-        negative if it has received none.
-    version : int
-        Version of the sender's configuration; 0 if it has none.
+        Newest holder of each data centre that the daemon knows; empty in most
+        heartbeats between which it has not changed.
     """
 
     is_leaving: bool
     holders: tuple[daemons.Holder, ...]
+
+
+@kinds.register("loads")
+class Loads(typing.NamedTuple):
+    """Load of the workers that the sending daemon holds, by data centre and service."""
+
     loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...]
-    last_received_age_ms: float
-    version: int
 
 
 @kinds.register("submit")
@@ -133,7 +131,7 @@
     outcome: jobs.JobOutcome
 
 
-Message = Heartbeat | Submit | ShardStarted | Withdraw | Outcome
+Message = Heartbeat | Loads | Submit | ShardStarted | Withdraw | Outcome
 
 _names_by_type = {kind: name for name, kind in kinds.items()}
 _decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
@@ -142,27 +140,46 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-class _Frame(typing.NamedTuple):
-    """Sending daemon, and the name of the kind and the encoding of each message."""
+_Row = tuple[str, msgspec.Raw]
+"""Name of the kind of a message, and its encoding."""
+
+_frame_decoder = msgspec.msgpack.Decoder(tuple[_Row, ...])
+_introduction_decoder = msgspec.msgpack.Decoder(daemons.Daemon)
+
+_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
+
+
+def encode_introduction(sender: daemons.Daemon) -> bytes:
+    """Return the first frame of a connection."""
+    return _encoder.encode(sender)
 
-    sender: daemons.Daemon
-    messages: tuple[tuple[str, msgspec.Raw], ...]
 
+def decode_introduction(data: bytes) -> daemons.Daemon:
+    """Return the sender that the first frame of a connection names.
 
-_frame_decoder = msgspec.msgpack.Decoder(_Frame)
+    Raises
+    ------
+    errors.BadFrameError
+        If the bytes do not name a daemon.
+    """
+    try:
+        return _introduction_decoder.decode(data)
+    except _DECODE_ERRORS as exc:
+        raise errors.BadFrameError(len(data), str(exc)) from exc
 
 
-def encode(sender: daemons.Daemon, messages: typing.Iterable[Message]) -> bytes:
-    """Return a frame with the sending daemon and its messages, in order."""
-    rows = tuple(
-        (_names_by_type[type(message)], msgspec.Raw(_encoder.encode(message)))
-        for message in messages
+def encode(messages: typing.Iterable[Message]) -> bytes:
+    """Return a frame with messages, in order."""
+    return _encoder.encode(
+        [
+            (_names_by_type[type(message)], msgspec.Raw(_encoder.encode(message)))
+            for message in messages
+        ]
     )
-    return _encoder.encode(_Frame(sender, rows))
 
 
-def decode(data: bytes) -> tuple[daemons.Daemon, list[Message]]:
-    """Return the sender and the messages of a frame.
+def decode(data: bytes) -> list[Message]:
+    """Return the messages of a frame.
 
     Messages of an unknown kind, which a later release may send, are skipped.
 
@@ -172,15 +189,14 @@
         If the bytes are not a valid frame.
     """
     try:
-        frame = _frame_decoder.decode(data)
         messages = []
-        for name, raw in frame.messages:
+        for name, raw in _frame_decoder.decode(data):
             decoder = _decoders.get(name)
             if decoder is not None:
                 messages.append(decoder.decode(raw))
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+    except _DECODE_ERRORS as exc:
         raise errors.BadFrameError(len(data), str(exc)) from exc
-    return frame.sender, messages
+    return messages
 
 
 def submit(
--- a/libs/carawaysail_types/src/carawaysail_types/daemons.py
+++ b/libs/carawaysail_types/src/carawaysail_types/daemons.py
@@ -20,12 +20,15 @@
         Random identifier drawn at the start of the process; never reused.
     address : str
         ``host:port`` that receives messages of other daemons.
+    processor_milli : int
+        Thousandths of a core that its VM has; 0 if unknown.
     """
 
     vm: str
     data_centre: str
     incarnation: str
     address: str
+    processor_milli: int = 0
 
 
 class Holder(typing.NamedTuple):
