--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -5,7 +5,6 @@
 import datetime
 import secrets
 import signal
-import socket
 import sys
 import types
 import typing
@@ -30,17 +29,9 @@
 HANDLER_MODULES = (handlers,)
 """Modules whose import fills the registries of the decision loop."""
 
-SWITCH_INTERVAL_S = 0.001
-"""Thread switch interval of the interpreter."""
+MAX_WAITING_CLIENTS = 400
+"""Clients that may wait at one daemon; far above what its share of a peak load is."""
 
-FRONT_END_THREADS = 96
-"""Enough for the clients that wait at one of two VMs at the highest peak load."""
-
-SPARE_THREADS = 8
-"""Threads of the HTTP front end that are reserved for requests that need not wait."""
-
-READINESS_THREADS = 2
-METRICS_THREADS = 1
 LOAD_BALANCER_DELAY = clock.milliseconds(2600)
 """Time until the load balancer sends no more requests to a leaving daemon: it checks
 readiness each second and needs two failed checks."""
@@ -121,7 +112,7 @@
         for store_task in self._store_tasks:
             store_task.start()
         for server in self._servers:
-            server.start()
+            await server.start()
         logs.log_event(
             "daemon", "Started.", vm=cfg.vm, data_centre=cfg.data_centre,
             incarnation=self._me.incarnation, front=cfg.front, peer=cfg.peer,
@@ -163,7 +154,7 @@
         )  # fmt: skip
         self._front_end = front_end.FrontEnd(
             adapter.client_codec, loop_inbox, self._replies, self._metrics, self._clock,
-            FRONT_END_THREADS - SPARE_THREADS,
+            MAX_WAITING_CLIENTS, loop.call_later,
         )  # fmt: skip
         self._decision_loop.set_dependencies(
             decision_loop.Dependencies(
@@ -189,34 +180,26 @@
 
     def _make_servers(self) -> list[http_server.Server]:
         cfg = self._cfg
-        self._http_server = http_server.Server(
-            cfg.front, self._front_end.handle, FRONT_END_THREADS
-        )
+        self._http_server = http_server.Server(cfg.front, self._front_end.handle)
         self._decision_loop.apply_limits = self._http_server.apply_limits
         servers = [self._http_server]
         if cfg.readiness:
-            servers.append(
-                http_server.Server(
-                    cfg.readiness, self._respond_readiness, READINESS_THREADS
-                )
-            )
+            servers.append(http_server.Server(cfg.readiness, self._respond_readiness))
         if cfg.metrics:
-            servers.append(
-                http_server.Server(cfg.metrics, self._respond_metrics, METRICS_THREADS)
-            )
+            servers.append(http_server.Server(cfg.metrics, self._respond_metrics))
         return servers
 
     def _respond_readiness(
-        self, request: ports.Request, client: socket.socket
-    ) -> ports.Response:
+        self, request: ports.Request, exchange: http_server.Exchange
+    ) -> None:
         is_ready = self._front_end.is_configured() and not self._is_leaving.is_set()
-        return ports.Response(200 if is_ready else 503)
+        exchange.respond(ports.Response(200 if is_ready else 503))
 
     def _respond_metrics(
-        self, request: ports.Request, client: socket.socket
-    ) -> ports.Response:
+        self, request: ports.Request, exchange: http_server.Exchange
+    ) -> None:
         body, content_type = self._metrics.render()
-        return ports.Response(200, body, content_type=content_type)
+        exchange.respond(ports.Response(200, body, content_type=content_type))
 
     def _watch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
         # Not a callback of the loop, which may run it late under load: the grace period
@@ -282,8 +265,8 @@
         for task in self._store_tasks:
             task.stop()
         await asyncio.to_thread(self._lease.deregister)
-        stops = [asyncio.to_thread(server.stop) for server in self._servers]
-        await asyncio.gather(*stops)
+        for server in self._servers:
+            server.stop()
         self._decision_loop.close()
         logs.log_event("daemon", "Ended.")
 
@@ -302,7 +285,6 @@
     daemon_metrics : metrics.DaemonMetrics
         Metrics of the daemon.
     """
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
     log = logs.open_bounded_log(sys.stdout)
 
     async def main() -> None:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -105,7 +105,7 @@
     reports : store_tasks.ReportsTask
         Reads the workers' reports from the store.
     replies : replies.Replies
-        Passes outcomes to the threads that serve clients.
+        Passes outcomes to the front end.
     metrics : metrics.DaemonMetrics
         Metrics of the daemon.
     front_end : front_end.FrontEnd
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/front_end.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/front_end.py
@@ -1,23 +1,28 @@
-"""The HTTP front end: what the server's threads do with requests of clients.
+"""The HTTP front end: what is done with requests of clients.
 
-A thread decodes the request, posts the job to the decision loop and blocks until the
-outcome comes, the client disconnects, or the client's timeout has passed.
+A request is decoded and its job posted to the decision loop. The response follows when
+the outcome comes or the client's timeout has passed; a job whose client disconnects is
+withdrawn.
 """
 
+import collections.abc
 import datetime
-import socket
-import threading
 import typing
 
-from carawaysail_fleet import messages, metrics, ports, replies
+from carawaysail_fleet import http_server, messages, metrics, ports, replies
 from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, errors, jobs, registry
 
 WAIT_MARGIN = clock.milliseconds(100)
-"""Wait of a thread beyond the client's timeout, in case the decision loop, which
-answers shortly after that timeout, is late."""
+"""Wait beyond the client's timeout, in case the decision loop, which answers shortly
+after that timeout, is late."""
 
-Handler = typing.Callable[["FrontEnd", typing.Any, socket.socket], ports.Response]
+Respond = collections.abc.Callable[[ports.Response], None]
+"""Sends the response, now or later."""
+
+Handler = collections.abc.Callable[
+    ["FrontEnd", typing.Any, Respond, http_server.Exchange], None
+]
 
 handlers: registry.Registry[Handler] = registry.Registry("client request handlers")
 
@@ -26,7 +31,7 @@
 
 
 class FrontEnd:
-    """Handler of client requests; shared by the threads of the HTTP server.
+    """Handler of client requests; used in the event loop only.
 
     Parameters
     ----------
@@ -35,13 +40,15 @@
     loop_inbox : inbox.Inbox
         Inbox of the decision loop.
     replies : replies.Replies
-        Outcomes that threads wait for.
+        Outcomes that clients wait for.
     daemon_metrics : metrics.DaemonMetrics
         Metrics of the daemon.
     source : clock.Clock
         Source of the present instant.
     max_waiting : int
         Number of clients that may wait at the same time; more are refused.
+    call_later : callable
+        Calls a function after some seconds; returns a handle with ``cancel``.
     """
 
     def __init__(
@@ -52,23 +59,23 @@
         daemon_metrics: metrics.DaemonMetrics,
         source: clock.Clock,
         max_waiting: int,
+        call_later: collections.abc.Callable[..., typing.Any],
     ) -> None:
         self.codec = codec
         self.loop_inbox = loop_inbox
         self.replies = replies
         self.clock = source
+        self.call_later = call_later
         self._metrics = daemon_metrics
         self._max_waiting = max_waiting
-        self._lock = threading.Lock()
         self._end: datetime.datetime | None = None
         self._configuration: jobs.Configuration | None = None
 
     def configure(self, configuration: jobs.Configuration) -> None:
         """Use a configuration if it is newer than the present one."""
-        with self._lock:
-            present = self._configuration
-            if present is None or configuration.version > present.version:
-                self._configuration = configuration
+        present = self._configuration
+        if present is None or configuration.version > present.version:
+            self._configuration = configuration
 
     def is_configured(self) -> bool:
         """Return whether a configuration has been set."""
@@ -88,43 +95,53 @@
         """Return whether ``max_waiting`` clients or more wait."""
         return self.replies.waiting_count() >= self._max_waiting
 
-    def handle(self, request: ports.Request, client: socket.socket) -> ports.Response:
-        """Handle a request of a client; block until its response is known.
+    def handle(self, request: ports.Request, exchange: http_server.Exchange) -> None:
+        """Handle a request of a client; its response follows when it is known.
 
         Parameters
         ----------
         request : ports.Request
             The request.
-        client : socket.socket
-            Connection of the client; watched for a disconnect.
+        exchange : http_server.Exchange
+            Takes the response.
         """
         started = self.clock.now()
-        queue, response = self._handle(request, client)
-        self._metrics.record_response(
-            queue, response.status, self.clock.now() - started
-        )
-        return response
-
-    def _handle(
-        self, request: ports.Request, client: socket.socket
-    ) -> tuple[str, ports.Response]:
+        queue, handler, decoded = self._decode(request)
+
+        def respond(response: ports.Response) -> None:
+            elapsed = self.clock.now() - started
+            self._metrics.record_response(queue, response.status, elapsed)
+            exchange.respond(response)
+
+        if isinstance(decoded, ports.Response):
+            respond(decoded)
+        else:
+            handler(self, decoded, respond, exchange)
+
+    def _decode(
+        self, request: ports.Request
+    ) -> tuple[str, Handler, ports.ClientRequest | ports.Response]:
+        """Return the queue, the handler and the request, or the response to it."""
         configuration = self._configuration
         if configuration is None:
             reason = jobs.Reason.NO_CONFIGURATION
-            return "", self.codec.outcome(_refused(reason))
+            return "", _ignore, self.codec.outcome(_refused(reason))
         try:
             decoded = self.codec.decode(request, configuration)
         except errors.CarawaysailError as exc:
             logs.log_error("front", "Request refused.", exc, path=request.path)
-            return "", self.codec.invalid(exc)
+            return "", _ignore, self.codec.invalid(exc)
         if decoded is None:
             logs.log_event(
                 "front", "No queue.", host=request.host, path=request.path[:200],
                 version=configuration.version,
             )  # fmt: skip
-            return "", self.codec.unknown_queue()
-        handler = handlers.get(type(decoded).__name__)
-        return decoded.queue.name, handler(self, decoded, client)
+            return "", _ignore, self.codec.unknown_queue()
+        return decoded.queue.name, handlers.get(type(decoded).__name__), decoded
+
+
+def _ignore(*args: object) -> None:
+    """Handle nothing: the response is known already."""
 
 
 def _refused(reason: jobs.Reason) -> jobs.JobOutcome:
@@ -133,45 +150,73 @@
 
 @handlers.register("JobRequest")
 def _handle_job(
-    front_end: FrontEnd, request: ports.JobRequest, client: socket.socket
-) -> ports.Response:
+    front_end: FrontEnd,
+    request: ports.JobRequest,
+    respond: Respond,
+    exchange: http_server.Exchange,
+) -> None:
+    job_id = request.job.job_id
     if front_end.is_full():
-        logs.log_event("front", "Too many waiting clients.", id=request.job.job_id)
-        return front_end.codec.outcome(_refused(jobs.Reason.OVERLOADED))
+        logs.log_event("front", "Too many waiting clients.", id=job_id)
+        respond(front_end.codec.outcome(_refused(jobs.Reason.OVERLOADED)))
+        return
     timeout = front_end.limit_timeout(request.client_timeout)
     if timeout <= datetime.timedelta():
-        logs.log_event("front", "Leaving; job refused.", id=request.job.job_id)
-        return front_end.codec.outcome(_refused(jobs.Reason.LEAVING))
-    request = request._replace(client_timeout=timeout)
-    reply_id = front_end.replies.open()
-    front_end.loop_inbox.put(messages.JobPosted(request, reply_id))
-    max_wait = timeout + WAIT_MARGIN
-    outcome = front_end.replies.wait(reply_id, client, max_wait.total_seconds())
-    if outcome is None:
-        front_end.loop_inbox.put(messages.ClientLeft(request.job.job_id, reply_id))
+        logs.log_event("front", "Leaving; job refused.", id=job_id)
+        respond(front_end.codec.outcome(_refused(jobs.Reason.LEAVING)))
+        return
+
+    def finish(outcome: jobs.JobOutcome) -> None:
+        timer.cancel()
+        respond(front_end.codec.outcome(outcome))
+
+    def leave() -> None:
+        timer.cancel()
+        if front_end.replies.close(reply_id):
+            front_end.loop_inbox.put(messages.ClientLeft(job_id, reply_id))
+
+    def expire() -> None:
+        leave()
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.TIMED_OUT)
-    return front_end.codec.outcome(outcome)
+        respond(front_end.codec.outcome(outcome))
+
+    max_wait = timeout + WAIT_MARGIN
+    timer = front_end.call_later(max_wait.total_seconds(), expire)
+    reply_id = front_end.replies.open(finish)
+    exchange.on_disconnect = leave
+    front_end.loop_inbox.put(
+        messages.JobPosted(request._replace(client_timeout=timeout), reply_id)
+    )
 
 
 @handlers.register("StateRequest")
 def _handle_state(
-    front_end: FrontEnd, request: ports.StateRequest, client: socket.socket
-) -> ports.Response:
+    front_end: FrontEnd,
+    request: ports.StateRequest,
+    respond: Respond,
+    exchange: http_server.Exchange,
+) -> None:
     """Respond that the job is unknown: no job is stored beyond its client's request."""
-    return front_end.codec.unknown_job()
+    respond(front_end.codec.unknown_job())
 
 
 @handlers.register("CancelRequest")
 def _handle_cancel(
-    front_end: FrontEnd, request: ports.CancelRequest, client: socket.socket
-) -> ports.Response:
+    front_end: FrontEnd,
+    request: ports.CancelRequest,
+    respond: Respond,
+    exchange: http_server.Exchange,
+) -> None:
     """Respond that the job is unknown, because no job is stored."""
-    return front_end.codec.unknown_job()
+    respond(front_end.codec.unknown_job())
 
 
 @handlers.register("PendingRequest")
 def _handle_pending(
-    front_end: FrontEnd, request: ports.PendingRequest, client: socket.socket
-) -> ports.Response:
+    front_end: FrontEnd,
+    request: ports.PendingRequest,
+    respond: Respond,
+    exchange: http_server.Exchange,
+) -> None:
     """Respond with 0, because no job is stored."""
-    return front_end.codec.pending(0)
+    respond(front_end.codec.pending(0))
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/http_server.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/http_server.py
@@ -1,45 +1,73 @@
-"""An HTTP server with one handler for all requests, based on CherryPy's server.
+"""An HTTP server on the event loop, with one handler for all requests.
 
-The handler runs in one of the server's threads and may block there. It gets the
-client's socket, so that it can detect a disconnect while it waits.
+The handler gets each request with an ``Exchange``, and responds at once or later. It
+learns of the client's disconnect, so that a request that nobody waits for can be
+withdrawn.
 """
 
+import asyncio
+import collections
 import collections.abc
-import socket
-import threading
 import typing
+import urllib.parse
 
-import cheroot.wsgi
+import httptools
 
 from carawaysail_fleet import ports
-from carawaysail_types import errors, jobs
+from carawaysail_runtime import logs
+from carawaysail_types import addresses, jobs
+
+MAX_CONNECTIONS = 2_000
+"""Open connections; further ones are closed at once."""
 
-MAX_IDLE_CONNECTIONS = 2_000
 ACCEPT_BACKLOG = 512
-"""Connections in the accept queue; the server's default of 5 drops connections."""
+"""Connections in the accept queue."""
 
-STOP_TIMEOUT_S = 1
+MAX_PIPELINED_REQUESTS = 16
+"""Requests that a client may send before its present one is answered."""
 
-_SOCKET_KEY = "carawaysail.socket"
-_REQUEST_KEY = "carawaysail.request"
+SWEEP_INTERVAL_S = 1.0
+"""Interval of the checks for connections that have been idle for too long."""
 
 _PHRASES = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    410: "Gone", 413: "Content Too Large", 429: "Too Many Requests",
+    408: "Request Timeout", 410: "Gone", 413: "Content Too Large",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large",
     500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 
-Handler = collections.abc.Callable[[ports.Request, socket.socket], ports.Response]
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Exchange:
+    """A request whose response is still to come.
+
+    Attributes
+    ----------
+    on_disconnect : callable or None
+        Called once if the client disconnects before the response; ``None`` for no call.
+    """
+
+    def __init__(self, connection: "_Connection") -> None:
+        self.on_disconnect: collections.abc.Callable[[], None] | None = None
+        self._connection: _Connection | None = connection
+
+    def respond(self, response: ports.Response) -> None:
+        """Send the response; without effect after the first one or a disconnect."""
+        connection, self._connection = self._connection, None
+        self.on_disconnect = None
+        if connection is not None:
+            connection.respond(response)
 
+    def disconnect(self) -> None:
+        """Report that the client has disconnected."""
+        self._connection = None
+        on_disconnect, self.on_disconnect = self.on_disconnect, None
+        if on_disconnect is not None:
+            on_disconnect()
 
-class _WsgiGateway(cheroot.wsgi.Gateway_10):  # type: ignore[misc]
-    """Adds the client's socket and the request object to the environment."""
 
-    def get_environ(self) -> typing.Any:
-        environ: dict[str, typing.Any] = super().get_environ()
-        environ[_SOCKET_KEY] = self.req.conn.socket
-        environ[_REQUEST_KEY] = self.req
-        return environ
+Handler = collections.abc.Callable[[ports.Request, Exchange], None]
 
 
 class Server:
@@ -50,91 +78,290 @@
     address : str
         ``host:port`` to listen on.
     handler : callable
-        Returns the response to a request; called in a thread of the server.
-    threads : int
-        Number of threads, thus of requests that are handled at the same time.
+        Called in the event loop with each request and its exchange; it must not block.
+        After an exception the client gets status 500.
+
+    Attributes
+    ----------
+    limits : jobs.Limits
+        Limits on requests and connections.
+    is_closing : bool
+        Whether connections are closed after their next response.
     """
 
-    def __init__(self, address: str, handler: Handler, threads: int) -> None:
-        host, _, port = address.rpartition(":")
-        self._handler = handler
-        self._is_closing = False
-        self._server = cheroot.wsgi.Server(
-            (host, int(port)), self._handle_wsgi, numthreads=threads, max=threads,
-            request_queue_size=ACCEPT_BACKLOG, shutdown_timeout=STOP_TIMEOUT_S,
-        )  # fmt: skip
-        self._server.gateway = _WsgiGateway
-        self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-        self._thread = threading.Thread(
-            target=self._server.serve, name=f"http {port}", daemon=True
-        )
+    def __init__(self, address: str, handler: Handler) -> None:
+        self.handler = handler
+        self.limits = jobs.Limits()
+        self.is_closing = False
+        self._address = address
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
 
     def apply_limits(self, limits: jobs.Limits) -> None:
-        """Apply limits to all further requests; ``header_timeout`` has no effect."""
-        self._server.max_request_header_size = limits.max_header_bytes
-        self._server.max_request_body_size = limits.max_body_bytes
-        self._server.timeout = limits.idle_timeout.total_seconds()
+        """Apply limits to all further requests."""
+        self.limits = limits
 
-    def start(self) -> None:
-        """Bind the address and start the threads.
+    async def start(self) -> None:
+        """Start to listen.
 
         Raises
         ------
+        carawaysail_types.errors.BadInputError
+            If the address is not valid.
         OSError
             If the address is in use.
         """
-        self._server.prepare()
-        self._thread.start()
+        host, port = addresses.split(self._address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), host, port, backlog=ACCEPT_BACKLOG
+        )
+        self._schedule_sweep()
 
     def close_connections(self) -> None:
         """Close each connection after its next response, for a graceful shutdown."""
-        self._is_closing = True
+        self.is_closing = True
 
     def stop(self) -> None:
-        """Close the listening socket and end the threads."""
-        self._server.stop()
-
-    def _handle_wsgi(
-        self, environ: dict[str, typing.Any], start_response: typing.Any
-    ) -> list[bytes]:
-        response = self._respond(environ)
-        if self._is_closing:
-            environ[_REQUEST_KEY].close_connection = True
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(response.body))),
-            *response.headers,
-        ]
-        phrase = _PHRASES.get(response.status, "Other")
-        start_response(f"{response.status} {phrase}", headers)
-        return [response.body]
-
-    def _respond(self, environ: dict[str, typing.Any]) -> ports.Response:
-        host = environ.get("HTTP_HOST", "")
-        headers = {
-            name[5:].replace("_", "-").lower(): value
-            for name, value in environ.items()
-            if name.startswith("HTTP_")
-        }
+        """Close the listening socket and all connections."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def add(self, connection: "_Connection") -> bool:
+        """Record a new connection; return whether there is room for it."""
+        if len(self._connections) >= MAX_CONNECTIONS:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def remove(self, connection: "_Connection") -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    def _schedule_sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._close_idle)
+
+    def _close_idle(self) -> None:
+        """Close connections that wait for too long for a request or its rest."""
+        now = asyncio.get_running_loop().time()
+        idle_s = self.limits.idle_timeout.total_seconds()
+        request_s = self.limits.header_timeout.total_seconds()
+        for connection in list(self._connections):
+            connection.close_if_idle(now, idle_s, request_s)
+        self._schedule_sweep()
+
+
+class _Received(typing.NamedTuple):
+    """A complete request, and how to answer it.
+
+    Parameters
+    ----------
+    request : ports.Request
+        The request.
+    keeps_open : bool
+        Whether the connection stays open after the response.
+    """
+
+    request: ports.Request
+    keeps_open: bool
+
+
+class _RequestError(Exception):
+    """A request cannot be accepted; raised to the parser, which ends with it."""
+
+
+class _Connection(asyncio.Protocol):
+    """One client's connection; its requests are handled one after the other."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ready: collections.deque[_Received] = collections.deque()
+        self._current: _Received | None = None
+        self._exchange: Exchange | None = None
+        # Status and text of the answer to what cannot be read.
+        self._error: tuple[int, str] | None = None
+        self._waits_since_s = self._loop.time()
+        self.on_message_begin()
+        self._has_begun = False
+
+    # Events of the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        if not self._server.add(self):
+            self.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; handle the first complete request."""
+        if self._error is not None:
+            return
         try:
-            request = ports.Request(
-                environ["REQUEST_METHOD"],
-                host.partition(":")[0],
-                environ["PATH_INFO"],
-                headers,
-                _read_body(environ),
-            )
-        except errors.BadInputError as exc:
-            return ports.Response(400, str(exc).encode(), content_type="text/plain")
-        return self._handler(request, environ[_SOCKET_KEY])
-
-
-def _read_body(environ: dict[str, typing.Any]) -> bytes:
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length:
-        if not length.isdigit():
-            raise errors.BadInputError("Content-Length", length, "a number of bytes")
-        return bytes(environ["wsgi.input"].read(int(length))) if int(length) else b""
-    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
-        return bytes(environ["wsgi.input"].read())
-    return b""
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is answered as it is; what follows it is in another protocol.
+            self._error = (400, "Upgrade is not supported.")
+        except httptools.HttpParserError as exc:
+            self._error = self._error or (400, str(exc))
+        self._advance()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the handler that nobody waits for its response."""
+        self._transport = None
+        self._server.remove(self)
+        self._ready.clear()
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.disconnect()
+
+    # Events of the parser
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._has_begun = True
+        if self._exchange is None:
+            self._waits_since_s = self._loop.time()
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the URL."""
+        self._count_header(len(url))
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header."""
+        self._count_header(len(name) + len(value))
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.max_header_bytes:
+            self._fail(431, "The header is too large.")
+
+    def on_headers_complete(self) -> None:
+        """Let a client that waits for permission send its body."""
+        if self._headers.get("expect", "").lower() == "100-continue":
+            self._write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.max_body_bytes:
+            self._fail(413, "The body is too large.")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        self._has_begun = False
+        if len(self._ready) >= MAX_PIPELINED_REQUESTS:
+            self._fail(429, "Too many requests wait on this connection.")
+        try:
+            path = httptools.parse_url(self._url).path or b"/"
+        except httptools.HttpParserInvalidURLError as exc:
+            self._fail(400, str(exc))
+        request = ports.Request(
+            self._parser.get_method().decode("latin-1"),
+            self._headers.get("host", "").partition(":")[0],
+            urllib.parse.unquote(path.decode("latin-1"), "latin-1"),
+            self._headers,
+            b"".join(self._body),
+        )
+        self._ready.append(_Received(request, self._parser.should_keep_alive()))
+
+    def _fail(self, status: int, text: str) -> typing.NoReturn:
+        self._error = (status, text)
+        raise _RequestError(text)
+
+    # Requests
+
+    def _advance(self) -> None:
+        """Handle the next request, unless one is under way."""
+        if self._exchange is not None or self._transport is None:
+            return
+        if self._ready:
+            self._handle(self._ready.popleft())
+        elif self._error is not None:
+            self._refuse(*self._error)
+
+    def _handle(self, received: _Received) -> None:
+        self._current = received
+        exchange = self._exchange = Exchange(self)
+        try:
+            self._server.handler(received.request, exchange)
+        except Exception as exc:
+            logs.log_error(
+                "front", "Request failed.", exc, path=received.request.path[:200],
+                where=logs.location(exc),
+            )  # fmt: skip
+            exchange.respond(ports.Response(500))
+
+    def _refuse(self, status: int, text: str) -> None:
+        """Answer what cannot be read, and close the connection."""
+        self._current = None
+        self.respond(ports.Response(status, text.encode(), content_type="text/plain"))
+
+    def respond(self, response: ports.Response) -> None:
+        """Send a response; then handle the next request, or close the connection."""
+        current, self._current, self._exchange = self._current, None, None
+        keeps_open = (
+            current is not None and current.keeps_open and not self._server.is_closing
+        )
+        phrase = _PHRASES.get(response.status, "Other")
+        lines = [
+            f"HTTP/1.1 {response.status} {phrase}",
+            f"Content-Type: {response.content_type}",
+            f"Content-Length: {len(response.body)}",
+            *(f"{name}: {value}" for name, value in response.headers),
+        ]
+        if not keeps_open:
+            lines.append("Connection: close")
+        head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
+        has_body = current is None or current.request.method != "HEAD"
+        self._write(head + response.body if has_body else head)
+        self._waits_since_s = self._loop.time()
+        if not keeps_open:
+            if self._transport is not None:
+                self._transport.close()
+        elif self._ready or self._error is not None:
+            self._loop.call_soon(self._advance)
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def close_if_idle(self, now_s: float, idle_s: float, request_s: float) -> None:
+        """Close the connection if the client has sent nothing, or only a part.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time of the event loop, in seconds.
+        idle_s, request_s : float
+            Longest time without a request, and from its first byte to its last, in
+            seconds.
+        """
+        if self._exchange is not None:
+            return
+        waited_s = now_s - self._waits_since_s
+        if self._has_begun and waited_s > request_s:
+            self._refuse(408, "The request took too long to arrive.")
+        elif not self._has_begun and waited_s > idle_s:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -1,114 +1,57 @@
 """Pending replies, the HTTP front end, and the HTTP server."""
 
+import asyncio
+import contextlib
 import socket
-import threading
 
+import hypothesis
+import hypothesis.strategies
 import testtools
-import urllib3
 
 from carawaysail_fleet import front_end, http_server, metrics, ports, replies
 from carawaysail_types import clock, errors, jobs
 
 DONE = jobs.JobOutcome(jobs.Verdict.COMPLETED)
+TIMEOUT_S = 5.0
+FUZZ = hypothesis.settings(
+    max_examples=60, derandomize=True, deadline=None, database=None
+)
 
 
 class TestReplies(testtools.TestCase):
-    """A thread waits for an outcome and for a disconnect of its client."""
+    """Outcomes reach whoever waits for them, once."""
 
     def setUp(self):
         super().setUp()
         self.replies = replies.Replies()
-        self.client, self.server = socket.socketpair()
-        self.addCleanup(self.client.close)
-        self.addCleanup(self.server.close)
-
-    def wait(self, prepare, timeout_s=10.0):
-        outcomes = []
-
-        def run():
-            reply_id = self.replies.open()
-            prepare(reply_id)
-            outcomes.append(self.replies.wait(reply_id, self.server, timeout_s))
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        thread.join(20)
-        return outcomes[0]
-
-    def test_outcome_is_returned(self):
-        self.assertEqual(DONE, self.wait(lambda n: self.replies.put(n, DONE)))
+        self.outcomes = []
+
+    def test_outcome_is_passed_on_once(self):
+        reply_id = self.replies.open(self.outcomes.append)
+        self.assertEqual(1, self.replies.waiting_count())
+        self.replies.put(reply_id, DONE)
+        self.replies.put(reply_id, DONE)
+        self.assertEqual([DONE], self.outcomes)
         self.assertEqual(0, self.replies.waiting_count())
 
-    def test_disconnect_ends_the_wait(self):
-        self.assertIsNone(self.wait(lambda n: self.client.close()))
-
-    def test_further_bytes_of_the_client_do_not_end_the_wait(self):
-        def prepare(reply_id):
-            self.client.send(b"GET / HTTP/1.1")
-            threading.Timer(0.05, self.replies.put, (reply_id, DONE)).start()
-
-        self.assertEqual(DONE, self.wait(prepare))
-
-    # A wait lasted up to twice its timeout if the client sent further bytes.
-    def test_further_bytes_of_the_client_do_not_extend_the_wait(self):
-        source = clock.ManualClock()
-        self.replies = replies.Replies(source)
-
-        def prepare(reply_id):
-            def send():
-                source.advance(clock.milliseconds(60_000))
-                self.client.send(b"GET / HTTP/1.1")
-
-            threading.Timer(0.05, send).start()
-
-        self.assertIsNone(self.wait(prepare, 60.0))
-
-    def test_timeout_returns_none(self):
-        self.assertIsNone(self.wait(lambda n: None, 0.01))
-
     def test_outcome_of_a_closed_reply_is_ignored(self):
+        reply_id = self.replies.open(self.outcomes.append)
+        self.assertTrue(self.replies.close(reply_id))
+        self.assertFalse(self.replies.close(reply_id))
+        self.replies.put(reply_id, DONE)
         self.replies.put(99, DONE)
+        self.assertEqual([], self.outcomes)
         self.assertEqual(0, self.replies.waiting_count())
 
-    def test_pipe_is_empty_at_the_next_wait_of_the_thread(self):
-        verdicts = []
-
-        def run():
-            for outcome in (DONE, jobs.JobOutcome(jobs.Verdict.FAILED)):
-                reply_id = self.replies.open()
-                self.replies.put(reply_id, outcome)
-                verdicts.append(self.replies.wait(reply_id, self.server, 10.0).verdict)
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        thread.join(20)
-        self.assertEqual([jobs.Verdict.COMPLETED, jobs.Verdict.FAILED], verdicts)
-
-    # A wait that could not begin left its reply pending, and the daemon never idle.
-    def test_reply_of_a_closed_connection_is_closed(self):
-        self.server.close()
-        self.wait(lambda n: None, 0.01)
-        self.assertEqual(0, self.replies.waiting_count())
-
-    # An outcome of a reply that its thread had given up ended the thread's next wait,
-    # and the client of that wait got no answer.
-    def test_outcome_of_an_earlier_reply_does_not_end_the_wait(self):
-        def prepare(reply_id):
-            self.replies.put(reply_id - 1, DONE)
-            threading.Timer(0.05, self.replies.put, (reply_id, DONE)).start()
-
-        outcomes = []
-
-        def run():
-            self.replies.open()
-            reply_id = self.replies.open()
-            prepare(reply_id)
-            outcomes.append(self.replies.wait(reply_id, self.server, 10.0))
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        thread.join(20)
-        self.assertEqual([DONE], outcomes)
+    # An outcome of a reply that had been given up reached the next client.
+    def test_numbers_are_not_used_again(self):
+        first = self.replies.open(self.outcomes.append)
+        self.replies.close(first)
+        second = self.replies.open(self.outcomes.append)
+        self.replies.put(first, DONE)
+        self.assertEqual([], self.outcomes)
+        self.replies.put(second, DONE)
+        self.assertEqual([DONE], self.outcomes)
 
 
 class Codec:
@@ -133,23 +76,64 @@
         return ports.Response(400, str(exc).encode())
 
 
+class Exchange:
+    """Records responses; a disconnect is what the test calls."""
+
+    def __init__(self):
+        self.responses = []
+        self.on_disconnect = None
+
+    def respond(self, response):
+        self.responses.append(response)
+
+
+class Timers:
+    """Timers that the test fires by hand."""
+
+    def __init__(self):
+        self.timers = []
+
+    def call_later(self, delay_s, function, *args):
+        timer = Timer(delay_s, function, args)
+        self.timers.append(timer)
+        return timer
+
+
+class Timer:
+    """A timer that knows whether it was cancelled."""
+
+    def __init__(self, delay_s, function, args):
+        self.delay_s = delay_s
+        self.is_cancelled = False
+        self._call = lambda: function(*args)
+
+    def cancel(self):
+        self.is_cancelled = True
+
+    def fire(self):
+        if not self.is_cancelled:
+            self._call()
+
+
 class TestFrontEnd(testtools.TestCase):
     """Responses of the front end, and its messages to the decision loop."""
 
     def setUp(self):
         super().setUp()
         self.posted = []
+        self.timers = Timers()
+        self.clock = clock.ManualClock()
         self.front_end = front_end.FrontEnd(
             Codec(), self, replies.Replies(), metrics.DaemonMetrics("vm", "dc"),
-            clock.SystemClock(), 1,
+            self.clock, 1, self.timers.call_later,
         )  # fmt: skip
-        self.client, self.server = socket.socketpair()
-        self.addCleanup(self.client.close)
-        self.addCleanup(self.server.close)
 
     def put(self, message):
         """Record a message; the test case is the inbox of the decision loop."""
-        self.posted.append(type(message).__name__)
+        self.posted.append(message)
+
+    def posted_kinds(self):
+        return [type(x).__name__ for x in self.posted]
 
     def configure(self, version, prefix="/q/"):
         queue = jobs.Queue(
@@ -158,17 +142,39 @@
         )  # fmt: skip
         self.front_end.configure(jobs.Configuration(version, (queue,), ("s",)))
 
-    def handle(self, path):
+    def send(self, path):
+        """Pass on a request and return its exchange."""
+        exchange = Exchange()
         request = ports.Request("POST", "h", path, {}, b"")
-        return self.front_end.handle(request, self.server)
+        self.front_end.handle(request, exchange)
+        return exchange
+
+    def handle(self, path):
+        """Return the response to a request, whose wait ends with its timeout."""
+        exchange = self.send(path)
+        for timer in self.timers.timers:
+            timer.fire()
+        [response] = exchange.responses
+        return response
+
+    def test_outcome_of_a_job_is_the_response(self):
+        self.configure(1)
+        exchange = self.send("/q/1")
+        self.assertEqual([], exchange.responses)
+        self.front_end.replies.put(self.posted[0].reply_id, DONE)
+        self.assertEqual([b"none"], [x.body for x in exchange.responses])
+        self.assertTrue(self.timers.timers[0].is_cancelled)
 
     # A request that was read shortly before the process stopped got no answer.
     def test_request_is_answered_before_the_process_stops(self):
         self.configure(1)
         in_time = front_end.WAIT_MARGIN + clock.milliseconds(10)
-        self.front_end.set_end(clock.SystemClock().now() + in_time)
+        self.front_end.set_end(self.clock.now() + in_time)
         self.assertEqual(b"timed_out", self.handle("/q/1").body)
-        self.assertEqual(["JobPosted", "ClientLeft"], self.posted)
+        wait_s = in_time.total_seconds()
+        self.assertAlmostEqual(wait_s, self.timers.timers[0].delay_s)
+        self.assertEqual(["JobPosted", "ClientLeft"], self.posted_kinds())
+        self.clock.advance(clock.milliseconds(20))
         self.assertEqual(b"leaving", self.handle("/q/2").body)
         self.assertEqual(2, len(self.posted))
 
@@ -188,50 +194,280 @@
     def test_job_that_is_not_answered_in_time_is_withdrawn(self):
         self.configure(1)
         self.assertEqual(b"timed_out", self.handle("/q/1").body)
-        self.assertEqual(["JobPosted", "ClientLeft"], self.posted)
+        self.assertEqual(["JobPosted", "ClientLeft"], self.posted_kinds())
+        self.assertEqual(0, self.front_end.replies.waiting_count())
+
+    def test_job_of_a_client_that_disconnects_is_withdrawn(self):
+        self.configure(1)
+        exchange = self.send("/q/1")
+        exchange.on_disconnect()
+        self.assertEqual(["JobPosted", "ClientLeft"], self.posted_kinds())
+        self.assertEqual(self.posted[0].reply_id, self.posted[1].reply_id)
+        self.assertEqual(0, self.front_end.replies.waiting_count())
+        self.front_end.replies.put(self.posted[0].reply_id, DONE)
+        self.assertEqual([], exchange.responses)
 
     def test_too_many_waiting_clients_are_refused(self):
         self.configure(1)
-        self.front_end.replies.open()
+        self.front_end.replies.open(lambda outcome: None)
         self.assertEqual(b"overloaded", self.handle("/q/1").body)
         self.assertEqual([], self.posted)
 
 
-class TestServer(testtools.TestCase):
-    """The HTTP server with one handler, over loopback."""
+class ServerCase(testtools.TestCase):
+    """Shared fixtures: a server over loopback, and raw connections to it."""
 
-    def start(self, handler):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{sock.getsockname()[1]}"
-        server = http_server.Server(address, handler, 2)
-        server.start()
-        self.addCleanup(server.stop)
-        return server, f"http://{address}"
+    def setUp(self):
+        super().setUp()
+        self.exchanges = []
+        self.requests = []
+        self.disconnects = 0
+        self.is_held = False
+
+    def handle(self, request, exchange):
+        """Respond with the request's parts; keep it waiting if ``is_held``."""
+        self.requests.append(request)
+        self.exchanges.append(exchange)
+        exchange.on_disconnect = self.count_disconnect
+        if request.path == "/raise":
+            raise KeyError("odd")
+        if not self.is_held:
+            text = f"{request.method} {request.host} {request.path} "
+            exchange.respond(ports.Response(200, text.encode() + request.body))
+
+    def count_disconnect(self):
+        self.disconnects += 1
+
+    def play(self, coroutine_function):
+        """Run a test with a server that listens."""
+
+        async def run():
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", 0))
+                self.port = sock.getsockname()[1]
+            self.server = http_server.Server(f"127.0.0.1:{self.port}", self.handle)
+            await self.server.start()
+            await coroutine_function()
+            self.server.stop()
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+
+    async def exchange(self, data, count=1):
+        """Send bytes and return what comes until so many responses, or the end."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        received = b""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(TIMEOUT_S):
+                while received.count(b"HTTP/1.1 ") < count or (
+                    not self.is_whole(received)
+                ):
+                    part = await reader.read(65_536)
+                    if not part:
+                        break
+                    received += part
+        writer.transport.abort()
+        return received
+
+    def is_whole(self, received):
+        head, _, body = received.rpartition(b"HTTP/1.1 ")[2].partition(b"\r\n\r\n")
+        length = head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0]
+        return bool(length) and len(body) >= int(length)
+
+    async def until(self, condition):
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+class TestServer(ServerCase):
+    """The HTTP server with one handler, over loopback."""
 
     def test_handler_receives_the_request_and_responds(self):
-        def handle(request, client):
-            text = f"{request.method} {request.host} {request.path}"
-            return ports.Response(200, text.encode() + request.body)
-
-        _, url = self.start(handle)
-        with urllib3.PoolManager() as pool:
-            response = pool.request("POST", f"{url}/a/b?c=d", body=b"!")
-        self.assertEqual(b"POST 127.0.0.1 /a/b!", response.data)
+        async def run():
+            data = (
+                b"POST /a/%62?c=d HTTP/1.1\r\nHost: h:1\r\nContent-Length: 1\r\n\r\n!"
+            )
+            received = await self.exchange(data)
+            self.assertTrue(received.endswith(b"\r\n\r\nPOST h /a/b !"), received)
+            self.assertEqual("1", self.requests[0].headers["content-length"])
+
+        self.play(run)
+
+    def test_body_in_chunks_is_joined(self):
+        async def run():
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            received = await self.exchange(head + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+            self.assertTrue(received.endswith(b"abc"), received)
+
+        self.play(run)
+
+    def test_client_that_waits_for_permission_gets_it(self):
+        async def run():
+            head = (
+                b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+                b"Content-Length: 2\r\n\r\n"
+            )
+            received = await self.exchange(head, 1)
+            self.assertTrue(received.startswith(b"HTTP/1.1 100 Continue"))
+
+        self.play(run)
 
     def test_large_bodies_and_headers_are_refused(self):
-        server, url = self.start(lambda request, client: ports.Response(200))
-        server.apply_limits(jobs.Limits(max_header_bytes=2_000, max_body_bytes=100))
-        with urllib3.PoolManager(retries=False) as pool:
-            large_body = pool.request("POST", url, body=b"x" * 200)
-            self.assertEqual(413, large_body.status)
-            large_header = pool.request("GET", url, headers={"X": "y" * 5_000})
-            self.assertIn(large_header.status, (413, 431))
-            self.assertEqual(200, pool.request("GET", url).status)
+        async def run():
+            limits = jobs.Limits(max_header_bytes=2_000, max_body_bytes=100)
+            self.server.apply_limits(limits)
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"
+            self.assertIn(b" 413 ", await self.exchange(head + b"x" * 200))
+            head = b"GET / HTTP/1.1\r\nX: " + b"y" * 5_000 + b"\r\n\r\n"
+            self.assertIn(b" 431 ", await self.exchange(head))
+            self.assertIn(b" 431 ", await self.exchange(b"GET /" + b"y" * 5_000))
+            self.assertEqual([], self.requests)
+            get = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            self.assertIn(b" 200 ", await self.exchange(get))
+
+        self.play(run)
 
     def test_connections_are_closed_during_shutdown(self):
-        server, url = self.start(lambda request, client: ports.Response(200))
-        with urllib3.PoolManager() as pool:
-            self.assertNotIn("Connection", pool.request("GET", url).headers)
-            server.close_connections()
-            self.assertEqual("close", pool.request("GET", url).headers["Connection"])
+        async def run():
+            get = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            self.assertNotIn(b"Connection: close", await self.exchange(get))
+            self.server.close_connections()
+            self.assertIn(b"Connection: close", await self.exchange(get, 2))
+
+        self.play(run)
+
+    def test_requests_on_a_connection_are_answered_in_order(self):
+        async def run():
+            self.is_held = True
+            get = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+            task = asyncio.create_task(self.exchange(get % 1 + get % 2, 2))
+            await self.until(lambda: len(self.exchanges) == 1)
+            self.exchanges[0].respond(ports.Response(200, b"one"))
+            await self.until(lambda: len(self.exchanges) == 2)
+            self.exchanges[1].respond(ports.Response(200, b"two"))
+            received = await task
+            self.assertLess(received.index(b"one"), received.index(b"two"))
+
+        self.play(run)
+
+    def test_handler_that_raises_is_answered_with_an_error(self):
+        async def run():
+            get = b"GET /raise HTTP/1.1\r\nHost: h\r\n\r\n"
+            self.assertIn(b" 500 ", await self.exchange(get))
+
+        self.play(run)
+
+
+class TestClients(ServerCase):
+    """Clients that leave, are slow, or send what cannot be read."""
+
+    GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    async def open_held(self):
+        """Return a connection whose request waits for its response."""
+        self.is_held = True
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(self.GET)
+        await self.until(lambda: self.exchanges)
+        return writer
+
+    def test_disconnect_is_reported_once(self):
+        async def run():
+            writer = await self.open_held()
+            writer.transport.abort()
+            await self.until(lambda: self.disconnects)
+            self.exchanges[0].respond(ports.Response(200))
+            self.assertEqual(1, self.disconnects)
+
+        self.play(run)
+
+    def test_client_that_sends_no_more_counts_as_gone(self):
+        async def run():
+            writer = await self.open_held()
+            writer.write_eof()
+            await self.until(lambda: self.disconnects)
+            writer.transport.abort()
+
+        self.play(run)
+
+    def test_further_bytes_of_the_client_do_not_end_the_wait(self):
+        async def run():
+            writer = await self.open_held()
+            writer.write(b"GET /next HTTP/1.1\r\n")
+            await asyncio.sleep(0.05)
+            self.assertEqual(0, self.disconnects)
+            writer.transport.abort()
+
+        self.play(run)
+
+    def test_too_many_requests_at_once_are_refused_after_those_that_wait(self):
+        async def run():
+            count = http_server.MAX_PIPELINED_REQUESTS
+            received = await self.exchange(self.GET * (count + 5), count + 1)
+            self.assertEqual(count, received.count(b" 200 "))
+            self.assertEqual(1, received.count(b" 429 "))
+
+        self.play(run)
+
+    def test_slow_request_and_idle_connection_are_closed(self):
+        async def run():
+            short = clock.milliseconds(100)
+            self.server.apply_limits(
+                jobs.Limits(header_timeout=short, idle_timeout=short)
+            )
+            self.assertIn(b" 408 ", await self.exchange(b"GET / HTTP/1.1\r\nHo"))
+            self.assertEqual(b"", await self.exchange(b""))
+
+        self.play(run)
+
+    def test_waiting_client_is_not_idle(self):
+        async def run():
+            writer = await self.open_held()
+            short = clock.milliseconds(1)
+            self.server.apply_limits(
+                jobs.Limits(header_timeout=short, idle_timeout=short)
+            )
+            await asyncio.sleep(1.5 * http_server.SWEEP_INTERVAL_S)
+            self.assertEqual(0, self.disconnects)
+            writer.transport.abort()
+
+        self.play(run)
+
+    def test_upgrade_is_ignored_and_the_request_answered(self):
+        async def run():
+            data = (
+                b"GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+                b"Upgrade: websocket\r\n\r\n"
+            )
+            self.assertIn(b" 200 ", await self.exchange(data))
+
+        self.play(run)
+
+    @FUZZ
+    @hypothesis.given(
+        hypothesis.strategies.binary(max_size=300)
+        | hypothesis.strategies.builds(
+            lambda method, path, header, body: (
+                method + b" " + path + b" HTTP/1.1\r\n" + header + b"\r\n\r\n" + body
+            ),
+            hypothesis.strategies.sampled_from([b"GET", b"POST", b"", b"G\x00T"]),
+            hypothesis.strategies.binary(max_size=20),
+            hypothesis.strategies.sampled_from(
+                [b"Content-Length: -1", b"Content-Length: 9" + b"9" * 30, b": x", b"a",
+                 b"Transfer-Encoding: chunked", b"Host: \xff", b"Host: h\r\n x",
+                 b"Content-Length: 1\r\nContent-Length: 2", b"Host: h"]
+            ),
+            hypothesis.strategies.binary(max_size=40),
+        )
+    )  # fmt: skip
+    def test_any_bytes_leave_the_server_working(self, data):
+        async def run():
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(data)
+            await asyncio.sleep(0)
+            writer.transport.abort()
+            self.assertIn(b" 200 ", await self.exchange(self.GET))
+
+        self.play(run)
