--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -298,6 +298,9 @@
                 return self._refuse(job, jobs.Reason.TOO_LONG, no_retry, **fields)
             retry_after = self._retry_after(submission.queue.service)
             return self._refuse(job, jobs.Reason.OVERLOADED, retry_after, **fields)
+        self._capacity.occupy(
+            submission.queue.service, forecast.requirements, forecast.plan
+        )
         out: list[Action] = [
             _log("routed", job, shares=forecast.plan.tasks_by_data_centre, **fields)
         ]
@@ -306,11 +309,7 @@
         return out
 
     def _forecast(self, job: _WaitingJob) -> job_admission.Forecast | None:
-        """Return the forecast of a job; ``None`` if no load is known for its service.
-
-        The slots of its plan count as occupied until the next load report, even if the
-        job is refused.
-        """
+        """Return a job's forecast; ``None`` if no load is known for its service."""
         submission = job.submission
         queue, steps = submission.queue, submission.job.steps
         for step in steps:
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -47,7 +47,7 @@
 
 
 class Plan(typing.NamedTuple):
-    """Where the tasks of a job are sent.
+    """Where the tasks of a job would be sent.
 
     Parameters
     ----------
@@ -57,14 +57,17 @@
         Expected finish of the last task, in milliseconds from now.
     queued : int
         Number of tasks that no free slot is expected to finish in time.
+    options : tuple of Option
+        The slot of each task.
     """
 
     tasks_by_data_centre: dict[str, int]
     finish_ms: float
     queued: int
+    options: tuple["Option", ...] = ()
 
 
-class _Option(typing.NamedTuple):
+class Option(typing.NamedTuple):
     """A slot that a task may get: free now, or later by waiting in a queue.
 
     ``slot_index`` is the position of the worker in ``ServiceLoad.free_capacity``,
@@ -80,24 +83,26 @@
 
     @property
     def finish_ms(self) -> float:
+        """Expected finish, in milliseconds from now."""
         return self.start_ms + self.run_time_ms + self.round_trip_ms
 
     @property
     def latest_finish_ms(self) -> float:
+        """Upper bound of the finish, in milliseconds from now."""
         return self.start_ms + self.upper_bound_ms + self.round_trip_ms
 
 
-def _by_finish(option: _Option) -> tuple[float, str]:
+def _by_finish(option: Option) -> tuple[float, str]:
     return option.finish_ms, option.data_centre
 
 
-def _by_timeout_excess(option: _Option, timeout_ms: float) -> tuple[float, float, str]:
+def _by_timeout_excess(option: Option, timeout_ms: float) -> tuple[float, float, str]:
     """Sort key by the time that the latest finish is after the client timeout."""
     excess_ms = max(0.0, option.latest_finish_ms - timeout_ms)
     return excess_ms, option.finish_ms, option.data_centre
 
 
-def _by_longest_run(option: _Option) -> tuple[float, float, str]:
+def _by_longest_run(option: Option) -> tuple[float, float, str]:
     """Sort key that puts slow slots first, to leave fast ones for long tasks."""
     return -option.run_time_ms, option.round_trip_ms, option.data_centre
 
@@ -136,7 +141,7 @@
         requirements: Requirements,
         excluded: typing.Collection[str] = (),
     ) -> Plan | None:
-        """Assign a job's tasks to data centres, and count their slots as occupied.
+        """Assign a job's tasks to data centres; nothing is occupied by that.
 
         Parameters
         ----------
@@ -160,8 +165,8 @@
         if not candidates:
             return None
         free_options = self._free_options(candidates, requirements)
-        in_time: list[_Option] = []
-        fallbacks: list[_Option] = []
+        in_time: list[Option] = []
+        fallbacks: list[Option] = []
         for option in free_options:
             (in_time if _is_in_time(option, requirements) else fallbacks).append(option)
         busy = sum(len(load.expected_releases) for load in candidates.values())
@@ -178,12 +183,26 @@
             tasks_by_data_centre[option.data_centre] = (
                 tasks_by_data_centre.get(option.data_centre, 0) + 1
             )
-        for option in chosen:
+        finish_ms = max(x.finish_ms for x in chosen)
+        return Plan(tasks_by_data_centre, finish_ms, unassigned, tuple(chosen))
+
+    def occupy(self, service: str, requirements: Requirements, plan: Plan) -> None:
+        """Count the slots of a plan as occupied until the next load report.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        requirements : Requirements
+            Requirements of the job.
+        plan : Plan
+            A plan of this view, made since the last report.
+        """
+        for option in plan.options:
             if option.slot_index is None:
                 self._enqueue(option.data_centre, service, requirements)
             else:
                 self._occupy(option, option.slot_index, service, requirements)
-        return Plan(tasks_by_data_centre, max(x.finish_ms for x in chosen), unassigned)
 
     def highest_speed(self, service: str) -> float:
         """Return the speed of the service's fastest worker in all data centres.
@@ -213,10 +232,10 @@
 
     def _free_options(
         self, candidates: dict[str, loads.ServiceLoad], requirements: Requirements
-    ) -> list[_Option]:
+    ) -> list[Option]:
         """Return one option for each task that fits into free capacity now."""
         milli = max(1, requirements.resources.processor_milli)
-        options: list[_Option] = []
+        options: list[Option] = []
         for data_centre, load in candidates.items():
             round_trip_ms = self._round_trip_ms(data_centre)
             for slot_index, slot in enumerate(load.free_capacity):
@@ -236,14 +255,14 @@
         candidates: dict[str, loads.ServiceLoad],
         requirements: Requirements,
         count: int,
-    ) -> list[_Option]:
+    ) -> list[Option]:
         """Return options to queue tasks, ``count`` for each data centre.
 
         Queued tasks are expected to start as running ones release their slots, in the
         order of these releases. Once each slot has been used, the first one is expected
         to be released again after the run time of a task.
         """
-        options: list[_Option] = []
+        options: list[Option] = []
         for data_centre, load in candidates.items():
             round_trip_ms = self._round_trip_ms(data_centre)
             expected_releases = load.expected_releases or (
@@ -277,7 +296,7 @@
 
     def _occupy(
         self,
-        option: _Option,
+        option: Option,
         slot_index: int,
         service: str,
         requirements: Requirements,
@@ -309,7 +328,7 @@
         )
 
 
-def _is_in_time(option: _Option, requirements: Requirements) -> bool:
+def _is_in_time(option: Option, requirements: Requirements) -> bool:
     return is_in_time(
         option.finish_ms,
         option.latest_finish_ms,
@@ -325,12 +344,12 @@
     round_trip_ms: float,
     data_centre: str,
     slot_index: int | None,
-) -> _Option:
+) -> Option:
     run_time_ms, upper_bound_ms = (
         requirements.run_time_ms / speed,
         requirements.upper_bound_ms / speed,
     )
-    return _Option(
+    return Option(
         start_ms, run_time_ms, upper_bound_ms, round_trip_ms, data_centre, slot_index
     )
 
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -278,6 +278,15 @@
         actions = self.submit_job(2, task_count=1, priority=2, run_time_ms=500)
         self.assertTrue(self.is_admitted(actions))
 
+    # A gateway that had refused a burst of wide jobs saw a fuller fleet than there was
+    # until the next reports, and refused what would have fitted.
+    def test_refused_jobs_do_not_count_as_load_of_the_next_ones(self):
+        self.record_free_cores(home=28, away=28)
+        for number in range(20):
+            actions = self.submit_job(number, task_count=30)
+            self.assert_answers([jobs.Verdict.REFUSED], actions)
+        self.assertTrue(self.is_admitted(self.submit_job(99, task_count=4)))
+
     def test_low_priority_alone_is_not_outranked(self):
         self.assertTrue(self.is_admitted(self.submit_job(1, task_count=1, priority=1)))
 
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -74,6 +74,12 @@
             view.record_load(data_centre, (load,))
         return view
 
+    def take(self, view, requirements):
+        """Plan a job, occupy the slots of its plan, and return the plan."""
+        plan = view.plan("search", requirements)
+        view.occupy("search", requirements, plan)
+        return plan
+
     def test_free_slots_at_home_come_first(self):
         view = self.make(home=make_load([(32, 1.4)]), away=make_load([(32, 1.4)]))
         self.assertEqual(
@@ -96,13 +102,18 @@
 
     def test_jobs_planned_at_once_do_not_share_a_slot(self):
         view = self.make(home=make_load([(14, 1.4)], [(500, 1.4)]))
-        self.assertEqual(0, view.plan("search", make_requirements()).queued)
+        self.assertEqual(0, self.take(view, make_requirements()).queued)
         self.assertEqual(1, view.plan("search", make_requirements()).queued)
 
+    def test_plan_alone_occupies_nothing(self):
+        view = self.make(home=make_load([(14, 1.4)], [(500, 1.4)]))
+        plans = [view.plan("search", make_requirements(3)) for _ in range(3)]
+        self.assertEqual(plans[0], plans[2])
+
     def test_short_task_leaves_the_fast_worker_free_at_peak_load(self):
         busy = [(100, 1.4)] * 6
         view = self.make(home=make_load([(14, 1.4), (14, 0.6)], busy))
-        view.plan("search", make_requirements(1, 51.0))
+        self.take(view, make_requirements(1, 51.0))
         remaining = view._loads["home", "search"].free_capacity
         self.assertEqual([14_000, 0], [x.free_milli for x in remaining])
 
@@ -115,7 +126,7 @@
     def test_possible_straggler_gets_the_fast_slot(self):
         view = self.make(home=make_load([(28, 0.8), (14, 1.8)]))
         requirements = make_requirements(1, 1000.0)._replace(upper_bound_ms=2000.0)
-        view.plan("search", requirements)
+        self.take(view, requirements)
         remaining = view._loads["home", "search"].free_capacity
         self.assertEqual([28_000, 0], [x.free_milli for x in remaining])
 
