--- a/libs/carawaysail_entry/src/carawaysail_entry/peers_task.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/peers_task.py
@@ -18,6 +18,7 @@
     settings_task,
     traces,
 )
+from carawaysail_entry import errors as entry_errors
 from carawaysail_peers import errors, messages, transport
 from carawaysail_platform import vmlist
 from carawaysail_runtime import logs
@@ -121,7 +122,7 @@
         self._dispatch.inbox.put(dispatch_task.Describe(reply))
         try:
             described = await asyncio.wrap_future(reply.fut)
-        except replies.TaskFailedError:
+        except entry_errors.TaskFailedError:
             # The last description stays; other daemons must go on hearing of this one.
             pass
         else:
@@ -470,7 +471,7 @@
         self._dispatch.inbox.put(dispatch_task.HandOver(reply))
         try:
             snapshots = await asyncio.wrap_future(reply.fut)
-        except replies.TaskFailedError as exc:
+        except entry_errors.TaskFailedError as exc:
             logs.log_error("peers", "Nothing to hand over.", exc)
             return False
         for snapshot in snapshots:
--- a/libs/carawaysail_entry/src/carawaysail_entry/replies.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/replies.py
@@ -1,34 +1,13 @@
 """Single-use replies from a task of the event loop to a thread or another task."""
 
 import concurrent.futures
-import dataclasses
 import typing
 
-from carawaysail_types import errors
+from carawaysail_entry import errors
 
 Value = typing.TypeVar("Value")
 
 
-@dataclasses.dataclass(eq=False)
-class TaskFailedError(errors.CarawaysailError):
-    """The task that should have replied raised an exception, which is in its log.
-
-    Parameters
-    ----------
-    request : str
-        Kind of the request.
-    cause : str
-        Type of the exception.
-    """
-
-    request: str
-    cause: str
-
-    def __str__(self) -> str:
-        """Return a sentence with the request and the cause."""
-        return f"no reply to {self.request}: its handler raised {self.cause}"
-
-
 class Reply(typing.Generic[Value]):
     """One value that one task sets and a thread or another task waits for."""
 
@@ -51,7 +30,7 @@
             What its handler raised.
         """
         if not self.fut.done():
-            self.fut.set_exception(TaskFailedError(request, type(exc).__name__))
+            self.fut.set_exception(errors.TaskFailedError(request, type(exc).__name__))
 
     def wait(self, timeout_s: float) -> Value | None:
         """Block the calling thread until the reply is settled.
@@ -68,5 +47,5 @@
         """
         try:
             return self.fut.result(max(0.0, timeout_s))
-        except (concurrent.futures.TimeoutError, TaskFailedError):
+        except (concurrent.futures.TimeoutError, errors.TaskFailedError):
             return None
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -16,6 +16,7 @@
     http_server,
     messages,
     metrics,
+    peer_links,
     ports,
     replies,
     store_tasks,
@@ -164,7 +165,7 @@
         self._link = transport.Link(
             stream_messages.encode_introduction(self._me),
             stream_messages.encode,
-            decision_loop.PeerReceiver(loop_inbox),
+            peer_links.PeerReceiver(loop_inbox),
         )
         self._peer_server = transport.Server(self._link)
         self._servers = self._make_servers()
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -18,6 +18,7 @@
     front_end,
     messages,
     metrics,
+    peer_links,
     ports,
     replies,
     store_tasks,
@@ -25,7 +26,6 @@
 )
 from carawaysail_holding import broker, contacts, gateway, holder_election, loads
 from carawaysail_runtime import inbox, logs
-from carawaysail_streams import errors, transport
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, daemons, jobs, registry
 
@@ -65,34 +65,6 @@
 )
 
 
-class Connection(typing.Protocol):
-    """A connection to one other daemon; no method blocks."""
-
-    def send(self, message: typing.Any) -> None:
-        """Queue a message for sending."""
-
-    def send_shared(self, shared: transport.Shared) -> None:
-        """Send a message that other daemons get as well."""
-
-    def close(self) -> None:
-        """Close the connection for good."""
-
-
-class PeerStream(Connection, typing.Protocol):
-    """A connection that this daemon opens, again and again, to ``peer``."""
-
-    peer: daemons.Daemon
-
-    def count_heartbeat(self) -> int:
-        """Return the number of calls since something was received on it."""
-
-    def restart(self) -> None:
-        """Replace the connection by a new one, because nothing arrives on it."""
-
-
-OpenStream = collections.abc.Callable[[daemons.Daemon], PeerStream]
-
-
 class Dependencies(typing.NamedTuple):
     """The components of the daemon that the decision loop calls.
 
@@ -156,7 +128,7 @@
         me: daemons.Daemon,
         own_inbox: "inbox.Inbox[messages.Message]",
         source: clock.Clock,
-        open_stream: OpenStream,
+        open_stream: peer_links.OpenStream,
         random_state: int | None = None,
     ) -> None:
         now = source.now()
@@ -172,17 +144,12 @@
         self.has_ended = asyncio.Event()
         self.apply_limits: collections.abc.Callable[[jobs.Limits], None] = _ignore
         self._dependencies: Dependencies | None = None
-        self._open_stream = open_stream
-        self._streams: dict[str, PeerStream] = {}
-        # Connections that other daemons have opened, by VM.
-        self._accepted: dict[str, tuple[daemons.Daemon, Connection]] = {}
+        self._links = peer_links.PeerLinks(open_stream)
         self._last_received: dict[str, datetime.datetime] = {}
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._sent_holders: tuple[daemons.Holder, ...] = ()
         self._last_tick = self._next_slow_tick = now
         self._heartbeat_count = 0
-        # VMs that were sent something since the last heartbeats.
-        self._sent_to: set[str] = set()
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
@@ -356,48 +323,30 @@
         if peer == self.me:
             self.inbox.put(messages.PeerMessagesReceived(self.me, (message,)))
             return
-        connection = self._connection_to(peer)
-        if connection is not None:
-            self._sent_to.add(peer.vm)
-            connection.send(message)
-
-    def _connection_to(self, peer: daemons.Daemon) -> Connection | None:
-        """Return the connection to a daemon; ``None`` if there is none."""
-        stream = self._streams.get(peer.vm)
-        if stream is not None:
-            return stream
-        accepted_from, connection = self._accepted.get(peer.vm, (None, None))
-        return connection if accepted_from == peer else None
+        self._links.send(peer, message)
 
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
-        wanted = {peer.vm: peer for peer in self.election.update_contacts(now)}
-        for vm, stream in list(self._streams.items()):
-            if wanted.get(vm) != stream.peer:
-                self._streams.pop(vm).close()
-        for vm, peer in wanted.items():
-            if vm not in self._streams:
-                self._streams[vm] = self._open_stream(peer)
+        self._links.update(self.election.update_contacts(now))
 
     def accept(
-        self, sender: daemons.Daemon, connection: Connection, now: datetime.datetime
+        self,
+        sender: daemons.Daemon,
+        connection: peer_links.Connection,
+        now: datetime.datetime,
     ) -> None:
-        """Use a connection that another daemon has opened; the last one counts."""
+        """Use a connection that another daemon has opened, and send it all news."""
         self.record_sender(sender, now)
-        _, earlier = self._accepted.get(sender.vm, (None, None))
-        self._accepted[sender.vm] = (sender, connection)
-        if earlier is not None and earlier is not connection:
-            earlier.close()
+        self._links.accept(sender, connection)
         connection.send(
             stream_messages.Heartbeat(self.is_leaving, self.election.holders())
         )
         if self._sent_loads:
             connection.send(stream_messages.Loads(self._sent_loads))
 
-    def forget(self, sender: daemons.Daemon, connection: Connection) -> None:
+    def forget(self, sender: daemons.Daemon, connection: peer_links.Connection) -> None:
         """Drop a connection that another daemon had opened and that has ended."""
-        if self._accepted.get(sender.vm) == (sender, connection):
-            del self._accepted[sender.vm]
+        self._links.forget(sender, connection)
 
     def record_sender(self, sender: daemons.Daemon, now: datetime.datetime) -> None:
         """Record that messages of a daemon have arrived, so that it is alive.
@@ -512,44 +461,21 @@
             self._next_loads = now + contacts.MIN_LOADS_INTERVAL
             return
         self._sent_loads = held
-        connections = [x for x in map(self._connection_to, self._linked()) if x]
-        shared = transport.Shared(stream_messages.Loads(held))
-        for connection in connections:
-            connection.send_shared(shared)
+        listeners, size_bytes = self._links.broadcast(stream_messages.Loads(held))
         self._next_loads = now + contacts.loads_interval(
-            len(connections), shared.size_bytes, self.cfg.limits
+            listeners, size_bytes, self.cfg.limits
         )
 
-    def _linked(self) -> set[daemons.Daemon]:
-        """Return the daemons that this one has a connection to."""
-        return {x.peer for x in self._streams.values()} | {
-            peer for peer, _ in self._accepted.values()
-        }
-
     def _is_refresh_due(self) -> bool:
         return self._heartbeat_count % HEARTBEATS_PER_REFRESH == 0
 
     def _send_heartbeats(self, now: datetime.datetime) -> None:
-        """Send a heartbeat on each connection; replace those on which nothing comes.
-
-        What was sent since the last heartbeat stands for one that has no news.
-        """
+        """Send a heartbeat on each connection that needs one."""
         self._next_heartbeat = now + self.election.heartbeat_interval()
         heartbeat = self._heartbeat(self._is_refresh_due())
-        shared = transport.Shared(heartbeat)
         self._heartbeat_count += 1
-        has_news = heartbeat.is_leaving or heartbeat.holders
-        skipped = set() if has_news else self._sent_to
-        self._sent_to = set()
-        for peer, connection in self._accepted.values():
-            if peer.vm not in skipped or peer.vm in self._streams:
-                connection.send_shared(shared)
-        for vm, stream in self._streams.items():
-            if vm not in skipped:
-                stream.send_shared(shared)
-            if stream.count_heartbeat() > contacts.UNANSWERED_HEARTBEATS:
-                logs.log_event("peers", "Connection is silent.", vm=stream.peer.vm)
-                stream.restart()
+        has_news = heartbeat.is_leaving or bool(heartbeat.holders)
+        self._links.send_heartbeat(heartbeat, has_news)
         self.dependencies.metrics.set_sizes(
             {**self.broker.counts(), "open_calls": self.gateway.open_jobs()}
         )
@@ -588,10 +514,7 @@
 
     def close(self) -> None:
         """Close the streams to other daemons and the links to workers."""
-        for stream in self._streams.values():
-            stream.close()
-        for _, connection in self._accepted.values():
-            connection.close()
+        self._links.close()
         self.dependencies.workers.close()
 
 
@@ -615,58 +538,3 @@
 
 def _ignore(limits: jobs.Limits) -> None:
     """Do nothing; default of ``apply_limits`` until an HTTP server is set."""
-
-
-class PeerReceiver:
-    """Decodes frames of other daemons and passes the messages to the decision loop.
-
-    Parameters
-    ----------
-    loop_inbox : inbox.Inbox
-        Inbox of the decision loop.
-    """
-
-    def __init__(self, loop_inbox: "inbox.Inbox[messages.Message]") -> None:
-        self._loop_inbox = loop_inbox
-        self._senders: dict[transport.Connection, daemons.Daemon] = {}
-
-    def on_introduction(self, connection: transport.Connection, data: bytes) -> None:
-        """Record who is at the other end; close a connection to somebody else.
-
-        The address of a daemon that has ended may belong to another incarnation.
-        """
-        try:
-            sender = stream_messages.decode_introduction(data)
-        except errors.BadFrameError as exc:
-            logs.log_error("peers", "Bad introduction.", exc)
-            connection.close()
-            return
-        wanted = connection.peer
-        if wanted is None:
-            self._senders[connection] = sender
-            self._loop_inbox.put(messages.ConnectionAccepted(sender, connection))
-        elif (sender.vm, sender.incarnation) == (wanted.vm, wanted.incarnation):
-            self._senders[connection] = wanted
-            self._loop_inbox.put(messages.StreamOpened(wanted))
-        else:
-            connection.close()
-            self._loop_inbox.put(messages.ConnectionRefused(wanted))
-            self._loop_inbox.put(messages.PeerMessagesReceived(sender, ()))
-
-    def on_frame(self, connection: transport.Connection, data: bytes) -> None:
-        """Decode a frame; log and discard one that cannot be decoded."""
-        sender = self._senders.get(connection)
-        if sender is None:
-            return
-        try:
-            received = stream_messages.decode(data)
-        except errors.BadFrameError as exc:
-            logs.log_error("peers", "Bad frame.", exc)
-            return
-        self._loop_inbox.put(messages.PeerMessagesReceived(sender, tuple(received)))
-
-    def on_closed(self, connection: transport.Connection) -> None:
-        """Pass on that a connection has ended."""
-        sender = self._senders.pop(connection, None)
-        if sender is not None and connection.peer is None:
-            self._loop_inbox.put(messages.ConnectionClosed(sender, connection))
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -104,7 +104,8 @@
             Present instant.
         """
         self.health.is_silent = False
-        self.confirmed_sequence = self._sent_sequence
+        if self.is_newest_poll(requested_at):
+            self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
         return self.ledger.apply_status(status, requested_at)
@@ -147,14 +148,19 @@
         """Return the next poll of the worker.
 
         The poll of a silent worker does not extend the lease: that would keep its
-        runs alive while their state is unknown.
+        runs alive while their state is unknown. A poll that acknowledges finished runs
+        does not wait, since clients wait for the confirmation.
         """
         is_busy = bool(self.ledger.entries())
         lease_end = None if self.health.is_silent else self.lease_end(terms, now)
         if lease_end is not None:
             self.record_lease_extension(now)
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
-        if not self.ledger.has_status or self.health.is_silent:
+        if (
+            not self.ledger.has_status
+            or self.health.is_silent
+            or self.confirmed_sequence < self.ledger.acknowledged_sequence
+        ):
             wait = clock.milliseconds(0)
         self._sent_sequence = self.ledger.acknowledged_sequence
         self._polled_at, self._poll_wait = now, wait
