--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -39,6 +39,9 @@
 """One heartbeat in so many repeats the known holders, and the load if it is unchanged:
 gateways subtract what they have planned from the load until the next report."""
 
+DELAY_WEIGHT = 0.2
+"""Weight of the last tick in the moving average of the loop's delay."""
+
 MIN_WAIT = clock.milliseconds(1)
 """Shortest wait for messages, also if a tick is overdue."""
 
@@ -150,6 +153,8 @@
         self._sent_holders: tuple[daemons.Holder, ...] = ()
         self._last_tick = self._next_slow_tick = now
         self._heartbeat_count = 0
+        # Moving average of the time by which ticks are late.
+        self._delay_ms = 0.0
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
@@ -168,9 +173,14 @@
         """Handle messages and do the timed work until the task is cancelled."""
         while True:
             wait_s = self.max_wait().total_seconds()
-            for message in await self.inbox.drain(wait_s):
+            received = await self.inbox.drain(wait_s)
+            is_failed = self._is_tick_due() and not self.tick()
+            for message in received:
                 self.handle(message)
-            if self._is_tick_due() and not self.tick():
+                # Heartbeats and leases must not wait for many messages.
+                if self._is_tick_due():
+                    is_failed = not self.tick()
+            if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
     def max_wait(self) -> datetime.timedelta:
@@ -239,7 +249,10 @@
         bool
             Whether all steps were done.
         """
-        now = self._last_tick = self.clock.now()
+        now = self.clock.now()
+        late_ms = max(0.0, clock.to_milliseconds(now - self._next_tick()))
+        self._delay_ms += DELAY_WEIGHT * (late_ms - self._delay_ms)
+        self._last_tick = now
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
             self._next_slow_tick = now + IDLE_TICK_INTERVAL
@@ -342,7 +355,8 @@
             stream_messages.Heartbeat(self.is_leaving, self.election.holders())
         )
         if self._sent_loads:
-            connection.send(stream_messages.Loads(self._sent_loads))
+            load = stream_messages.Loads(self._sent_loads, round(self._delay_ms))
+            connection.send(load)
 
     def forget(self, sender: daemons.Daemon, connection: peer_links.Connection) -> None:
         """Drop a connection that another daemon had opened and that has ended."""
@@ -385,7 +399,7 @@
     def handle_loads(self, sender: daemons.Daemon, load: stream_messages.Loads) -> None:
         """Record the load of the workers that a daemon holds."""
         for data_centre, service_loads in load.loads:
-            self.gateway.record_load(sender, data_centre, service_loads)
+            self.gateway.record_load(sender, data_centre, service_loads, load.delay_ms)
 
     def _drop_silent_peers(self, now: datetime.datetime) -> None:
         """Withdraw shards of daemons that have sent nothing for too long."""
@@ -455,13 +469,16 @@
         if now < self._next_loads and not is_refresh:
             return
         held = self.broker.loads_by_data_centre(now)
+        delay_ms = round(self._delay_ms)
         for data_centre, load in held:
-            self.gateway.record_load(self.me, data_centre, load)
+            self.gateway.record_load(self.me, data_centre, load, delay_ms)
         if held == self._sent_loads and not (held and is_refresh):
             self._next_loads = now + contacts.MIN_LOADS_INTERVAL
             return
         self._sent_loads = held
-        listeners, size_bytes = self._links.broadcast(stream_messages.Loads(held))
+        listeners, size_bytes = self._links.broadcast(
+            stream_messages.Loads(held, delay_ms)
+        )
         self._next_loads = now + contacts.loads_interval(
             listeners, size_bytes, self.cfg.limits
         )
@@ -477,7 +494,11 @@
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
         self._links.send_heartbeat(heartbeat, has_news)
         self.dependencies.metrics.set_sizes(
-            {**self.broker.counts(), "open_calls": self.gateway.open_jobs()}
+            {
+                **self.broker.counts(),
+                "open_calls": self.gateway.open_jobs(),
+                "delay_ms": round(self._delay_ms),
+            }
         )
 
     def _heartbeat(self, with_holders: bool) -> stream_messages.Heartbeat:
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -170,7 +170,8 @@
             self._handle_restart(worker_id, now)
             self._hold_reported_workers(now)
             return self._actions.drain()
-        if worker.health.is_silent:
+        was_silent = worker.health.is_silent
+        if was_silent:
             self._actions.log("worker_answers", worker_id)
         had_status = worker.ledger.has_status
         changes = worker.handle_status(status, requested_at, now)
@@ -189,7 +190,8 @@
                 running=len(status.running),
             )  # fmt: skip
         self._stall_detector.stop_stalled_runs(worker, now)
-        self._place(now)
+        if changes.finished or changes.vanished or was_silent or not had_status:
+            self._place(now)
         self._poll_again(worker, requested_at, now)
         return self._actions.drain()
 
@@ -287,7 +289,8 @@
             self._jobs.stop_run(worker, run, now)
         elif result in runs.NOT_EXECUTED_RESULTS:
             self._handle_rejected_start(worker, run, result, now)
-        self._place(now)
+        if result is not runs.OrderResult.ACCEPTED:
+            self._place(now)
         return self._actions.drain()
 
     def _handle_rejected_start(
@@ -480,24 +483,33 @@
         """Start as many waiting tasks as fit, in the order of the job policy."""
         waiting = [shard for shard in self._jobs.all() if shard.waiting_count()]
         usable: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
+        largest: dict[tuple[str, str], int] = {}
         for shard in sorted(waiting, key=lambda x: self._job_order.key(x, now)):
             submission = shard.submission
             key = (submission.queue.service, submission.data_centre)
             if key not in usable:
                 usable[key] = self._workers.usable(submission, now)
+                largest[key] = _largest_free_milli(usable[key])
+            if largest[key] < shard.least_processor_milli:
+                continue
             if submission.is_resumed and self._workers.may_miss_runs(submission):
                 continue
-            self._place_shard(shard, usable[key], now)
+            if self._place_shard(shard, usable[key], largest[key], now):
+                largest[key] = _largest_free_milli(usable[key])
 
     def _place_shard(
         self,
         shard: shard_state.ShardState,
         usable: list[held_worker.HeldWorker],
+        largest: int,
         now: datetime.datetime,
-    ) -> None:
+    ) -> bool:
+        """Start tasks of a shard; return whether any was started.
+
+        ``largest`` is the largest number of free thousandths of a core of a worker.
+        """
         queued = 0
         started_on: set[str] = set()
-        largest = max((x.ledger.free().processor_milli for x in usable), default=0)
         for state in shard.ready_tasks():
             if state.step.resources.processor_milli > largest:
                 continue
@@ -516,6 +528,7 @@
                     shard.shard_id, tuple(sorted(started_on))
                 )
             )
+        return bool(started_on)
 
     def _order_start(
         self,
@@ -612,3 +625,8 @@
     def counts(self) -> dict[str, int]:
         """Return the gauges for the metrics, by label."""
         return {"jobs": self._jobs.count(), **self._workers.counts()}
+
+
+def _largest_free_milli(workers: list[held_worker.HeldWorker]) -> int:
+    """Return the most thousandths of a core that are free on one of some workers."""
+    return max((x.ledger.free().processor_milli for x in workers), default=0)
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -189,6 +189,7 @@
         daemon: daemons.Daemon,
         data_centre: str,
         service_loads: tuple[loads.ServiceLoad, ...],
+        delay_ms: float = 0.0,
     ) -> None:
         """Record a daemon's report of the load of a data centre's workers.
 
@@ -197,7 +198,7 @@
         """
         broker = self._brokers.get(data_centre)
         if broker is not None and broker.daemon == daemon:
-            self._capacity.record_load(data_centre, service_loads)
+            self._capacity.record_load(data_centre, service_loads, delay_ms)
 
     def update_brokers(
         self, brokers: dict[str, ReachableBroker], now: datetime.datetime
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -6,6 +6,7 @@
 an order to stop that same run.
 """
 
+import collections
 import datetime
 import enum
 import typing
@@ -91,6 +92,8 @@
         self._entries: dict[runs.Run, Entry] = {}
         self._free: jobs.Resources | None = None
         self._reported: set[runs.Run] = set()
+        # Number of entries of each task.
+        self._task_counts: collections.Counter[runs.Task] = collections.Counter()
 
     def entries(self) -> dict[runs.Run, Entry]:
         """Return a copy of the runs that count against the worker's resources."""
@@ -118,6 +121,8 @@
         return free
 
     def _set(self, run: runs.Run, entry: Entry) -> None:
+        if run not in self._entries:
+            self._task_counts[run.task] += 1
         self._entries[run] = entry
         self._free = None
 
@@ -125,6 +130,13 @@
         if self._entries.pop(run, None) is not None:
             self._free = None
             self._reported.discard(run)
+            self._task_counts[run.task] -= 1
+            if not self._task_counts[run.task]:
+                del self._task_counts[run.task]
+
+    def has_run_of(self, task: runs.Task) -> bool:
+        """Return whether a run of a task counts here."""
+        return task in self._task_counts
 
     def tasks_of(self, job_id: str, step: int) -> int:
         """Return the number of runs of a job's step that count here."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import functools
 
 from carawaysail_holding import (
     broker_messages,
@@ -125,12 +126,18 @@
         now : datetime.datetime
             Present instant.
         """
-        run_time = shard.run_time(self._estimates, state.step)
-        finish_times = self._finish_times_after_wait(run_time, state.step, usable, now)
+
+        def find_next_finish() -> run_time_estimates.RunTimeEstimate | None:
+            run_time = shard.run_time(self._estimates, state.step)
+            finish_times = self._finish_times_after_wait(
+                run_time, state.step, usable, now
+            )
+            return finish_times[queued] if queued < len(finish_times) else None
+
         context = policies.PlacementContext(
             shard,
-            finish_times[queued] if queued < len(finish_times) else None,
-            utilisation.processor_utilisation(usable),
+            find_next_finish,
+            functools.partial(utilisation.processor_utilisation, usable),
             now,
         )
         return self._choice.choose(candidates, context)
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -119,14 +119,28 @@
     def __init__(self, home: str) -> None:
         self._home = home
         self._loads: dict[tuple[str, str], loads.ServiceLoad] = {}
+        self._delays_ms: dict[str, float] = {}
 
     def record_load(
-        self, data_centre: str, service_loads: tuple[loads.ServiceLoad, ...]
+        self,
+        data_centre: str,
+        service_loads: tuple[loads.ServiceLoad, ...],
+        delay_ms: float = 0.0,
     ) -> None:
         """Replace the load of a data centre by a newer report.
 
         A service that is missing in it has no workers there any more.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+        service_loads : tuple of loads.ServiceLoad
+            Its load by service.
+        delay_ms : float
+            By how much its holder is late with its work, in milliseconds.
         """
+        self._delays_ms[data_centre] = delay_ms
         self._loads = {k: v for k, v in self._loads.items() if k[0] != data_centre}
         for load in service_loads:
             self._loads[data_centre, load.service] = load
@@ -134,6 +148,9 @@
     def retain(self, data_centres: typing.Collection[str]) -> None:
         """Drop all data centres but the given ones, which can be reached."""
         self._loads = {k: v for k, v in self._loads.items() if k[0] in data_centres}
+        self._delays_ms = {
+            k: v for k, v in self._delays_ms.items() if k in data_centres
+        }
 
     def plan(
         self,
@@ -292,7 +309,8 @@
         return options
 
     def _round_trip_ms(self, data_centre: str) -> float:
-        return 0.0 if data_centre == self._home else REMOTE_ROUND_TRIP_MS
+        delay_ms = self._delays_ms.get(data_centre, 0.0)
+        return delay_ms + (0.0 if data_centre == self._home else REMOTE_ROUND_TRIP_MS)
 
     def _occupy(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -1,5 +1,6 @@
 """Policies that the settings name: the order of jobs, and the choice of workers."""
 
+import collections.abc
 import datetime
 import random
 import typing
@@ -46,18 +47,20 @@
     ----------
     shard : shard_state.ShardState
         The task's shard.
-    next_finish : run_time_estimates.RunTimeEstimate or None
-        Time until the task is done if it waits for the best of the workers that are
-        full now; ``None`` if no slot is expected to become free for it.
-    utilisation : float
-        Share of the usable workers' processors in use, from 0 to 1.
+    find_next_finish : callable
+        Returns the time until the task is done if it waits for the best of the workers
+        that are full now; ``None`` if no slot is expected to become free for it.
+    find_utilisation : callable
+        Returns the share of the usable workers' processors in use, from 0 to 1.
     now : datetime.datetime
         Present instant.
     """
 
     shard: shard_state.ShardState
-    next_finish: run_time_estimates.RunTimeEstimate | None
-    utilisation: float
+    find_next_finish: collections.abc.Callable[
+        [], run_time_estimates.RunTimeEstimate | None
+    ]
+    find_utilisation: collections.abc.Callable[[], float]
     now: datetime.datetime
 
 
@@ -165,12 +168,13 @@
                 remaining_ms,
             )
         ]
-        if in_time and context.utilisation < planning.HIGH_UTILISATION:
+        if in_time and context.find_utilisation() < planning.HIGH_UTILISATION:
             return _fastest(in_time)
         if in_time:
             return max(in_time, key=lambda x: (x.run_time.expected, -x.spare_milli))
-        if context.next_finish is not None and _is_sooner(
-            context.next_finish, fastest.run_time, remaining_ms
+        next_finish = context.find_next_finish()
+        if next_finish is not None and _is_sooner(
+            next_finish, fastest.run_time, remaining_ms
         ):
             return None
         return fastest
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -110,6 +110,10 @@
         self.schedule = schedule
         self.has_ordered_runs = False
         self.tasks: dict[runs.Task, TaskState] = {}
+        # Least requirement of a task; without so much free nothing can be placed.
+        self.least_processor_milli = min(
+            (x.resources.processor_milli for x in submission.job.steps), default=0
+        )
         self._observed_log_ms: list[float] = []
         for step_number, step in enumerate(submission.job.steps):
             for index in submission.tasks or range(step.task_count):
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -180,11 +180,7 @@
 
     def is_on_any_worker(self, task: runs.Task) -> bool:
         """Return whether a run of a task counts on some held worker."""
-        return any(
-            run.task == task
-            for worker in self._workers.values()
-            for run in worker.ledger.entries()
-        )
+        return any(x.ledger.has_run_of(task) for x in self._workers.values())
 
 
 def _can_run(report: runs.WorkerReport, step: jobs.Step) -> bool:
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -86,6 +86,14 @@
             {"home": 2}, view.plan("search", make_requirements(2)).tasks_by_data_centre
         )
 
+    # Jobs were sent to a holder that was a second late, and ended there untried.
+    def test_tasks_go_past_a_holder_that_is_late(self):
+        view = self.make(home=make_load([(32, 1.4)]), away=make_load([(32, 1.4)]))
+        view.record_load("home", (make_load([(32, 1.4)]),), delay_ms=500.0)
+        plan = view.plan("search", make_requirements(2))
+        self.assertEqual({"away": 2}, plan.tasks_by_data_centre)
+        self.assertLess(plan.finish_ms, 500.0)
+
     def test_job_with_many_tasks_uses_all_data_centres(self):
         view = self.make(
             home=make_load([(32, 1.4)]),
@@ -224,7 +232,10 @@
             else None
         )
         context = policies.PlacementContext(
-            self.make_job(run_time_ms), next_finish, utilisation, self.now
+            self.make_job(run_time_ms),
+            lambda: next_finish,
+            lambda: utilisation,
+            self.now,
         )
         chosen = self.policy.choose(candidates, context)
         if chosen is None:
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -35,9 +35,18 @@
 
 @kinds.register("loads")
 class Loads(typing.NamedTuple):
-    """Load of the workers that the sending daemon holds, by data centre and service."""
+    """Load of the workers that the sending daemon holds.
+
+    Parameters
+    ----------
+    loads : tuple of (str, tuple of loads.ServiceLoad)
+        Load by data centre and service.
+    delay_ms : int
+        By how much the daemon is late with its work, in milliseconds.
+    """
 
     loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...]
+    delay_ms: int = 0
 
 
 @kinds.register("submit")
