--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -32,6 +32,7 @@
             self.calls.append((name, args))
             if name in self.failing:
                 raise RuntimeError(name)
+            return 0
 
         return call
 
@@ -307,9 +308,79 @@
         self.assertGreaterEqual(calls[3] - calls[0], 3 * pause_s)
 
 
+class TestOverload(DecisionLoopCase):
+    """A daemon that gets more messages than it can handle at once."""
+
+    def run_with_messages(self, count, duration_ms):
+        """Let the loop handle messages, each of which takes some time."""
+
+        async def run():
+            self.loop.inbox = inbox.Inbox(asyncio.get_running_loop(), 10)
+            handled = []
+
+            def handle(loop, *args):
+                handled.append(args)
+                self.clock.advance(MS(duration_ms))
+
+            self.patch(decision_loop.DecisionLoop, "dispatch", handle)
+            for _ in range(count):
+                self.loop.inbox.put(messages.LeaveRequested())
+            task = asyncio.create_task(self.loop.run())
+            async with asyncio.timeout(TIMEOUT_S):
+                while len(handled) < count:
+                    await asyncio.sleep(0)
+            task.cancel()
+
+        asyncio.run(run())
+
+    # Heartbeats waited behind all messages of a batch, and other daemons took a holder
+    # at peak load for dead.
+    def test_heartbeats_do_not_wait_for_all_messages(self):
+        self.receive(make_heartbeat())
+        self.loop.tick()
+        [stream] = self.streams
+        stream.calls.clear()
+        self.run_with_messages(100, 10)
+        sent = [name for name, _ in stream.calls if name == "send_shared"]
+        self.assertGreaterEqual(len(sent), 1000 // 150)
+
+    def test_delay_is_a_metric_and_travels_with_the_load(self):
+        self.receive(make_heartbeat())
+        self.hold_worker()
+        self.run_with_messages(20, 100)
+        self.loop.tick()
+        [stream] = self.streams
+        shared = [args[0].message for name, args in stream.calls
+                  if name == "send_shared"]  # fmt: skip
+        loads = [x for x in shared if isinstance(x, stream_messages.Loads)]
+        self.assertGreater(loads[-1].delay_ms, 20)
+        sizes = [args[0] for name, args in self.metrics.calls if name == "set_sizes"]
+        self.assertGreater(sizes[-1]["delay_ms"], 20)
+
+
 class TestHeartbeats(DecisionLoopCase):
     """Heartbeats of other daemons."""
 
+    def test_what_was_sent_stands_for_a_heartbeat_without_news(self):
+        self.receive(make_heartbeat())
+        for _ in range(decision_loop.HEARTBEATS_PER_REFRESH):
+            self.clock.advance(MS(300))
+            self.loop.tick()
+        [stream] = self.streams
+        stream.calls.clear()
+        self.clock.advance(MS(300))
+        self.loop.tick()
+        stream.calls.clear()
+        self.loop.send(REMOTE, make_heartbeat())
+        self.clock.advance(MS(300))
+        self.loop.tick()
+        self.assertEqual(
+            ["send", "count_heartbeat"], [name for name, _ in stream.calls]
+        )
+        self.clock.advance(MS(300))
+        self.loop.tick()
+        self.assertIn("send_shared", [name for name, _ in stream.calls])
+
     # Shards that a restarted daemon had sent before its first heartbeat were withdrawn
     # as those of its earlier incarnation, and their clients waited until the timeout.
     def test_first_heartbeat_keeps_the_shards_of_its_own_incarnation(self):
