--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -510,15 +510,17 @@
         """
         queued = 0
         started_on: set[str] = set()
+        candidates_of = placer.Candidates(self._placer, shard, usable, now)
         for state in shard.ready_tasks():
             if state.step.resources.processor_milli > largest:
                 continue
-            candidates = self._placer.candidates(shard, state, usable, now)
+            candidates = candidates_of.of(state)
             if not candidates or self._workers.is_on_any_worker(state.task):
                 continue
             chosen = self._placer.choose(shard, state, candidates, usable, queued, now)
             if chosen is not None:
                 self._order_start(shard, state, chosen, now)
+                candidates_of.record_start(state, chosen.worker)
                 started_on.add(chosen.worker.report.worker_id)
             else:
                 queued += 1
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -18,6 +18,70 @@
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
 
+class Candidates:
+    """Candidates for the tasks of one shard, placed one after the other.
+
+    The tasks of a step are alike, so the workers that fit one fit the others, but for
+    those on which one was started meanwhile.
+
+    Parameters
+    ----------
+    placer : Placer
+        Finds them.
+    shard : shard_state.ShardState
+        The shard.
+    usable : list of held_worker.HeldWorker
+        All workers that accept runs.
+    now : datetime.datetime
+        Present instant.
+    """
+
+    def __init__(
+        self,
+        placer: "Placer",
+        shard: shard_state.ShardState,
+        usable: list[held_worker.HeldWorker],
+        now: datetime.datetime,
+    ) -> None:
+        self._placer = placer
+        self._shard = shard
+        self._usable = usable
+        self._now = now
+        self._fitting: dict[int, list[policies.Candidate]] = {}
+
+    def of(self, state: shard_state.TaskState) -> list[policies.Candidate]:
+        """Return the candidates for a task.
+
+        Workers that the task avoids, because a run of it failed, stalled or was refused
+        there, are returned only if there is no other.
+        """
+        step = state.task.step
+        if step not in self._fitting:
+            self._fitting[step] = self._placer.fitting(
+                self._shard, state, self._usable, self._now
+            )
+        fitting = self._fitting[step]
+        if not state.avoided_workers:
+            return fitting
+        avoided = state.avoided_workers
+        preferred = [x for x in fitting if x.worker.report.worker_id not in avoided]
+        return preferred or fitting
+
+    def record_start(
+        self, state: shard_state.TaskState, worker: held_worker.HeldWorker
+    ) -> None:
+        """Record that a task was started on a worker, which has less room now."""
+        step = state.task.step
+        again = self._placer.fitting(self._shard, state, [worker], self._now)
+        kept = []
+        for candidate in self._fitting.pop(step):
+            if candidate.worker is not worker:
+                kept.append(candidate)
+            else:
+                kept.extend(again)
+        self._fitting = {step: kept}
+
+
 class Placer:
     """Finds candidate workers and lets a policy choose among them.
 
@@ -45,28 +109,20 @@
         self._estimates = estimates
         self._find_shard = find_shard
 
-    def candidates(
+    def fitting(
         self,
         shard: shard_state.ShardState,
         state: shard_state.TaskState,
-        usable: list[held_worker.HeldWorker],
+        usable: collections.abc.Iterable[held_worker.HeldWorker],
         now: datetime.datetime,
     ) -> list[policies.Candidate]:
-        """Return the workers that accept a task and have the resources for it.
-
-        Workers that the task avoids, because a run of it failed, stalled or was refused
-        there, are returned only if there is no other.
-        """
+        """Return the workers that accept a task and have the resources for it."""
         run_time = shard.run_time(self._estimates, state.step)
-        fitting = [
+        return [
             self._candidate(state.step, run_time, worker)
             for worker in usable
             if self._fits(shard, state, worker) and worker.accepts(now)
         ]
-        preferred = [
-            x for x in fitting if x.worker.report.worker_id not in state.avoided_workers
-        ]
-        return preferred or fitting
 
     def _fits(
         self,
