--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -482,6 +482,7 @@
     def _place(self, now: datetime.datetime) -> None:
         """Start as many waiting tasks as fit, in the order of the job policy."""
         waiting = [shard for shard in self._jobs.all() if shard.waiting_count()]
+        self._placer.begin_pass()
         usable: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
         largest: dict[tuple[str, str], int] = {}
         for shard in sorted(waiting, key=lambda x: self._job_order.key(x, now)):
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import functools
+import heapq
 
 from carawaysail_holding import (
     broker_messages,
@@ -72,6 +73,7 @@
     ) -> None:
         """Record that a task was started on a worker, which has less room now."""
         step = state.task.step
+        self._placer.record_start(worker)
         again = self._placer.fitting(self._shard, state, [worker], self._now)
         kept = []
         for candidate in self._fitting.pop(step):
@@ -108,6 +110,8 @@
         self._choice = choice
         self._estimates = estimates
         self._find_shard = find_shard
+        # Expected remaining times of runs by worker, for one pass over waiting tasks.
+        self._remaining: dict[str, list[datetime.timedelta]] = {}
 
     def fitting(
         self,
@@ -185,10 +189,7 @@
 
         def find_next_finish() -> run_time_estimates.RunTimeEstimate | None:
             run_time = shard.run_time(self._estimates, state.step)
-            finish_times = self._finish_times_after_wait(
-                run_time, state.step, usable, now
-            )
-            return finish_times[queued] if queued < len(finish_times) else None
+            return self._finish_after_wait(run_time, state.step, usable, queued, now)
 
         context = policies.PlacementContext(
             shard,
@@ -198,28 +199,52 @@
         )
         return self._choice.choose(candidates, context)
 
-    def _finish_times_after_wait(
+    def _finish_after_wait(
         self,
         run_time: run_time_estimates.RunTimeEstimate,
         step: jobs.Step,
         usable: list[held_worker.HeldWorker],
+        queued: int,
         now: datetime.datetime,
-    ) -> list[run_time_estimates.RunTimeEstimate]:
-        """Return the times until a task is done on workers that are full now.
+    ) -> run_time_estimates.RunTimeEstimate | None:
+        """Return the time until a task is done on a worker that is full now.
 
-        One for each of their runs, soonest first: the task starts when the run ends.
+        The task starts when a run there ends; ``queued`` earlier finishes are taken by
+        other tasks. ``None`` if there are no more.
         """
-        finish_times = []
+        finishes: list[tuple[datetime.timedelta, datetime.timedelta, float]] = []
         for worker in usable:
             if worker.ledger.free().can_fit(step.resources):
                 continue
-            run_time_there = run_time.at_speed(self._estimates.speed(worker.report))
-            for run in worker.ledger.entries():
-                shard = self._find_shard(run.task)
-                if shard is not None:
-                    remaining = self._remaining_time(shard, run.task, worker, now)
-                    finish_times.append(run_time_there.delayed_by(remaining))
-        return sorted(finish_times)
+            speed = self._estimates.speed(worker.report)
+            expected = run_time.expected / speed
+            for remaining in self._remaining_times(worker, now):
+                finishes.append((expected + remaining, remaining, speed))
+        if queued >= len(finishes):
+            return None
+        _, remaining, speed = heapq.nsmallest(queued + 1, finishes)[queued]
+        return run_time.at_speed(speed).delayed_by(remaining)
+
+    def _remaining_times(
+        self, worker: held_worker.HeldWorker, now: datetime.datetime
+    ) -> list[datetime.timedelta]:
+        """Return the expected remaining times of a worker's runs."""
+        worker_id = worker.report.worker_id
+        if worker_id not in self._remaining:
+            self._remaining[worker_id] = [
+                self._remaining_time(shard, run.task, worker, now)
+                for run in worker.ledger.entries()
+                if (shard := self._find_shard(run.task)) is not None
+            ]
+        return self._remaining[worker_id]
+
+    def begin_pass(self) -> None:
+        """Forget the remaining times of runs, because time has passed."""
+        self._remaining.clear()
+
+    def record_start(self, worker: held_worker.HeldWorker) -> None:
+        """Record that a worker has one more run in this pass."""
+        self._remaining.pop(worker.report.worker_id, None)
 
     def _remaining_time(
         self,
