--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -341,6 +341,7 @@
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
+        self.gateway.record_gateway_count(self.election.fleet_size())
 
     def accept(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -173,7 +173,7 @@
         self._jobs: dict[str, _WaitingJob] = {}
         self._shard_numbers = itertools.count()
         self._brokers: dict[str, ReachableBroker] = {}
-        self._capacity = planning.CapacityView(me.data_centre)
+        self._capacity = planning.CapacityView(me.data_centre, me.vm)
         self._estimates = run_time_estimates.RunTimeEstimates()
         # By service; 0 is the highest priority.
         self._highest_priorities: dict[str, int] = {}
@@ -184,6 +184,10 @@
 
     # Brokers
 
+    def record_gateway_count(self, count: int) -> None:
+        """Record how many gateways, this one included, plan on the same reports."""
+        self._capacity.record_gateway_count(count)
+
     def record_load(
         self,
         daemon: daemons.Daemon,
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -244,6 +244,10 @@
             if x.data_centre == home and _rank_key(home, x) < own_key
         )
 
+    def fleet_size(self) -> int:
+        """Return the number of known daemons, this one included."""
+        return len(self._peers) + 1
+
     def heartbeat_interval(self) -> datetime.timedelta:
         """Return the interval of heartbeats in a fleet of this size."""
         return contacts.heartbeat_interval(len(self._peers))
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -7,6 +7,7 @@
 """
 
 import typing
+import zlib
 
 from carawaysail_holding import loads
 from carawaysail_types import jobs
@@ -19,6 +20,14 @@
 fast workers are reserved for long tasks."""
 
 
+ALIKE_SHARE_PER_GATEWAY = 0.001
+MAX_ALIKE_SHARE = 0.1
+"""Slots whose times differ by less than a share of a task's run time are alike. It
+grows with the number of gateways, which all plan on the same reports."""
+
+MIN_ALIKE_MS = 0.1
+
+
 class Requirements(typing.NamedTuple):
     """Requirements of a job.
 
@@ -92,21 +101,6 @@
         return self.start_ms + self.upper_bound_ms + self.round_trip_ms
 
 
-def _by_finish(option: Option) -> tuple[float, str]:
-    return option.finish_ms, option.data_centre
-
-
-def _by_timeout_excess(option: Option, timeout_ms: float) -> tuple[float, float, str]:
-    """Sort key by the time that the latest finish is after the client timeout."""
-    excess_ms = max(0.0, option.latest_finish_ms - timeout_ms)
-    return excess_ms, option.finish_ms, option.data_centre
-
-
-def _by_longest_run(option: Option) -> tuple[float, float, str]:
-    """Sort key that puts slow slots first, to leave fast ones for long tasks."""
-    return -option.run_time_ms, option.round_trip_ms, option.data_centre
-
-
 class CapacityView:
     """The newest load report of each data centre, less what was planned since then.
 
@@ -114,12 +108,18 @@
     ----------
     home : str
         The gateway's own data centre.
+    gateway : str
+        Name of the gateway. Each prefers the data centres in an order of its own where
+        they are alike, so that not all gateways send to the same one.
     """
 
-    def __init__(self, home: str) -> None:
+    def __init__(self, home: str, gateway: str = "") -> None:
         self._home = home
+        self._gateway = gateway
         self._loads: dict[tuple[str, str], loads.ServiceLoad] = {}
         self._delays_ms: dict[str, float] = {}
+        self._turns: dict[str, int] = {}
+        self._alike_share = ALIKE_SHARE_PER_GATEWAY
 
     def record_load(
         self,
@@ -145,6 +145,10 @@
         for load in service_loads:
             self._loads[data_centre, load.service] = load
 
+    def record_gateway_count(self, count: int) -> None:
+        """Record how many gateways, at least one, plan on the same reports."""
+        self._alike_share = min(MAX_ALIKE_SHARE, ALIKE_SHARE_PER_GATEWAY * count)
+
     def retain(self, data_centres: typing.Collection[str]) -> None:
         """Drop all data centres but the given ones, which can be reached."""
         self._loads = {k: v for k, v in self._loads.items() if k[0] in data_centres}
@@ -188,12 +192,13 @@
             (in_time if _is_in_time(option, requirements) else fallbacks).append(option)
         busy = sum(len(load.expected_releases) for load in candidates.values())
         is_highly_utilised = busy > HIGH_UTILISATION * (busy + len(free_options))
-        chosen_in_time = sorted(
-            in_time, key=_by_longest_run if is_highly_utilised else _by_finish
-        )[: requirements.task_count]
+        preference = self._by_longest_run if is_highly_utilised else self._by_finish
+        chosen_in_time = sorted(in_time, key=lambda x: preference(x, requirements))[
+            : requirements.task_count
+        ]
         unassigned = requirements.task_count - len(chosen_in_time)
         fallbacks.extend(self._queue_options(candidates, requirements, unassigned))
-        fallbacks.sort(key=lambda x: _by_timeout_excess(x, requirements.timeout_ms))
+        fallbacks.sort(key=lambda x: self._by_timeout_excess(x, requirements))
         chosen = [*chosen_in_time, *fallbacks[:unassigned]]
         tasks_by_data_centre: dict[str, int] = {}
         for option in chosen:
@@ -203,6 +208,43 @@
         finish_ms = max(x.finish_ms for x in chosen)
         return Plan(tasks_by_data_centre, finish_ms, unassigned, tuple(chosen))
 
+    def _by_finish(
+        self, option: Option, requirements: Requirements
+    ) -> tuple[int, float, int]:
+        """Sort key that puts early finishes first, near ones among those alike."""
+        step_ms = max(MIN_ALIKE_MS, self._alike_share * requirements.run_time_ms)
+        return (
+            int(option.finish_ms / step_ms),
+            option.round_trip_ms,
+            self._turn(option.data_centre),
+        )
+
+    def _by_longest_run(
+        self, option: Option, requirements: Requirements
+    ) -> tuple[int, float, int]:
+        """Sort key that puts slow slots first, to leave fast ones for long tasks."""
+        step_ms = max(MIN_ALIKE_MS, self._alike_share * requirements.run_time_ms)
+        return (
+            -int(option.run_time_ms / step_ms),
+            option.round_trip_ms,
+            self._turn(option.data_centre),
+        )
+
+    def _by_timeout_excess(
+        self, option: Option, requirements: Requirements
+    ) -> tuple[float, float, int]:
+        """Sort key by the time that the latest finish is after the client timeout."""
+        excess_ms = max(0.0, option.latest_finish_ms - requirements.timeout_ms)
+        return excess_ms, option.finish_ms, self._turn(option.data_centre)
+
+    def _turn(self, data_centre: str) -> int:
+        """Return the place of a data centre in this gateway's order of preference."""
+        turn = self._turns.get(data_centre)
+        if turn is None:
+            text = f"{self._gateway}|{data_centre}"
+            turn = self._turns[data_centre] = zlib.crc32(text.encode())
+        return turn
+
     def occupy(self, service: str, requirements: Requirements, plan: Plan) -> None:
         """Count the slots of a plan as occupied until the next load report.
 
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -1,5 +1,6 @@
 """Planning, placement policies, run-time estimates and worker health."""
 
+import collections
 import datetime
 import random
 
@@ -94,6 +95,27 @@
         self.assertEqual({"away": 2}, plan.tasks_by_data_centre)
         self.assertLess(plan.finish_ms, 500.0)
 
+    # All gateways sent to the data centre with the fastest worker, by a hair, and its
+    # holder got twice its share of a crest.
+    def test_gateways_of_a_fleet_do_not_all_choose_the_same_data_centre(self):
+        names = [f"dc-{n}" for n in range(6)]
+        counts = collections.Counter()
+        for number in range(90):
+            view = planning.CapacityView("home", f"vm-{number}")
+            view.record_gateway_count(90)
+            for speed, name in enumerate(names):
+                load = make_load([(48, 1.7 + 0.01 * speed)] * 15)
+                view.record_load(name, (load,))
+            plan = view.plan("search", make_requirements(2))
+            counts.update(plan.tasks_by_data_centre)
+        self.assertLess(max(counts.values()), 2 * sum(counts.values()) / len(names))
+
+    def test_own_data_centre_is_preferred_to_one_that_is_hardly_faster(self):
+        view = self.make(home=make_load([(32, 1.4)]), away=make_load([(32, 1.45)]))
+        view.record_gateway_count(90)
+        plan = view.plan("search", make_requirements(2))
+        self.assertEqual({"home": 2}, plan.tasks_by_data_centre)
+
     def test_job_with_many_tasks_uses_all_data_centres(self):
         view = self.make(
             home=make_load([(32, 1.4)]),
