--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -482,49 +482,48 @@
     def _place(self, now: datetime.datetime) -> None:
         """Start as many waiting tasks as fit, in the order of the job policy."""
         waiting = [shard for shard in self._jobs.all() if shard.waiting_count()]
+        least = min((x.least_processor_milli for x in waiting), default=0)
         self._placer.begin_pass()
         usable: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
-        largest: dict[tuple[str, str], int] = {}
+        roomy: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
         for shard in sorted(waiting, key=lambda x: self._job_order.key(x, now)):
             submission = shard.submission
             key = (submission.queue.service, submission.data_centre)
             if key not in usable:
                 usable[key] = self._workers.usable(submission, now)
-                largest[key] = _largest_free_milli(usable[key])
-            if largest[key] < shard.least_processor_milli:
+                roomy[key] = _with_room(usable[key], least)
+            if not roomy[key]:
                 continue
             if submission.is_resumed and self._workers.may_miss_runs(submission):
                 continue
-            if self._place_shard(shard, usable[key], largest[key], now):
-                largest[key] = _largest_free_milli(usable[key])
+            if self._place_shard(shard, usable[key], roomy[key], now):
+                roomy[key] = _with_room(roomy[key], least)
 
     def _place_shard(
         self,
         shard: shard_state.ShardState,
         usable: list[held_worker.HeldWorker],
-        largest: int,
+        roomy: list[held_worker.HeldWorker],
         now: datetime.datetime,
     ) -> bool:
         """Start tasks of a shard; return whether any was started.
 
-        ``largest`` is the largest number of free thousandths of a core of a worker.
+        ``roomy`` are the usable workers that have room for some waiting task.
         """
         queued = 0
         started_on: set[str] = set()
-        candidates_of = placer.Candidates(self._placer, shard, usable, now)
+        candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            if state.step.resources.processor_milli > largest:
-                continue
             candidates = candidates_of.of(state)
-            if not candidates or self._workers.is_on_any_worker(state.task):
+            if not candidates:
                 continue
             chosen = self._placer.choose(shard, state, candidates, usable, queued, now)
-            if chosen is not None:
+            if chosen is None:
+                queued += 1
+            elif not self._workers.is_on_any_worker(state.task):
                 self._order_start(shard, state, chosen, now)
                 candidates_of.record_start(state, chosen.worker)
                 started_on.add(chosen.worker.report.worker_id)
-            else:
-                queued += 1
         if started_on:
             self._actions.add(
                 broker_messages.SendShardStarted(
@@ -630,6 +629,8 @@
         return {"jobs": self._jobs.count(), **self._workers.counts()}
 
 
-def _largest_free_milli(workers: list[held_worker.HeldWorker]) -> int:
-    """Return the most thousandths of a core that are free on one of some workers."""
-    return max((x.ledger.free().processor_milli for x in workers), default=0)
+def _with_room(
+    workers: list[held_worker.HeldWorker], least_milli: int
+) -> list[held_worker.HeldWorker]:
+    """Return the workers with at least some thousandths of a core free."""
+    return [x for x in workers if x.ledger.free().processor_milli >= least_milli]
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -3,7 +3,7 @@
 import collections.abc
 import datetime
 import functools
-import heapq
+import operator
 
 from carawaysail_holding import (
     broker_messages,
@@ -14,7 +14,7 @@
     shard_state,
     utilisation,
 )
-from carawaysail_types import jobs, runs
+from carawaysail_types import clock, jobs, runs
 
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
@@ -31,8 +31,8 @@
         Finds them.
     shard : shard_state.ShardState
         The shard.
-    usable : list of held_worker.HeldWorker
-        All workers that accept runs.
+    workers : list of held_worker.HeldWorker
+        Workers that accept runs and may have room.
     now : datetime.datetime
         Present instant.
     """
@@ -41,12 +41,12 @@
         self,
         placer: "Placer",
         shard: shard_state.ShardState,
-        usable: list[held_worker.HeldWorker],
+        workers: list[held_worker.HeldWorker],
         now: datetime.datetime,
     ) -> None:
         self._placer = placer
         self._shard = shard
-        self._usable = usable
+        self._workers = workers
         self._now = now
         self._fitting: dict[int, list[policies.Candidate]] = {}
 
@@ -59,7 +59,7 @@
         step = state.task.step
         if step not in self._fitting:
             self._fitting[step] = self._placer.fitting(
-                self._shard, state, self._usable, self._now
+                self._shard, state, self._workers, self._now
             )
         fitting = self._fitting[step]
         if not state.avoided_workers:
@@ -110,8 +110,12 @@
         self._choice = choice
         self._estimates = estimates
         self._find_shard = find_shard
-        # Expected remaining times of runs by worker, for one pass over waiting tasks.
-        self._remaining: dict[str, list[datetime.timedelta]] = {}
+        # Expected remaining times of runs, in milliseconds, for one pass over waiting
+        # tasks: by worker, and of all usable workers of a service.
+        self._remaining: dict[str, list[float]] = {}
+        self._sorted_runs: dict[
+            int, list[tuple[float, float, held_worker.HeldWorker]]
+        ] = {}
 
     def fitting(
         self,
@@ -187,52 +191,92 @@
             Present instant.
         """
 
-        def find_next_finish() -> run_time_estimates.RunTimeEstimate | None:
+        def is_sooner_after_wait(
+            candidate: run_time_estimates.RunTimeEstimate, compares_bounds: bool
+        ) -> bool:
             run_time = shard.run_time(self._estimates, state.step)
-            return self._finish_after_wait(run_time, state.step, usable, queued, now)
+            own, other = (
+                (run_time.upper_bound, candidate.upper_bound)
+                if compares_bounds
+                else (run_time.expected, candidate.expected)
+            )
+            sooner = self._count_sooner(own, other, state.step, usable, queued + 1, now)
+            return sooner > queued
 
         context = policies.PlacementContext(
             shard,
-            find_next_finish,
+            is_sooner_after_wait,
             functools.partial(utilisation.processor_utilisation, usable),
             now,
         )
         return self._choice.choose(candidates, context)
 
-    def _finish_after_wait(
+    def _count_sooner(
         self,
-        run_time: run_time_estimates.RunTimeEstimate,
+        run_time: datetime.timedelta,
+        limit: datetime.timedelta,
         step: jobs.Step,
         usable: list[held_worker.HeldWorker],
-        queued: int,
+        enough: int,
         now: datetime.datetime,
-    ) -> run_time_estimates.RunTimeEstimate | None:
-        """Return the time until a task is done on a worker that is full now.
+    ) -> int:
+        """Count the runs after which a task would finish earlier than at a limit.
+
+        Only runs on workers that are full now count: the task starts when the run ends.
+        The count stops at ``enough``.
 
-        The task starts when a run there ends; ``queued`` earlier finishes are taken by
-        other tasks. ``None`` if there are no more.
+        Parameters
+        ----------
+        run_time, limit : datetime.timedelta
+            Run time of the task on an average worker, and time until the limit.
+        step : jobs.Step
+            Step of the task.
+        usable : list of held_worker.HeldWorker
+            All workers that accept runs.
+        enough : int
+            Largest count of interest.
+        now : datetime.datetime
+            Present instant.
         """
-        finishes: list[tuple[datetime.timedelta, datetime.timedelta, float]] = []
-        for worker in usable:
-            if worker.ledger.free().can_fit(step.resources):
+        run_time_ms, limit_ms = map(clock.to_milliseconds, (run_time, limit))
+        count = 0
+        for remaining_ms, speed, worker in self._busy_runs(usable, now):
+            if remaining_ms >= limit_ms:
+                break
+            if remaining_ms + run_time_ms / speed >= limit_ms:
                 continue
-            speed = self._estimates.speed(worker.report)
-            expected = run_time.expected / speed
-            for remaining in self._remaining_times(worker, now):
-                finishes.append((expected + remaining, remaining, speed))
-        if queued >= len(finishes):
-            return None
-        _, remaining, speed = heapq.nsmallest(queued + 1, finishes)[queued]
-        return run_time.at_speed(speed).delayed_by(remaining)
+            if not worker.ledger.free().can_fit(step.resources):
+                count += 1
+                if count >= enough:
+                    break
+        return count
+
+    def _busy_runs(
+        self, usable: list[held_worker.HeldWorker], now: datetime.datetime
+    ) -> list[tuple[float, float, held_worker.HeldWorker]]:
+        """Return remaining time in ms, speed and worker of all runs, soonest first."""
+        key = id(usable)
+        if key not in self._sorted_runs:
+            self._sorted_runs[key] = sorted(
+                (
+                    (remaining_ms, self._estimates.speed(worker.report), worker)
+                    for worker in usable
+                    for remaining_ms in self._remaining_times(worker, now)
+                ),
+                key=operator.itemgetter(0),
+            )
+        return self._sorted_runs[key]
 
     def _remaining_times(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
-    ) -> list[datetime.timedelta]:
-        """Return the expected remaining times of a worker's runs."""
+    ) -> list[float]:
+        """Return the expected remaining times of a worker's runs, in milliseconds."""
         worker_id = worker.report.worker_id
         if worker_id not in self._remaining:
             self._remaining[worker_id] = [
-                self._remaining_time(shard, run.task, worker, now)
+                clock.to_milliseconds(
+                    self._remaining_time(shard, run.task, worker, now)
+                )
                 for run in worker.ledger.entries()
                 if (shard := self._find_shard(run.task)) is not None
             ]
@@ -241,10 +285,12 @@
     def begin_pass(self) -> None:
         """Forget the remaining times of runs, because time has passed."""
         self._remaining.clear()
+        self._sorted_runs.clear()
 
     def record_start(self, worker: held_worker.HeldWorker) -> None:
         """Record that a worker has one more run in this pass."""
         self._remaining.pop(worker.report.worker_id, None)
+        self._sorted_runs.clear()
 
     def _remaining_time(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -47,9 +47,10 @@
     ----------
     shard : shard_state.ShardState
         The task's shard.
-    find_next_finish : callable
-        Returns the time until the task is done if it waits for the best of the workers
-        that are full now; ``None`` if no slot is expected to become free for it.
+    is_sooner_after_wait : callable
+        Returns whether a worker that is full now is expected to finish the task earlier
+        than a candidate with a given run time would. The second argument says whether
+        upper bounds of the finish are compared.
     find_utilisation : callable
         Returns the share of the usable workers' processors in use, from 0 to 1.
     now : datetime.datetime
@@ -57,8 +58,8 @@
     """
 
     shard: shard_state.ShardState
-    find_next_finish: collections.abc.Callable[
-        [], run_time_estimates.RunTimeEstimate | None
+    is_sooner_after_wait: collections.abc.Callable[
+        [run_time_estimates.RunTimeEstimate, bool], bool
     ]
     find_utilisation: collections.abc.Callable[[], float]
     now: datetime.datetime
@@ -172,28 +173,14 @@
             return _fastest(in_time)
         if in_time:
             return max(in_time, key=lambda x: (x.run_time.expected, -x.spare_milli))
-        next_finish = context.find_next_finish()
-        if next_finish is not None and _is_sooner(
-            next_finish, fastest.run_time, remaining_ms
-        ):
+        may_time_out = (
+            clock.to_milliseconds(fastest.run_time.upper_bound) > remaining_ms
+        )
+        if context.is_sooner_after_wait(fastest.run_time, may_time_out):
             return None
         return fastest
 
 
-def _is_sooner(
-    first: run_time_estimates.RunTimeEstimate,
-    second: run_time_estimates.RunTimeEstimate,
-    remaining_ms: float,
-) -> bool:
-    """Return whether the first finish is earlier than the second.
-
-    Upper bounds are compared if the second may exceed the client timeout.
-    """
-    if clock.to_milliseconds(second.upper_bound) > remaining_ms:
-        return first.upper_bound < second.upper_bound
-    return first.expected < second.expected
-
-
 class _MostFree:
     """The worker with the most free processors."""
 
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -248,17 +248,19 @@
             policies.Candidate(self.make_worker(n), make_estimate(x, upper_bound_ms), 0)
             for n, x in enumerate(run_times_ms)
         ]
-        next_finish = (
-            make_estimate(next_finish_ms, next_upper_bound_ms)
-            if next_finish_ms is not None
-            else None
-        )
+
+        def is_sooner_after_wait(candidate, compares_bounds):
+            if next_finish_ms is None:
+                return False
+            next_finish = make_estimate(next_finish_ms, next_upper_bound_ms)
+            if compares_bounds:
+                return next_finish.upper_bound < candidate.upper_bound
+            return next_finish.expected < candidate.expected
+
         context = policies.PlacementContext(
-            self.make_job(run_time_ms),
-            lambda: next_finish,
-            lambda: utilisation,
+            self.make_job(run_time_ms), is_sooner_after_wait, lambda: utilisation,
             self.now,
-        )
+        )  # fmt: skip
         chosen = self.policy.choose(candidates, context)
         if chosen is None:
             return None
