--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -292,4 +292,7 @@
         await Daemon(cfg, adapter, daemon_metrics).run()
 
     asyncio.run(main())
+    # The interpreter resets handlers while it ends; a further signal would end it.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     log.close()
