--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -187,6 +187,10 @@
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
 
+    def delay(self) -> datetime.timedelta:
+        """Return by how much the loop is late with its work, on average."""
+        return clock.milliseconds(self._delay_ms)
+
     def _is_tick_due(self) -> bool:
         return self.clock.now() >= self._next_tick()
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -247,12 +247,14 @@
     loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
 ) -> None:
     sender, message = sent
+    # A message waits as long as the loop is late; its client does not wait longer.
+    arrived = now - loop.delay()
     submission = broker_messages.Submission(
         message.job,
         message.queue,
         message.data_centre,
-        now - clock.milliseconds(message.age_ms),
-        now + clock.milliseconds(message.remaining_ms),
+        arrived - clock.milliseconds(message.age_ms),
+        arrived + clock.milliseconds(message.remaining_ms),
         message.shard,
         message.tasks,
         message.is_resumed,
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import unittest.mock
 
 import eliot
 import testtools
@@ -313,16 +314,14 @@
 
     def run_with_messages(self, count, duration_ms):
         """Let the loop handle messages, each of which takes some time."""
+        handled = []
+
+        def handle(loop, *args):
+            handled.append(args)
+            self.clock.advance(MS(duration_ms))
 
         async def run():
             self.loop.inbox = inbox.Inbox(asyncio.get_running_loop(), 10)
-            handled = []
-
-            def handle(loop, *args):
-                handled.append(args)
-                self.clock.advance(MS(duration_ms))
-
-            self.patch(decision_loop.DecisionLoop, "dispatch", handle)
             for _ in range(count):
                 self.loop.inbox.put(messages.LeaveRequested())
             task = asyncio.create_task(self.loop.run())
@@ -331,7 +330,8 @@
                     await asyncio.sleep(0)
             task.cancel()
 
-        asyncio.run(run())
+        with unittest.mock.patch.object(decision_loop.DecisionLoop, "dispatch", handle):
+            asyncio.run(run())
 
     # Heartbeats waited behind all messages of a batch, and other daemons took a holder
     # at peak load for dead.
@@ -344,6 +344,17 @@
         sent = [name for name, _ in stream.calls if name == "send_shared"]
         self.assertGreaterEqual(len(sent), 1000 // 150)
 
+    # A holder that was a second late started tasks of clients that had left.
+    def test_shard_of_a_client_that_has_left_meanwhile_is_refused(self):
+        self.receive(make_heartbeat())
+        self.hold_worker()
+        self.run_with_messages(10, 160)
+        self.receive(make_submit(remaining_ms=40.0))
+        self.assertEqual(
+            [jobs.Verdict.REFUSED], [x.outcome.verdict for x in self.sent_outcomes()]
+        )
+        self.assertNotIn("start", [name for name, _ in self.workers.calls])
+
     def test_delay_is_a_metric_and_travels_with_the_load(self):
         self.receive(make_heartbeat())
         self.hold_worker()
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -138,6 +138,8 @@
         """Return why a shard cannot be admitted; ``NONE`` if it can."""
         if shard.submission.job.unsupported_features():
             return jobs.Reason.UNSUPPORTED
+        if shard.submission.deadline <= now:
+            return jobs.Reason.TIMED_OUT
         if not self._workers.usable(shard.submission, now):
             return jobs.Reason.NO_WORKERS
         if not self._workers.can_ever_fit(shard.submission):
