--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import unittest.mock
 
 import hypothesis
 import hypothesis.strategies
@@ -87,47 +88,24 @@
         self.responses.append(response)
 
 
-class Timers:
-    """Timers that the test fires by hand."""
-
-    def __init__(self):
-        self.timers = []
-
-    def call_later(self, delay_s, function, *args):
-        timer = Timer(delay_s, function, args)
-        self.timers.append(timer)
-        return timer
-
-
-class Timer:
-    """A timer that knows whether it was cancelled."""
-
-    def __init__(self, delay_s, function, args):
-        self.delay_s = delay_s
-        self.is_cancelled = False
-        self._call = lambda: function(*args)
-
-    def cancel(self):
-        self.is_cancelled = True
-
-    def fire(self):
-        if not self.is_cancelled:
-            self._call()
-
-
 class TestFrontEnd(testtools.TestCase):
     """Responses of the front end, and its messages to the decision loop."""
 
     def setUp(self):
         super().setUp()
         self.posted = []
-        self.timers = Timers()
+        self.timers = []
         self.clock = clock.ManualClock()
         self.front_end = front_end.FrontEnd(
             Codec(), self, replies.Replies(), metrics.DaemonMetrics("vm", "dc"),
-            self.clock, 1, self.timers.call_later,
+            self.clock, 1, self.call_later,
         )  # fmt: skip
 
+    def call_later(self, delay_s, function):
+        """Return a timer that the test fires by hand."""
+        self.timers.append(unittest.mock.Mock(delay_s=delay_s, fire=function))
+        return self.timers[-1]
+
     def put(self, message):
         """Record a message; the test case is the inbox of the decision loop."""
         self.posted.append(message)
@@ -152,8 +130,9 @@
     def handle(self, path):
         """Return the response to a request, whose wait ends with its timeout."""
         exchange = self.send(path)
-        for timer in self.timers.timers:
-            timer.fire()
+        for timer in self.timers:
+            if not timer.cancel.called:
+                timer.fire()
         [response] = exchange.responses
         return response
 
@@ -163,7 +142,7 @@
         self.assertEqual([], exchange.responses)
         self.front_end.replies.put(self.posted[0].reply_id, DONE)
         self.assertEqual([b"none"], [x.body for x in exchange.responses])
-        self.assertTrue(self.timers.timers[0].is_cancelled)
+        self.assertTrue(self.timers[0].cancel.called)
 
     # A request that was read shortly before the process stopped got no answer.
     def test_request_is_answered_before_the_process_stops(self):
@@ -172,7 +151,7 @@
         self.front_end.set_end(self.clock.now() + in_time)
         self.assertEqual(b"timed_out", self.handle("/q/1").body)
         wait_s = in_time.total_seconds()
-        self.assertAlmostEqual(wait_s, self.timers.timers[0].delay_s)
+        self.assertAlmostEqual(wait_s, self.timers[0].delay_s)
         self.assertEqual(["JobPosted", "ClientLeft"], self.posted_kinds())
         self.clock.advance(clock.milliseconds(20))
         self.assertEqual(b"leaving", self.handle("/q/2").body)
