--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -64,6 +64,7 @@
         self._backoff = backoff.Backoff(random.Random(seed))
         self._is_stopping = threading.Event()
         self._is_reachable = True
+        self._has_lost_history = False
         self._last_failure = ""
         self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
 
@@ -84,7 +85,9 @@
                 logs.log_event(
                     "store", "Watch history expired.", task=name, after=exc.after
                 )
-                pause_s = 0.0
+                # A store that keeps no history at all would be read without a pause.
+                pause_s = self._backoff.next_pause_s() if self._has_lost_history else 0
+                self._has_lost_history = True
             except type_errors.CarawaysailError as exc:
                 self._log_unreachable(exc)
                 pause_s = self._backoff.next_pause_s()
@@ -113,6 +116,7 @@
 
     def _record_success(self) -> None:
         self._backoff.reset()
+        self._has_lost_history = False
         self._last_failure = ""
         if not self._is_reachable:
             self._is_reachable = True
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -141,6 +141,19 @@
         self.step(errors.HistoryLostError("settings", 6))
         self.assertEqual(["read", ("watch", 6)], self.step())
 
+    # 97 daemons read all entries over and over while the store forgot its history.
+    def test_history_that_is_lost_again_and_again_is_read_with_pauses(self):
+        def watch(*args):
+            raise errors.HistoryLostError("settings", 6)
+
+        self.store.watch = watch
+        self.task.start()
+        clock.SystemClock().sleep_s(0.5)
+        self.task.stop()
+        reads = self.store.calls.count("read")
+        self.assertGreaterEqual(reads, 2)
+        self.assertLessEqual(reads, 6)
+
     def test_change_during_an_outage_is_published(self):
         self.step()
         self.step(errors.StoreUnavailableError("watch", "503"))
