--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -258,6 +258,7 @@
             async with asyncio.timeout(remaining.total_seconds()):
                 await asyncio.sleep(LOAD_BALANCER_DELAY.total_seconds())
                 await self._decision_loop.has_ended.wait()
+                await self._http_server.drain()
         except TimeoutError:
             logs.log_event(
                 "daemon", "Grace expired.", open_calls=self._replies.waiting_count(),
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -120,7 +120,7 @@
     configuration : jobs.Configuration or None
         Newest configuration that was read from the store; ``None`` before the first.
     has_ended : asyncio.Event
-        Set once the daemon is leaving, holds no workers, and no client waits.
+        Set while the daemon is leaving, holds no workers, and no client waits.
     apply_limits : callable
         Called with the request limits of each newer configuration.
     """
@@ -537,6 +537,9 @@
         )
         if is_idle and not self.broker.tokens():
             self.has_ended.set()
+        else:
+            # A request that came meanwhile has to be answered as well.
+            self.has_ended.clear()
 
     def close(self) -> None:
         """Close the streams to other daemons and the links to workers."""
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/http_server.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/http_server.py
@@ -97,6 +97,7 @@
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
+        self._drained: asyncio.Future[None] | None = None
 
     def apply_limits(self, limits: jobs.Limits) -> None:
         """Apply limits to all further requests."""
@@ -123,6 +124,24 @@
         """Close each connection after its next response, for a graceful shutdown."""
         self.is_closing = True
 
+    async def drain(self) -> None:
+        """Stop listening, and wait until every request that has begun is answered."""
+        self.is_closing = True
+        if self._server is not None:
+            self._server.close()
+        self._drained = asyncio.get_running_loop().create_future()
+        for connection in list(self._connections):
+            if not connection.is_busy():
+                connection.close()
+        self._check_drained()
+        await self._drained
+
+    def _check_drained(self) -> None:
+        if self._drained is None or self._drained.done():
+            return
+        if not any(x.is_busy() for x in self._connections):
+            self._drained.set_result(None)
+
     def stop(self) -> None:
         """Close the listening socket and all connections."""
         if self._sweep is not None:
@@ -142,6 +161,7 @@
     def remove(self, connection: "_Connection") -> None:
         """Forget a connection that has ended."""
         self._connections.discard(connection)
+        self._check_drained()
 
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -342,6 +362,10 @@
         if self._transport is not None:
             self._transport.write(data)
 
+    def is_busy(self) -> bool:
+        """Return whether a request has begun that is not answered yet."""
+        return self._has_begun or self._exchange is not None or bool(self._ready)
+
     def close_if_idle(self, now_s: float, idle_s: float, request_s: float) -> None:
         """Close the connection if the client has sent nothing, or only a part.
 
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -309,6 +309,20 @@
         self.assertGreaterEqual(calls[3] - calls[0], 3 * pause_s)
 
 
+class TestLeaving(DecisionLoopCase):
+    """A daemon that is asked to end."""
+
+    # The daemon ended although a client had come after it was first idle.
+    def test_job_that_comes_while_leaving_is_waited_for(self):
+        self.replies.waiting_count = lambda: 0
+        self.loop.handle(messages.LeaveRequested())
+        self.loop.tick()
+        self.assertTrue(self.loop.has_ended.is_set())
+        self.replies.waiting_count = lambda: 1
+        self.loop.tick()
+        self.assertFalse(self.loop.has_ended.is_set())
+
+
 class TestOverload(DecisionLoopCase):
     """A daemon that gets more messages than it can handle at once."""
 
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -317,6 +317,26 @@
 
         self.play(run)
 
+    # A request that came 0.5 s before a daemon's end got no answer.
+    def test_drain_waits_for_the_requests_that_have_begun(self):
+        async def run():
+            self.is_held = True
+            _, idle = await asyncio.open_connection("127.0.0.1", self.port)
+            get = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            held = asyncio.create_task(self.exchange(get))
+            await self.until(lambda: self.exchanges)
+            drained = asyncio.create_task(self.server.drain())
+            await asyncio.sleep(0.05)
+            self.assertFalse(drained.done())
+            self.exchanges[0].respond(ports.Response(200, b"late"))
+            await asyncio.wait_for(drained, TIMEOUT_S)
+            self.assertIn(b"late", await held)
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", self.port)
+            idle.transport.abort()
+
+        self.play(run)
+
     def test_requests_on_a_connection_are_answered_in_order(self):
         async def run():
             self.is_held = True
