--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -461,12 +461,18 @@
         successor : str, optional
             Incarnation that has replaced it, whose shards are kept.
         """
-        decided: list[broker_messages.Action] = []
-        for shard_id in [x.shard_id for x in self._jobs.all()]:
-            gateway = shard_id.gateway
-            if gateway.vm == vm and gateway.incarnation != successor:
-                decided.extend(self.withdraw(shard_id, now))
-        return decided
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
+        lost = [
+            shard
+            for shard in self._jobs.all()
+            if shard.shard_id.gateway.vm == vm
+            and shard.shard_id.gateway.incarnation != successor
+        ]
+        for shard in lost:
+            self._jobs.finish(shard, outcome, now)
+        if lost:
+            self._place(now)
+        return self._actions.drain()
 
     # Placement and timeouts
 
@@ -488,7 +494,8 @@
             if submission.is_resumed and self._workers.may_miss_runs(submission):
                 continue
             if self._place_shard(shard, usable[key], roomy[key], now):
-                roomy[key] = _with_room(roomy[key], least)
+                accepting = [x for x in roomy[key] if x.accepts(now)]
+                roomy[key] = _with_room(accepting, least)
 
     def _place_shard(
         self,
@@ -505,10 +512,11 @@
         started_on: set[str] = set()
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            candidates = candidates_of.of(state)
-            if not candidates:
+            if not candidates_of.of(state):
                 continue
-            chosen = self._placer.choose(shard, state, candidates, usable, queued, now)
+            chosen = self._placer.choose(
+                shard, state, candidates_of, usable, queued, now
+            )
             if chosen is None:
                 queued += 1
             elif not self._workers.is_on_any_worker(state.task):
@@ -543,7 +551,7 @@
             "placed", shard.job_id, run=actions.label(run),
             worker=worker.report.worker_id,
             waited_ms=round(clock.to_milliseconds(now - shard.submission.arrived)),
-            takes_ms=round(clock.to_milliseconds(chosen.run_time.expected)),
+            takes_ms=round(chosen.run_time.expected_ms),
             due_ms=round(clock.to_milliseconds(shard.schedule.target_finish - now)),
             free_milli=worker.ledger.free().processor_milli,
         )  # fmt: skip
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -320,13 +320,15 @@
         for step in steps:
             self._estimates.record_estimate(queue.name, step)
         run_time = max(self._estimates.estimate(queue.name, step) for step in steps)
-        target_finish = run_time.expected * queue.stretch + queue.objective
+        target_finish_ms = run_time.expected_ms * queue.stretch + clock.to_milliseconds(
+            queue.objective
+        )
         requirements = planning.Requirements(
             sum(step.task_count for step in steps),
             max((step.resources for step in steps), key=lambda x: x.processor_milli),
-            clock.to_milliseconds(run_time.expected),
-            clock.to_milliseconds(run_time.upper_bound),
-            clock.to_milliseconds(target_finish),
+            run_time.expected_ms,
+            run_time.upper_bound_ms,
+            target_finish_ms,
             clock.to_milliseconds(submission.deadline - submission.arrived),
         )
         plan = self._capacity.plan(
@@ -334,8 +336,8 @@
         )
         if plan is None:
             return None
-        lower_bound_ms = clock.to_milliseconds(run_time.lower_bound)
-        min_run_time_ms = lower_bound_ms / self._capacity.highest_speed(queue.service)
+        highest_speed = self._capacity.highest_speed(queue.service)
+        min_run_time_ms = run_time.lower_bound_ms / highest_speed
         highest_priority = self._highest_priorities.get(queue.service, queue.priority)
         self._highest_priorities[queue.service] = min(highest_priority, queue.priority)
         return job_admission.Forecast(
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -73,7 +73,7 @@
             self.ledger.has_status
             and not self.is_draining
             and self.missing_since is None
-            and self.health.accepts(now, len(self.ledger.entries()))
+            and self.health.accepts(now, self.ledger.run_count())
         )
 
     def is_removable(self, now: datetime.datetime) -> bool:
@@ -84,7 +84,7 @@
         """
         missing = self.missing_since
         is_overdue = missing is not None and now - missing > MISSING_TIMEOUT
-        return is_overdue and not self.ledger.entries()
+        return is_overdue and not self.ledger.run_count()
 
     def handle_status(
         self,
@@ -150,7 +150,7 @@
         The poll of a silent worker does not extend the lease: that would keep its
         runs alive while their state is unknown.
         """
-        is_busy = bool(self.ledger.entries())
+        is_busy = bool(self.ledger.run_count())
         lease_end = None if self.health.is_silent else self.lease_end(terms, now)
         if lease_end is not None:
             self.record_lease_extension(now)
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -92,6 +92,8 @@
         self._entries: dict[runs.Run, Entry] = {}
         self._free: jobs.Resources | None = None
         self._reported: set[runs.Run] = set()
+        # Used as a set in order of insertion.
+        self._uncertain: dict[runs.Run, None] = {}
         # Number of entries of each task.
         self._task_counts: collections.Counter[runs.Task] = collections.Counter()
 
@@ -99,6 +101,10 @@
         """Return a copy of the runs that count against the worker's resources."""
         return dict(self._entries)
 
+    def run_count(self) -> int:
+        """Return the number of runs that count against the worker's resources."""
+        return len(self._entries)
+
     def entry(self, run: runs.Run) -> Entry | None:
         """Return the entry of a run; ``None`` if it does not count."""
         return self._entries.get(run)
@@ -124,12 +130,17 @@
         if run not in self._entries:
             self._task_counts[run.task] += 1
         self._entries[run] = entry
+        if entry.state is RunState.UNCERTAIN:
+            self._uncertain[run] = None
+        else:
+            self._uncertain.pop(run, None)
         self._free = None
 
     def _remove(self, run: runs.Run) -> None:
         if self._entries.pop(run, None) is not None:
             self._free = None
             self._reported.discard(run)
+            self._uncertain.pop(run, None)
             self._task_counts[run.task] -= 1
             if not self._task_counts[run.task]:
                 del self._task_counts[run.task]
@@ -281,11 +292,7 @@
 
     def uncertain(self) -> tuple[runs.Run, ...]:
         """Return the runs that may or may not be on the worker."""
-        return tuple(
-            run
-            for run, entry in self._entries.items()
-            if entry.state is RunState.UNCERTAIN
-        )
+        return tuple(self._uncertain)
 
 
 def _must_be_reported(entry: Entry) -> bool:
--- a/libs/carawaysail_holding/src/carawaysail_holding/loads.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -112,29 +112,24 @@
         (round(estimates.speed(x.report), 2) for x in workers), reverse=True
     )
     expected_releases: list[ExpectedRelease] = []
-    waiting_tasks, waiting_work = 0, datetime.timedelta()
+    waiting_tasks, waiting_work_ms = 0, 0.0
     reports = {x.report.worker_id: x.report for x in workers}
     for shard in shards:
         if shard.submission.queue.service != service:
             continue
         for state in shard.tasks.values():
-            expected = shard.expected_run_time(estimates, state.step)
             if state.phase is shard_state.Phase.WAITING:
                 waiting_tasks += 1
-                waiting_work += expected
+                waiting_work_ms += shard.run_time(estimates, state).expected_ms
             elif state.worker_id in reports:
-                report = reports[state.worker_id]
-                remaining = remaining_run_time(
-                    state, estimates.expected_on_worker(expected, report), now
-                )
-                after_ms = round(clock.to_milliseconds(remaining))
-                expected_releases.append(
-                    ExpectedRelease(after_ms, round(estimates.speed(report), 2))
-                )
+                speed = estimates.speed(reports[state.worker_id])
+                expected_ms = shard.run_time(estimates, state).expected_ms / speed
+                after_ms = round(remaining_run_time_ms(state, expected_ms, now))
+                expected_releases.append(ExpectedRelease(after_ms, round(speed, 2)))
     return ServiceLoad(
         service, tuple(free_capacity[:MAX_ROWS]), tuple(speeds[:MAX_ROWS]),
         tuple(sorted(expected_releases)[:MAX_ROWS]), waiting_tasks,
-        round(clock.to_milliseconds(waiting_work)),
+        round(waiting_work_ms),
     )  # fmt: skip
 
 
@@ -156,10 +151,10 @@
     return tuple(result)
 
 
-def remaining_run_time(
-    state: shard_state.TaskState, run_time: datetime.timedelta, now: datetime.datetime
-) -> datetime.timedelta:
-    """Return the expected remaining run time of a task's present run.
+def remaining_run_time_ms(
+    state: shard_state.TaskState, run_time_ms: float, now: datetime.datetime
+) -> float:
+    """Return the expected remaining run time of a task's present run, in ms.
 
     A run that has exceeded its expected run time is expected to need the time by which
     it has exceeded it once more. The result is at least ``MIN_REMAINING_SHARE`` of the
@@ -169,12 +164,12 @@
     ----------
     state : shard_state.TaskState
         The task.
-    run_time : datetime.timedelta
-        Expected run time on its worker.
+    run_time_ms : float
+        Expected run time on its worker, in milliseconds.
     now : datetime.datetime
         Present instant.
     """
-    elapsed = (
-        now - state.started_at if state.started_at is not None else datetime.timedelta()
-    )
-    return max(abs(run_time - elapsed), run_time * MIN_REMAINING_SHARE)
+    elapsed_ms = 0.0
+    if state.started_at is not None:
+        elapsed_ms = clock.to_milliseconds(now - state.started_at)
+    return max(abs(run_time_ms - elapsed_ms), run_time_ms * MIN_REMAINING_SHARE)
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -14,7 +14,7 @@
     shard_state,
     utilisation,
 )
-from carawaysail_types import clock, jobs, runs
+from carawaysail_types import jobs, runs
 
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
@@ -49,6 +49,8 @@
         self._workers = workers
         self._now = now
         self._fitting: dict[int, list[policies.Candidate]] = {}
+        # Number of runs after which a task would finish sooner, by step and limit.
+        self._sooner: dict[tuple[int, float], int] = {}
 
     def of(self, state: shard_state.TaskState) -> list[policies.Candidate]:
         """Return the candidates for a task.
@@ -57,11 +59,11 @@
         there, are returned only if there is no other.
         """
         step = state.task.step
-        if step not in self._fitting:
-            self._fitting[step] = self._placer.fitting(
-                self._shard, state, self._workers, self._now
+        fitting = self._fitting.get(step)
+        if fitting is None:
+            fitting = self._fitting[step] = self._placer.fitting(
+                self._shard, state, self._workers
             )
-        fitting = self._fitting[step]
         if not state.avoided_workers:
             return fitting
         avoided = state.avoided_workers
@@ -74,7 +76,9 @@
         """Record that a task was started on a worker, which has less room now."""
         step = state.task.step
         self._placer.record_start(worker)
-        again = self._placer.fitting(self._shard, state, [worker], self._now)
+        self._sooner.clear()
+        remaining = [worker] if worker.accepts(self._now) else []
+        again = self._placer.fitting(self._shard, state, remaining)
         kept = []
         for candidate in self._fitting.pop(step):
             if candidate.worker is not worker:
@@ -83,6 +87,32 @@
                 kept.extend(again)
         self._fitting = {step: kept}
 
+    def count_sooner(
+        self,
+        state: shard_state.TaskState,
+        run_time_ms: float,
+        limit_ms: float,
+        usable: list[held_worker.HeldWorker],
+    ) -> int:
+        """Count the runs after which a task would finish earlier than at a limit.
+
+        Parameters
+        ----------
+        state : shard_state.TaskState
+            The task.
+        run_time_ms, limit_ms : float
+            Run time of the task on an average worker, and time until the limit, in
+            milliseconds.
+        usable : list of held_worker.HeldWorker
+            All workers that accept runs, with and without free resources.
+        """
+        key = (state.task.step, limit_ms)
+        if key not in self._sooner:
+            self._sooner[key] = self._placer.count_sooner(
+                run_time_ms, limit_ms, state.step, usable, self._now
+            )
+        return self._sooner[key]
+
 
 class Placer:
     """Finds candidate workers and lets a policy choose among them.
@@ -122,14 +152,13 @@
         shard: shard_state.ShardState,
         state: shard_state.TaskState,
         usable: collections.abc.Iterable[held_worker.HeldWorker],
-        now: datetime.datetime,
     ) -> list[policies.Candidate]:
-        """Return the workers that accept a task and have the resources for it."""
-        run_time = shard.run_time(self._estimates, state.step)
+        """Return those of the workers that have the resources for a task."""
+        run_time = shard.run_time(self._estimates, state)
         return [
             self._candidate(state.step, run_time, worker)
             for worker in usable
-            if self._fits(shard, state, worker) and worker.accepts(now)
+            if self._fits(shard, state, worker)
         ]
 
     def _fits(
@@ -167,7 +196,7 @@
         self,
         shard: shard_state.ShardState,
         state: shard_state.TaskState,
-        candidates: list[policies.Candidate],
+        candidates_of: Candidates,
         usable: list[held_worker.HeldWorker],
         queued: int,
         now: datetime.datetime,
@@ -180,8 +209,8 @@
             The task's shard.
         state : shard_state.TaskState
             The task.
-        candidates : list of policies.Candidate
-            Workers with free resources for the task, at least one.
+        candidates_of : Candidates
+            Workers with free resources for the shard's tasks; at least one for this.
         usable : list of held_worker.HeldWorker
             All workers that accept runs, with and without free resources.
         queued : int
@@ -190,18 +219,18 @@
         now : datetime.datetime
             Present instant.
         """
+        candidates = candidates_of.of(state)
 
         def is_sooner_after_wait(
             candidate: run_time_estimates.RunTimeEstimate, compares_bounds: bool
         ) -> bool:
-            run_time = shard.run_time(self._estimates, state.step)
-            own, other = (
-                (run_time.upper_bound, candidate.upper_bound)
+            run_time = shard.run_time(self._estimates, state)
+            own_ms, other_ms = (
+                (run_time.upper_bound_ms, candidate.upper_bound_ms)
                 if compares_bounds
-                else (run_time.expected, candidate.expected)
+                else (run_time.expected_ms, candidate.expected_ms)
             )
-            sooner = self._count_sooner(own, other, state.step, usable, queued + 1, now)
-            return sooner > queued
+            return candidates_of.count_sooner(state, own_ms, other_ms, usable) > queued
 
         context = policies.PlacementContext(
             shard,
@@ -211,34 +240,30 @@
         )
         return self._choice.choose(candidates, context)
 
-    def _count_sooner(
+    def count_sooner(
         self,
-        run_time: datetime.timedelta,
-        limit: datetime.timedelta,
+        run_time_ms: float,
+        limit_ms: float,
         step: jobs.Step,
         usable: list[held_worker.HeldWorker],
-        enough: int,
         now: datetime.datetime,
     ) -> int:
         """Count the runs after which a task would finish earlier than at a limit.
 
         Only runs on workers that are full now count: the task starts when the run ends.
-        The count stops at ``enough``.
 
         Parameters
         ----------
-        run_time, limit : datetime.timedelta
-            Run time of the task on an average worker, and time until the limit.
+        run_time_ms, limit_ms : float
+            Run time of the task on an average worker, and time until the limit, in
+            milliseconds.
         step : jobs.Step
             Step of the task.
         usable : list of held_worker.HeldWorker
             All workers that accept runs.
-        enough : int
-            Largest count of interest.
         now : datetime.datetime
             Present instant.
         """
-        run_time_ms, limit_ms = map(clock.to_milliseconds, (run_time, limit))
         count = 0
         for remaining_ms, speed, worker in self._busy_runs(usable, now):
             if remaining_ms >= limit_ms:
@@ -247,8 +272,6 @@
                 continue
             if not worker.ledger.free().can_fit(step.resources):
                 count += 1
-                if count >= enough:
-                    break
         return count
 
     def _busy_runs(
@@ -273,13 +296,18 @@
         """Return the expected remaining times of a worker's runs, in milliseconds."""
         worker_id = worker.report.worker_id
         if worker_id not in self._remaining:
-            self._remaining[worker_id] = [
-                clock.to_milliseconds(
-                    self._remaining_time(shard, run.task, worker, now)
-                )
-                for run in worker.ledger.entries()
-                if (shard := self._find_shard(run.task)) is not None
-            ]
+            speed = self._estimates.speed(worker.report)
+            remaining = []
+            for run in worker.ledger.entries():
+                shard = self._find_shard(run.task)
+                if shard is not None:
+                    state = shard.tasks[run.task]
+                    run_time = shard.run_time(self._estimates, state)
+                    expected_ms = run_time.expected_ms / speed
+                    remaining.append(
+                        loads.remaining_run_time_ms(state, expected_ms, now)
+                    )
+            self._remaining[worker_id] = remaining
         return self._remaining[worker_id]
 
     def begin_pass(self) -> None:
@@ -291,15 +319,3 @@
         """Record that a worker has one more run in this pass."""
         self._remaining.pop(worker.report.worker_id, None)
         self._sorted_runs.clear()
-
-    def _remaining_time(
-        self,
-        shard: shard_state.ShardState,
-        task: runs.Task,
-        worker: held_worker.HeldWorker,
-        now: datetime.datetime,
-    ) -> datetime.timedelta:
-        state = shard.tasks[task]
-        expected = shard.expected_run_time(self._estimates, state.step)
-        run_time = self._estimates.expected_on_worker(expected, worker.report)
-        return loads.remaining_run_time(state, run_time, now)
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -137,7 +137,7 @@
 
 
 def _fastest(candidates: list[Candidate]) -> Candidate:
-    return min(candidates, key=lambda x: (x.run_time.expected, x.spare_milli))
+    return min(candidates, key=lambda x: (x.run_time.expected_ms, x.spare_milli))
 
 
 class _FitToTarget:
@@ -163,8 +163,8 @@
             x
             for x in candidates
             if planning.is_in_time(
-                clock.to_milliseconds(x.run_time.expected),
-                clock.to_milliseconds(x.run_time.upper_bound),
+                x.run_time.expected_ms,
+                x.run_time.upper_bound_ms,
                 target_finish_ms,
                 remaining_ms,
             )
@@ -172,10 +172,8 @@
         if in_time and context.find_utilisation() < planning.HIGH_UTILISATION:
             return _fastest(in_time)
         if in_time:
-            return max(in_time, key=lambda x: (x.run_time.expected, -x.spare_milli))
-        may_time_out = (
-            clock.to_milliseconds(fastest.run_time.upper_bound) > remaining_ms
-        )
+            return max(in_time, key=lambda x: (x.run_time.expected_ms, -x.spare_milli))
+        may_time_out = fastest.run_time.upper_bound_ms > remaining_ms
         if context.is_sooner_after_wait(fastest.run_time, may_time_out):
             return None
         return fastest
--- a/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
@@ -56,36 +56,34 @@
 
 
 class RunTimeEstimate(typing.NamedTuple):
-    """Estimated run time of a task, by default on an average worker.
+    """Estimated run time of a task in milliseconds, by default on an average worker.
+
+    Plain numbers, since placement compares many of them for each task.
 
     Parameters
     ----------
-    expected : datetime.timedelta
+    expected_ms : float
         Expected run time.
-    lower_bound : datetime.timedelta
+    lower_bound_ms : float
         Two such tasks in three run at least so long.
-    upper_bound : datetime.timedelta
+    upper_bound_ms : float
         Nineteen such tasks in twenty run no longer.
     """
 
-    expected: datetime.timedelta
-    lower_bound: datetime.timedelta
-    upper_bound: datetime.timedelta
+    expected_ms: float
+    lower_bound_ms: float
+    upper_bound_ms: float
 
     def at_speed(self, speed: float) -> "RunTimeEstimate":
         """Return the run time on a worker of a speed; 1 is that of an average one."""
         return self.scaled_by(1.0 / speed)
 
-    def delayed_by(self, delay: datetime.timedelta) -> "RunTimeEstimate":
-        """Return the time until a task is done that starts after a delay."""
-        return RunTimeEstimate(
-            self.expected + delay, self.lower_bound + delay, self.upper_bound + delay
-        )
-
     def scaled_by(self, factor: float) -> "RunTimeEstimate":
         """Return the run time multiplied by a factor."""
         return RunTimeEstimate(
-            self.expected * factor, self.lower_bound * factor, self.upper_bound * factor
+            self.expected_ms * factor,
+            self.lower_bound_ms * factor,
+            self.upper_bound_ms * factor,
         )
 
 
@@ -120,13 +118,13 @@
         """Return the weight of a straggler's own estimate against the queue's mean."""
         return STRAGGLER_SPREAD**2 / (STRAGGLER_SPREAD**2 + self.variance * ERROR_SHARE)
 
-    def expected(self, log_ms: float) -> datetime.timedelta:
-        """Return the expected run time of a task with a log estimate."""
+    def expected_ms(self, log_ms: float) -> float:
+        """Return the expected run time in ms of a task with a log estimate."""
         excess = log_ms - self.mean
         probability = self.straggler_probability(log_ms)
         usual = self.mean + (1.0 - ERROR_SHARE) * excess
         straggler = self.mean + self._straggler_weight() * excess
-        return _from_log_ms((1.0 - probability) * usual + probability * straggler)
+        return math.exp((1.0 - probability) * usual + probability * straggler)
 
     def estimate(self, log_ms: float) -> RunTimeEstimate:
         """Return the run time, with bounds, of a task with a log estimate."""
@@ -153,7 +151,7 @@
             exceeding_share = (1.0 - HIGH_QUANTILE) / probability
             upper = max(upper, _quantile(straggler, 1.0 - exceeding_share))
         return RunTimeEstimate(
-            self.expected(log_ms), _from_log_ms(lower), _from_log_ms(upper)
+            self.expected_ms(log_ms), math.exp(lower), math.exp(upper)
         )
 
     def updated(self, log_ms: float) -> "_QueueEstimates":
@@ -175,6 +173,7 @@
 
     def __init__(self) -> None:
         self._estimates: dict[str, _QueueEstimates] = {}
+        # Speed of each worker, and the number of runs that it was learned from.
         self._speeds: dict[str, tuple[float, int]] = {}
 
     def estimate(self, queue: str, step: jobs.Step) -> RunTimeEstimate:
@@ -185,7 +184,7 @@
     def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
         """Return the expected run time of a step's tasks on an average worker."""
         queue_estimates, log_ms = self._lookup(queue, step)
-        return queue_estimates.expected(log_ms)
+        return clock.milliseconds(queue_estimates.expected_ms(log_ms))
 
     def _lookup(self, queue: str, step: jobs.Step) -> tuple[_QueueEstimates, float]:
         """Return a queue's distribution and the log estimate of a step.
@@ -216,13 +215,7 @@
 
     def speed(self, report: runs.WorkerReport) -> float:
         """Return the speed of a worker relative to an average worker, which has 1."""
-        return math.exp(self._speeds.get(report.worker_id, (0.0, 0))[0])
-
-    def expected_on_worker(
-        self, expected: datetime.timedelta, report: runs.WorkerReport
-    ) -> datetime.timedelta:
-        """Return the expected run time on a worker, from that on an average worker."""
-        return expected / self.speed(report)
+        return self._speeds.get(report.worker_id, (1.0, 0))[0]
 
     def record_run(
         self,
@@ -248,10 +241,11 @@
         expected_ms = max(
             MIN_RUN_TIME_MS, clock.to_milliseconds(self.expected(queue, step))
         )
-        log_speed, count = self._speeds.get(report.worker_id, (0.0, 0))
-        log_error = _clamped(math.log(expected_ms / run_time_ms) - log_speed)
+        speed, count = self._speeds.get(report.worker_id, (1.0, 0))
+        log_error = _clamped(math.log(expected_ms / (run_time_ms * speed)))
         weight = max(SPEED_SMOOTHING, 1.0 / (count + 2))
-        self._speeds[report.worker_id] = (log_speed + weight * log_error, count + 1)
+        speed *= math.exp(weight * log_error)
+        self._speeds[report.worker_id] = (speed, count + 1)
 
 
 def _clamped(log_error: float) -> float:
@@ -270,7 +264,3 @@
 
 def _to_log_ms(duration: datetime.timedelta) -> float:
     return math.log(max(MIN_RUN_TIME_MS, clock.to_milliseconds(duration)))
-
-
-def _from_log_ms(log_ms: float) -> datetime.timedelta:
-    return clock.milliseconds(math.exp(log_ms))
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -20,6 +20,21 @@
     DONE = "done"
 
 
+class PhaseCounts:
+    """Number of tasks of a shard that wait, and of those that are not done."""
+
+    def __init__(self) -> None:
+        self.waiting = 0
+        self.open = 0
+
+    def add(self, phase: Phase, change: int) -> None:
+        """Add tasks in a phase, or remove them by a negative change."""
+        if phase is Phase.WAITING:
+            self.waiting += change
+        if phase is not Phase.DONE:
+            self.open += change
+
+
 class TaskState:
     """A task and its present run, if it has one.
 
@@ -29,12 +44,16 @@
         The task.
     step : jobs.Step
         Its step: requirements and the client's estimate.
+    counts : PhaseCounts
+        Counts of the shard's tasks, kept up to date with the task's phase.
     """
 
-    def __init__(self, task: runs.Task, step: jobs.Step) -> None:
+    def __init__(self, task: runs.Task, step: jobs.Step, counts: PhaseCounts) -> None:
         self.task = task
         self.step = step
-        self.phase = Phase.WAITING
+        self._counts = counts
+        self._phase = Phase.WAITING
+        counts.add(Phase.WAITING, 1)
         self.last_run_number = 0
         self.done_run_number = 0
         self.failures = 0
@@ -42,6 +61,17 @@
         self.started_at: datetime.datetime | None = None
         self.avoided_workers: set[str] = set()
 
+    @property
+    def phase(self) -> Phase:
+        """Whether the task waits, has a run on a worker, or is done."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase: Phase) -> None:
+        self._counts.add(self._phase, -1)
+        self._counts.add(phase, 1)
+        self._phase = phase
+
     def next_run(self) -> runs.Run:
         """Return the run to order next; its number is one above the last."""
         return runs.Run(self.task, self.last_run_number + 1)
@@ -114,11 +144,14 @@
         self.least_processor_milli = min(
             (x.resources.processor_milli for x in submission.job.steps), default=0
         )
+        self._counts = PhaseCounts()
         self._observed_log_ms: list[float] = []
+        # By step number; made when first needed, and replaced by observed run times.
+        self._run_times: dict[int, run_time_estimates.RunTimeEstimate] = {}
         for step_number, step in enumerate(submission.job.steps):
             for index in submission.tasks or range(step.task_count):
                 task = runs.Task(submission.job.job_id, 0, step_number, index)
-                self.tasks[task] = TaskState(task, step)
+                self.tasks[task] = TaskState(task, step, self._counts)
 
     @property
     def job_id(self) -> str:
@@ -136,41 +169,30 @@
         run_time_ms = max(
             run_time_estimates.MIN_RUN_TIME_MS, clock.to_milliseconds(run_time)
         )
-        self._observed_log_ms.append(math.log(run_time_ms))
-
-    def _observed_mean(self) -> datetime.timedelta | None:
-        """Return the geometric mean run time of the finished tasks.
-
-        ``None`` if no task is done or the job has several steps. Tasks of one step
-        are alike, so the finished ones are better predictors than estimates.
-        """
         observed = self._observed_log_ms
-        if not observed or len(self.submission.job.steps) != 1:
-            return None
-        return clock.milliseconds(math.exp(sum(observed) / len(observed)))
+        observed.append(math.log(run_time_ms))
+        if len(self.submission.job.steps) == 1:
+            # Tasks of one step are alike, so the finished ones are better predictors
+            # than estimates.
+            mean_ms = math.exp(sum(observed) / len(observed))
+            self._run_times[0] = run_time_estimates.RunTimeEstimate(
+                mean_ms, mean_ms, mean_ms * UPPER_BOUND_FACTOR
+            )
 
     def run_time(
-        self, estimates: run_time_estimates.RunTimeEstimates, step: jobs.Step
+        self, estimates: run_time_estimates.RunTimeEstimates, state: TaskState
     ) -> run_time_estimates.RunTimeEstimate:
-        """Estimate the run time of a task of a step on an average worker."""
-        mean = self._observed_mean()
-        if mean is not None:
-            return run_time_estimates.RunTimeEstimate(
-                mean, mean, mean * UPPER_BOUND_FACTOR
-            )
-        return estimates.estimate(self.submission.queue.name, step)
-
-    def expected_run_time(
-        self, estimates: run_time_estimates.RunTimeEstimates, step: jobs.Step
-    ) -> datetime.timedelta:
-        """Return the expected run time of a task of a step on an average worker."""
-        return self._observed_mean() or estimates.expected(
-            self.submission.queue.name, step
-        )
+        """Estimate the run time of one of the tasks on an average worker."""
+        step_number = state.task.step
+        run_time = self._run_times.get(step_number)
+        if run_time is None:
+            run_time = estimates.estimate(self.submission.queue.name, state.step)
+            self._run_times[step_number] = run_time
+        return run_time
 
     def is_done(self) -> bool:
         """Return whether every task is done."""
-        return all(state.phase is Phase.DONE for state in self.tasks.values())
+        return not self._counts.open
 
     def done_runs(self) -> list[str]:
         """Return step, number and completing run of each done task, for logs.
@@ -185,18 +207,16 @@
 
     def ready_tasks(self) -> list[TaskState]:
         """Return the waiting tasks of steps whose preceding steps are done."""
+        waiting = [x for x in self.tasks.values() if x.phase is Phase.WAITING]
+        if len(self.submission.job.steps) == 1:
+            return waiting
         open_steps = {
             task.step
             for task, state in self.tasks.items()
             if state.phase is not Phase.DONE
         }
-        return [
-            state
-            for state in self.tasks.values()
-            if state.phase is Phase.WAITING
-            and not open_steps.intersection(state.step.after)
-        ]
+        return [x for x in waiting if not open_steps.intersection(x.step.after)]
 
     def waiting_count(self) -> int:
         """Return the number of tasks without a run, ready or not."""
-        return sum(state.phase is Phase.WAITING for state in self.tasks.values())
+        return self._counts.waiting
--- a/libs/carawaysail_holding/src/carawaysail_holding/stall_detection.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/stall_detection.py
@@ -3,6 +3,7 @@
 import datetime
 
 from carawaysail_holding import actions, held_worker, job_table, run_time_estimates
+from carawaysail_types import clock
 
 
 class StallDetector:
@@ -53,9 +54,8 @@
             if shard is None:
                 continue
             state = shard.tasks[run.task]
-            upper_bound = (
-                shard.run_time(self._estimates, state.step).at_speed(speed).upper_bound
-            )
+            run_time = shard.run_time(self._estimates, state).at_speed(speed)
+            upper_bound = clock.milliseconds(run_time.upper_bound_ms)
             if not worker.run_progress.is_stalled(run, upper_bound, now):
                 continue
             self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -111,7 +111,7 @@
         return {
             "workers": len(self._workers),
             "silent_workers": sum(x.health.is_silent for x in self.all()),
-            "runs": sum(len(x.ledger.entries()) for x in self.all()),
+            "runs": sum(x.ledger.run_count() for x in self.all()),
         }
 
     def remove(self, worker_id: str) -> list[runs.Run]:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -222,6 +222,54 @@
         self.assertEqual([1], [x.run.task.step for x in later])
 
 
+class WaitForFullWorkers:
+    """A choice that leaves each task waiting for a worker that is full now."""
+
+    def choose(self, candidates, context):
+        context.is_sooner_after_wait(candidates[0].run_time, False)
+
+
+class TestCostOfWaiting(BrokerCase):
+    """A crest: many shards wait, although some workers have room, for faster ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold(*map(make_report, range(3)))
+        self.submit(self.make(task_count=2))
+        self.broker._placer._choice = WaitForFullWorkers()
+        for number in range(2, 21):
+            self.submit(self.make(number, task_count=2))
+
+    # Each pass over waiting tasks estimated all their run times anew, which took most
+    # of a holder's processor time at a crest.
+    def test_run_times_are_estimated_once_for_each_shard(self):
+        estimated = []
+        real = self.broker.estimates.estimate
+
+        def estimate(queue, step):
+            estimated.append(step)
+            return real(queue, step)
+
+        self.patch(self.broker.estimates, "estimate", estimate)
+        for _ in range(10):
+            self.clock.advance(MS(20))
+            self.broker.tick(self.now)
+        self.assertEqual([], estimated)
+
+    # A holder that lost a gateway placed all its waiting tasks once for each shard.
+    def test_shards_of_a_lost_gateway_are_withdrawn_in_one_pass(self):
+        passes = []
+        real = self.broker._place
+
+        def place(now):
+            passes.append(now)
+            real(now)
+
+        self.patch(self.broker, "_place", place)
+        self.broker.handle_gateway_lost("vm-0", self.now)
+        self.assertEqual(1, len(passes))
+
+
 class TestUnansweredOrders(BrokerCase):
     """An order without an answer may be carried out much later."""
 
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -62,7 +62,7 @@
     if upper_bound_ms is None:
         upper_bound_ms = 1.6 * expected_ms
     return run_time_estimates.RunTimeEstimate(
-        MS(expected_ms), MS(expected_ms / 1.3), MS(upper_bound_ms)
+        expected_ms, expected_ms / 1.3, upper_bound_ms
     )
 
 
@@ -198,18 +198,19 @@
     def remaining(self, elapsed_ms):
         now = clock.ManualClock().now()
         step = jobs.Step(1, RESOURCES, MS(100))
-        state = shard_state.TaskState(runs.Task("0" * 16, 0, 0, 0), step)
+        task, counts = runs.Task("0" * 16, 0, 0, 0), shard_state.PhaseCounts()
+        state = shard_state.TaskState(task, step, counts)
         state.record_placement(runs.Run(state.task, 1), "w", now - MS(elapsed_ms))
-        return loads.remaining_run_time(state, MS(100), now)
+        return loads.remaining_run_time_ms(state, 100.0, now)
 
     def test_run_within_its_expected_run_time(self):
-        self.assertEqual(MS(60), self.remaining(40))
+        self.assertEqual(60.0, self.remaining(40))
 
     def test_run_near_its_expected_run_time(self):
-        self.assertEqual(MS(20), self.remaining(99))
+        self.assertEqual(20.0, self.remaining(99))
 
     def test_overdue_run_is_expected_to_need_as_long_again(self):
-        self.assertEqual(MS(400), self.remaining(500))
+        self.assertEqual(400.0, self.remaining(500))
 
 
 class TestFitToTarget(testtools.TestCase):
@@ -254,8 +255,8 @@
                 return False
             next_finish = make_estimate(next_finish_ms, next_upper_bound_ms)
             if compares_bounds:
-                return next_finish.upper_bound < candidate.upper_bound
-            return next_finish.expected < candidate.expected
+                return next_finish.upper_bound_ms < candidate.upper_bound_ms
+            return next_finish.expected_ms < candidate.expected_ms
 
         context = policies.PlacementContext(
             self.make_job(run_time_ms), is_sooner_after_wait, lambda: utilisation,
@@ -264,7 +265,7 @@
         chosen = self.policy.choose(candidates, context)
         if chosen is None:
             return None
-        return clock.to_milliseconds(chosen.run_time.expected)
+        return chosen.run_time.expected_ms
 
     def make_worker(self, number):
         report = runs.WorkerReport(
@@ -358,10 +359,9 @@
             self.estimates.record_estimate("q", self.step._replace(estimate=estimate))
 
     def estimate(self, estimate_ms):
-        run_time = self.estimates.estimate(
+        return self.estimates.estimate(
             "q", self.step._replace(estimate=MS(estimate_ms))
         )
-        return [clock.to_milliseconds(x) for x in run_time]
 
     def test_high_estimate_is_shrunk_towards_the_mean_of_its_queue(self):
         self.record_estimates()
