--- a/libs/carawaysail_holding/src/carawaysail_holding/loads.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -66,6 +66,9 @@
     waiting_work_ms : float
         Sum of the expected run times of these tasks on an average worker, in
         milliseconds.
+    unlisted_releases : int
+        Number of further runs, which are expected to end later than those in
+        ``expected_releases``.
     """
 
     service: str
@@ -74,6 +77,23 @@
     expected_releases: tuple[ExpectedRelease, ...]
     waiting_tasks: int
     waiting_work_ms: float
+    unlisted_releases: int = 0
+
+    def run_count(self) -> int:
+        """Return the number of runs, listed or not."""
+        return len(self.expected_releases) + self.unlisted_releases
+
+    def release(self, position: int) -> ExpectedRelease:
+        """Return the expected release of a run by its position among all runs.
+
+        Those that are not listed are taken to follow at the pace of the listed ones.
+        """
+        listed = self.expected_releases
+        if position < len(listed):
+            return listed[position]
+        pace_ms = listed[-1].after_ms / len(listed)
+        speed = listed[position % len(listed)].speed
+        return ExpectedRelease(pace_ms * (position + 1), speed)
 
 
 def service_load(
@@ -129,7 +149,7 @@
     return ServiceLoad(
         service, tuple(free_capacity[:MAX_ROWS]), tuple(speeds[:MAX_ROWS]),
         tuple(sorted(expected_releases)[:MAX_ROWS]), waiting_tasks,
-        round(waiting_work_ms),
+        round(waiting_work_ms), max(0, len(expected_releases) - MAX_ROWS),
     )  # fmt: skip
 
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -101,6 +101,17 @@
         return self.start_ms + self.upper_bound_ms + self.round_trip_ms
 
 
+class _Slots(typing.NamedTuple):
+    """Alike slots: free ones of workers with one speed, or a place in a queue.
+
+    ``free`` has pairs of a slot index, ``None`` for a queue, and the number of tasks
+    that fit; ``option`` is that of each slot but for its index.
+    """
+
+    option: Option
+    free: list[tuple[int | None, int]]
+
+
 class CapacityView:
     """The newest load report of each data centre, less what was planned since then.
 
@@ -185,21 +196,28 @@
         }
         if not candidates:
             return None
-        free_options = self._free_options(candidates, requirements)
-        in_time: list[Option] = []
-        fallbacks: list[Option] = []
-        for option in free_options:
-            (in_time if _is_in_time(option, requirements) else fallbacks).append(option)
-        busy = sum(len(load.expected_releases) for load in candidates.values())
-        is_highly_utilised = busy > HIGH_UTILISATION * (busy + len(free_options))
+        all_free = self._free_slots(candidates, requirements)
+        in_time: list[_Slots] = []
+        fallbacks: list[_Slots] = []
+        for slots in all_free:
+            is_in_time = _is_in_time(slots.option, requirements)
+            (in_time if is_in_time else fallbacks).append(slots)
+        free_count = sum(count for slots in all_free for _, count in slots.free)
+        busy = sum(load.run_count() for load in candidates.values())
+        is_highly_utilised = busy > HIGH_UTILISATION * (busy + free_count)
         preference = self._by_longest_run if is_highly_utilised else self._by_finish
-        chosen_in_time = sorted(in_time, key=lambda x: preference(x, requirements))[
-            : requirements.task_count
-        ]
-        unassigned = requirements.task_count - len(chosen_in_time)
-        fallbacks.extend(self._queue_options(candidates, requirements, unassigned))
-        fallbacks.sort(key=lambda x: self._by_timeout_excess(x, requirements))
-        chosen = [*chosen_in_time, *fallbacks[:unassigned]]
+        in_time.sort(key=lambda x: preference(x.option, requirements))
+        chosen = _take(in_time, requirements.task_count)
+        unassigned = requirements.task_count - len(chosen)
+        if unassigned:
+            fallbacks.extend(
+                _Slots(option, [(None, 1)])
+                for option in self._queue_options(candidates, requirements, unassigned)
+            )
+            fallbacks.sort(
+                key=lambda x: self._by_timeout_excess(x.option, requirements)
+            )
+            chosen.extend(_take(fallbacks, unassigned))
         tasks_by_data_centre: dict[str, int] = {}
         for option in chosen:
             tasks_by_data_centre[option.data_centre] = (
@@ -289,25 +307,23 @@
         ]
         return min(backlogs_ms, default=0.0)
 
-    def _free_options(
+    def _free_slots(
         self, candidates: dict[str, loads.ServiceLoad], requirements: Requirements
-    ) -> list[Option]:
-        """Return one option for each task that fits into free capacity now."""
+    ) -> list[_Slots]:
+        """Return the slots that a task fits into now, by data centre and speed."""
         milli = max(1, requirements.resources.processor_milli)
-        options: list[Option] = []
+        found: list[_Slots] = []
         for data_centre, load in candidates.items():
+            free_by_speed: dict[float, list[tuple[int | None, int]]] = {}
+            for slot_index, (free_milli, speed) in enumerate(load.free_capacity):
+                if free_milli >= milli:
+                    free = free_by_speed.setdefault(speed, [])
+                    free.append((slot_index, free_milli // milli))
             round_trip_ms = self._round_trip_ms(data_centre)
-            for slot_index, slot in enumerate(load.free_capacity):
-                option = _option(
-                    requirements,
-                    0.0,
-                    slot.speed,
-                    round_trip_ms,
-                    data_centre,
-                    slot_index,
-                )
-                options.extend([option] * (slot.free_milli // milli))
-        return options
+            for speed, free in free_by_speed.items():
+                option = _option(requirements, 0.0, speed, round_trip_ms, data_centre)
+                found.append(_Slots(option, free))
+        return found
 
     def _queue_options(
         self,
@@ -324,17 +340,15 @@
         options: list[Option] = []
         for data_centre, load in candidates.items():
             round_trip_ms = self._round_trip_ms(data_centre)
-            expected_releases = load.expected_releases or (
-                loads.ExpectedRelease(0.0, max(load.speeds)),
-            )
+            if not load.expected_releases:
+                idle = loads.ExpectedRelease(0.0, max(load.speeds))
+                load = load._replace(expected_releases=(idle,))
             mean_run_time_ms = (
                 load.waiting_work_ms / load.waiting_tasks if load.waiting_tasks else 0.0
             )
             for number in range(count):
-                rounds, position = divmod(
-                    load.waiting_tasks + number, len(expected_releases)
-                )
-                release = expected_releases[position]
+                rounds, position = divmod(load.waiting_tasks + number, load.run_count())
+                release = load.release(position)
                 start_ms = release.after_ms + rounds * max(
                     mean_run_time_ms, requirements.run_time_ms
                 )
@@ -345,7 +359,6 @@
                         release.speed,
                         round_trip_ms,
                         data_centre,
-                        None,
                     )
                 )
         return options
@@ -403,17 +416,29 @@
     speed: float,
     round_trip_ms: float,
     data_centre: str,
-    slot_index: int | None,
 ) -> Option:
     run_time_ms, upper_bound_ms = (
         requirements.run_time_ms / speed,
         requirements.upper_bound_ms / speed,
     )
     return Option(
-        start_ms, run_time_ms, upper_bound_ms, round_trip_ms, data_centre, slot_index
+        start_ms, run_time_ms, upper_bound_ms, round_trip_ms, data_centre, None
     )
 
 
+def _take(ordered: typing.Iterable[_Slots], count: int) -> list[Option]:
+    """Return the options of the first slots, at most ``count``."""
+    taken: list[Option] = []
+    for slots in ordered:
+        for slot_index, free_count in slots.free:
+            missing = count - len(taken)
+            if missing <= 0:
+                return taken
+            option = slots.option._replace(slot_index=slot_index)
+            taken.extend([option] * min(free_count, missing))
+    return taken
+
+
 FINISH_MARGIN = 1.05
 """Factor on the expected finish. A small one is enough: the tasks of a job differ
 little in run time, and the objective is a multiple of their true run time."""
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -28,6 +28,7 @@
     waiting_tasks=0,
     waiting_work_ms=0.0,
     speeds=(1.4, 0.6),
+    unlisted_releases=0,
 ):
     """Return a load report.
 
@@ -45,6 +46,7 @@
         ),
         waiting_tasks,
         waiting_work_ms,
+        unlisted_releases,
     )
 
 
@@ -147,6 +149,21 @@
         remaining = view._loads["home", "search"].free_capacity
         self.assertEqual([14_000, 0], [x.free_milli for x in remaining])
 
+    # A report lists 48 runs; a data centre with more looked half idle at a crest, and
+    # short tasks took the fast workers.
+    def test_runs_that_a_report_does_not_list_count_as_utilisation(self):
+        free = [(14, 1.4)] * 20 + [(14, 0.6)] * 30
+        load = make_load(free, [(100, 1.4)] * 48, unlisted_releases=40)
+        plan = self.make(home=load).plan("search", make_requirements(1, 51.0))
+        self.assertAlmostEqual(51.0 / 0.6, plan.finish_ms)
+
+    # Tasks that would wait behind 48 others were taken to wait for a whole further run.
+    def test_queue_is_spread_over_runs_that_a_report_does_not_list(self):
+        releases = [(2 * number, 1.4) for number in range(1, 49)]
+        load = make_load([], releases, 60, 6000.0, unlisted_releases=40)
+        plan = self.make(home=load).plan("search", make_requirements(1, 100.0))
+        self.assertAlmostEqual(2 * 61 + 100.0 / 1.4, plan.finish_ms)
+
     def test_long_task_is_queued_for_a_fast_worker(self):
         view = self.make(home=make_load([(14, 0.6)], [(100, 1.4)]))
         plan = view.plan("search", make_requirements(1, 760.0))
