--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -32,8 +32,9 @@
 BUSY_TICK_INTERVAL = clock.milliseconds(20)
 """Interval of checks for deadlines and expired leases while jobs are open."""
 
-IDLE_TICK_INTERVAL = clock.milliseconds(75)
-"""Interval of the same checks while no job is open; half of a heartbeat interval."""
+TICKS_PER_HEARTBEAT = 2
+"""Checks of other daemons, of claims, and of deadlines while no job is open, for each
+heartbeat interval."""
 
 HEARTBEATS_PER_REFRESH = 4
 """One heartbeat in so many repeats the known holders, and the load if it is unchanged:
@@ -174,11 +175,11 @@
         while True:
             wait_s = self.max_wait().total_seconds()
             received = await self.inbox.drain(wait_s)
-            is_failed = self._is_tick_due() and not self.tick()
+            is_failed = self._is_tick_due(self.clock.now()) and not self.tick()
             for message in received:
-                self.handle(message)
+                handled_at = self.handle(message)
                 # Heartbeats and leases must not wait for many messages.
-                if self._is_tick_due():
+                if self._is_tick_due(handled_at):
                     is_failed = not self.tick()
             if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
@@ -191,18 +192,28 @@
         """Return by how much the loop is late with its work, on average."""
         return clock.milliseconds(self._delay_ms)
 
-    def _is_tick_due(self) -> bool:
-        return self.clock.now() >= self._next_tick()
+    def _is_tick_due(self, now: datetime.datetime) -> bool:
+        return now >= self._next_tick()
 
     def _next_tick(self) -> datetime.datetime:
         is_busy = self.gateway.open_jobs() or self.broker.open_shards()
-        interval = BUSY_TICK_INTERVAL if is_busy else IDLE_TICK_INTERVAL
+        interval = BUSY_TICK_INTERVAL if is_busy else self._slow_tick_interval()
         return min(self._last_tick + interval, self._next_heartbeat)
 
-    def handle(self, message: messages.Message) -> None:
-        """Handle one message; settle what it began if that fails."""
+    def _slow_tick_interval(self) -> datetime.timedelta:
+        return self.election.heartbeat_interval() / TICKS_PER_HEARTBEAT
+
+    def handle(self, message: messages.Message) -> datetime.datetime:
+        """Handle one message; settle what it began if that fails.
+
+        Returns
+        -------
+        datetime.datetime
+            When its handling began.
+        """
         now = self.clock.now()
         self.dispatch(type(message).__name__, message, now)
+        return now
 
     def dispatch(self, kind: str, message: typing.Any, now: datetime.datetime) -> None:
         """Call the handler of a kind of message, and its failure handler if it fails.
@@ -259,7 +270,7 @@
         self._last_tick = now
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
-            self._next_slow_tick = now + IDLE_TICK_INTERVAL
+            self._next_slow_tick = now + self._slow_tick_interval()
             steps = (*_SLOW_STEPS, *_TIMED_STEPS)
         failures = set()
         for step in steps:
@@ -562,7 +573,7 @@
     DecisionLoop._update_brokers,
     DecisionLoop._claim_data_centres,
 )
-"""What a tick does first at intervals of ``IDLE_TICK_INTERVAL``, in this order."""
+"""What a tick does first, ``TICKS_PER_HEARTBEAT`` times a heartbeat, in this order."""
 
 
 def _ignore(limits: jobs.Limits) -> None:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
@@ -111,6 +111,7 @@
         connections.update(self._streams)
         for connection in connections.values():
             connection.send_shared(shared)
+        self._sent_to.update(connections)
         return len(connections), shared.size_bytes
 
     def send_heartbeat(
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -184,11 +184,14 @@
     def _step(self) -> float:
         key = self._codec.configuration_key
         if not self._after:
-            item = self._store.read(key)
-            if item is None:
+            # A listing has the store's revision. The entry's own may be older than the
+            # history, so that a watch from there would fail again and again.
+            snapshot = self._store.list(key)
+            found = [item for item in snapshot.items if item.key == key]
+            if not found:
                 return CONFIGURATION_RETRY_S
-            self._publish(item)
-            self._after = item.revision
+            self._publish(found[0])
+            self._after = snapshot.revision
         result = self._watch(key)
         for item in result.changed:
             if item.key == key:
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/inbox.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/inbox.py
@@ -5,6 +5,9 @@
 import threading
 import typing
 
+TIMER_TOLERANCE_S = 0.001
+"""Time by which a wait may exceed its timeout, in seconds."""
+
 Message = typing.TypeVar("Message")
 
 
@@ -29,6 +32,8 @@
         self._items: collections.deque[Message] = collections.deque()
         # What the receiving task waits for; ``None`` while it does not wait.
         self._waiter: asyncio.Future[None] | None = None
+        # Kept for the next wait if that ends no earlier.
+        self._timer: asyncio.TimerHandle | None = None
         self._is_signalled = False
         # Thread of the event loop, which can be signalled without a system call.
         self._thread_id = threading.get_ident()
@@ -84,14 +89,31 @@
         """Wait for a message, or until the timeout."""
         self._is_signalled = False
         self._waiter = self._loop.create_future()
-        timer = None
-        if timeout_s is not None:
-            timer = self._loop.call_later(timeout_s, self._wake)
+        self._set_timer(timeout_s)
         try:
             # A message of another thread may have come before there was a waiter.
             while not self._items and not self._waiter.done():
                 await self._waiter
         finally:
             self._waiter = None
+
+    def _set_timer(self, timeout_s: float | None) -> None:
+        """Let the present wait end after a timeout; ``None`` for no timeout.
+
+        A timer of an earlier wait is used again if it ends this one in time but not
+        before half of the timeout: most waits end by a message, and setting a timer
+        costs more than many a message.
+        """
+        timer = self._timer
+        if timeout_s is None:
             if timer is not None:
                 timer.cancel()
+            self._timer = None
+            return
+        now_s = self._loop.time()
+        if timer is not None:
+            latest_s = now_s + timeout_s + TIMER_TOLERANCE_S
+            if now_s + timeout_s / 2 <= timer.when() <= latest_s:
+                return
+            timer.cancel()
+        self._timer = self._loop.call_at(now_s + timeout_s, self._wake)
--- a/libs/carawaysail_runtime/tests/test_runtime.py
+++ b/libs/carawaysail_runtime/tests/test_runtime.py
@@ -71,6 +71,24 @@
 
         asyncio.run(run())
 
+    # Each wait set a timer of its own, a third of what a message cost an idle daemon.
+    def test_waits_until_the_same_instant_share_a_timer(self):
+        async def run():
+            loop = asyncio.get_running_loop()
+            box = inbox.Inbox(loop, 10)
+            timers = []
+            real = loop.call_at
+            loop.call_at = lambda *args, **kw: timers.append(args) or real(*args, **kw)
+            end_s = loop.time() + 30.0
+            for number in range(10):
+                loop.call_soon(box.put, number)
+                self.assertEqual([number], await box.drain(end_s - loop.time()))
+            self.assertEqual(1, len(timers))
+            self.assertEqual([], await box.drain(0.01))
+            self.assertEqual(2, len(timers))
+
+        asyncio.run(run())
+
     def test_message_of_the_loops_own_thread_ends_the_wait(self):
         async def run():
             loop = asyncio.get_running_loop()
