--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -30,11 +30,10 @@
 from carawaysail_types import clock, daemons, jobs, registry
 
 BUSY_TICK_INTERVAL = clock.milliseconds(20)
-"""Interval of checks for deadlines and expired leases while jobs are open."""
+"""Interval of checks for deadlines and expired leases while shards run here."""
 
 TICKS_PER_HEARTBEAT = 2
-"""Checks of other daemons, of claims, and of deadlines while no job is open, for each
-heartbeat interval."""
+"""Checks of other daemons and of claims for each heartbeat interval."""
 
 HEARTBEATS_PER_REFRESH = 4
 """One heartbeat in so many repeats the known holders, and the load if it is unchanged:
@@ -196,9 +195,11 @@
         return now >= self._next_tick()
 
     def _next_tick(self) -> datetime.datetime:
-        is_busy = self.gateway.open_jobs() or self.broker.open_shards()
+        is_busy = self.broker.open_shards()
         interval = BUSY_TICK_INTERVAL if is_busy else self._slow_tick_interval()
-        return min(self._last_tick + interval, self._next_heartbeat)
+        next_tick = min(self._last_tick + interval, self._next_heartbeat)
+        job_due = self.gateway.next_due()
+        return next_tick if job_due is None else min(next_tick, job_due)
 
     def _slow_tick_interval(self) -> datetime.timedelta:
         return self.election.heartbeat_interval() / TICKS_PER_HEARTBEAT
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -323,6 +323,40 @@
         self.assertFalse(self.loop.has_ended.is_set())
 
 
+class TestIdleWork(DecisionLoopCase):
+    """What a daemon does while its clients wait for the holders."""
+
+    # A daemon with a waiting client woke up every 20 ms only to look for deadlines.
+    def test_gateway_with_waiting_clients_is_not_woken_for_each_deadline_check(self):
+        self.receive(make_heartbeat())
+        self.loop.record_holder(
+            daemons.Holder("home", REMOTE.vm, REMOTE.incarnation, 5), self.clock.now()
+        )
+        self.loop.tick()
+        before = self.loop.max_wait()
+        self.post_job(7)
+        self.assertEqual(1, self.loop.gateway.open_jobs())
+        self.assertGreaterEqual(self.loop.max_wait(), before)
+
+    def test_client_is_answered_when_its_job_is_due(self):
+        self.receive(make_heartbeat())
+        self.loop.record_holder(
+            daemons.Holder("home", REMOTE.vm, REMOTE.incarnation, 5), self.clock.now()
+        )
+        self.loop.tick()
+        self.post_job(7)
+        waited_ms = 0
+        while not self.answered() and waited_ms < 3000:
+            wait = self.loop.max_wait()
+            waited_ms += clock.to_milliseconds(wait)
+            self.clock.advance(wait)
+            self.receive(make_heartbeat())
+            self.loop.tick()
+        self.assertIs(jobs.Reason.TIMED_OUT, self.answered()[7].reason)
+        margin_ms = clock.to_milliseconds(gateway.ANSWER_MARGIN)
+        self.assertAlmostEqual(1500 + margin_ms, waited_ms, delta=1.0)
+
+
 class TestOverload(DecisionLoopCase):
     """A daemon that gets more messages than it can handle at once."""
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -521,7 +521,7 @@
                 queued += 1
             elif not self._workers.is_on_any_worker(state.task):
                 self._order_start(shard, state, chosen, now)
-                candidates_of.record_start(state, chosen.worker)
+                candidates_of.record_start(state, chosen)
                 started_on.add(chosen.worker.report.worker_id)
         if started_on:
             self._actions.add(
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -116,6 +116,15 @@
     def task_count(self) -> int:
         return sum(step.task_count for step in self.submission.job.steps)
 
+    def due(self) -> datetime.datetime:
+        """Return when the job is finished at the latest, whatever brokers say."""
+        lost = [
+            shard.lost_since + SUCCESSION_TIMEOUT
+            for shard in self.shards.values()
+            if shard.lost_since is not None and not shard.is_done
+        ]
+        return min([self.submission.deadline + ANSWER_MARGIN, *lost])
+
     def is_copy(self, submission: broker_messages.Submission) -> bool:
         """Return whether a submission is the same job, sent again by its client."""
         own = self.submission
@@ -175,6 +184,8 @@
         self._brokers: dict[str, ReachableBroker] = {}
         self._capacity = planning.CapacityView(me.data_centre, me.vm)
         self._estimates = run_time_estimates.RunTimeEstimates()
+        # No job is due before; the job that was due then may have been answered.
+        self._next_due: datetime.datetime | None = None
         # By service; 0 is the highest priority.
         self._highest_priorities: dict[str, int] = {}
 
@@ -182,6 +193,15 @@
         """Return the number of jobs that clients wait for."""
         return len(self._jobs)
 
+    def next_due(self) -> datetime.datetime | None:
+        """Return when ``tick`` may have something to do; ``None`` without jobs."""
+        return self._next_due
+
+    def _record_due(self, job: _WaitingJob) -> None:
+        due = job.due()
+        if self._next_due is None or due < self._next_due:
+            self._next_due = due
+
     # Brokers
 
     def record_gateway_count(self, count: int) -> None:
@@ -225,6 +245,7 @@
             for shard in job.shards.values():
                 if not shard.is_done:
                     self._update_shard_broker(job, shard, now, out)
+            self._record_due(job)
         return out
 
     def _update_shard_broker(
@@ -311,6 +332,7 @@
         ]
         self._add_shards(job, self._split(job, forecast.plan.tasks_by_data_centre), out)
         self._jobs[job.job_id] = job
+        self._record_due(job)
         return out
 
     def _forecast(self, job: _WaitingJob) -> job_admission.Forecast | None:
@@ -355,6 +377,7 @@
         out: list[Action] = [_log("routed", job, shares={home: 0})]
         self._add_shards(job, {home: ()}, out)
         self._jobs[job.job_id] = job
+        self._record_due(job)
         return out
 
     def _split(
@@ -529,13 +552,15 @@
     def tick(self, now: datetime.datetime) -> list[Action]:
         """Finish jobs whose deadline has passed or whose broker stays unreachable."""
         out: list[Action] = []
+        if self._next_due is None or now < self._next_due:
+            return out
+        self._next_due = None
         for job in list(self._jobs.values()):
-            if now >= job.submission.deadline + ANSWER_MARGIN:
-                reason = jobs.Reason.TIMED_OUT
-            elif any(_is_lost(shard, now) for shard in job.shards.values()):
-                reason = jobs.Reason.BROKER_LOST
-            else:
+            if now < job.due():
+                self._record_due(job)
                 continue
+            is_late = now >= job.submission.deadline + ANSWER_MARGIN
+            reason = jobs.Reason.TIMED_OUT if is_late else jobs.Reason.BROKER_LOST
             out.extend(self._finish(job, jobs.JobOutcome(jobs.Verdict.UNKNOWN, reason)))
         return out
 
@@ -556,11 +581,6 @@
         return out
 
 
-def _is_lost(shard: _Shard, now: datetime.datetime) -> bool:
-    since = shard.lost_since
-    return not shard.is_done and since is not None and now - since > SUCCESSION_TIMEOUT
-
-
 def _log(
     name: str, job: _WaitingJob, **fields: typing.Any
 ) -> broker_messages.LogDecision:
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -1,5 +1,6 @@
 """Choice of a worker for a waiting task, which may also be to wait for a better one."""
 
+import bisect
 import collections.abc
 import datetime
 import functools
@@ -71,11 +72,11 @@
         return preferred or fitting
 
     def record_start(
-        self, state: shard_state.TaskState, worker: held_worker.HeldWorker
+        self, state: shard_state.TaskState, chosen: policies.Candidate
     ) -> None:
         """Record that a task was started on a worker, which has less room now."""
-        step = state.task.step
-        self._placer.record_start(worker)
+        step, worker = state.task.step, chosen.worker
+        self._placer.record_start(chosen)
         self._sooner.clear()
         remaining = [worker] if worker.accepts(self._now) else []
         again = self._placer.fitting(self._shard, state, remaining)
@@ -144,7 +145,7 @@
         # tasks: by worker, and of all usable workers of a service.
         self._remaining: dict[str, list[float]] = {}
         self._sorted_runs: dict[
-            int, list[tuple[float, float, held_worker.HeldWorker]]
+            tuple[str, str], list[tuple[float, float, held_worker.HeldWorker]]
         ] = {}
 
     def fitting(
@@ -278,9 +279,9 @@
         self, usable: list[held_worker.HeldWorker], now: datetime.datetime
     ) -> list[tuple[float, float, held_worker.HeldWorker]]:
         """Return remaining time in ms, speed and worker of all runs, soonest first."""
-        key = id(usable)
-        if key not in self._sorted_runs:
-            self._sorted_runs[key] = sorted(
+        pool = _pool(usable[0])
+        if pool not in self._sorted_runs:
+            self._sorted_runs[pool] = sorted(
                 (
                     (remaining_ms, self._estimates.speed(worker.report), worker)
                     for worker in usable
@@ -288,7 +289,7 @@
                 ),
                 key=operator.itemgetter(0),
             )
-        return self._sorted_runs[key]
+        return self._sorted_runs[pool]
 
     def _remaining_times(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
@@ -315,7 +316,17 @@
         self._remaining.clear()
         self._sorted_runs.clear()
 
-    def record_start(self, worker: held_worker.HeldWorker) -> None:
+    def record_start(self, chosen: policies.Candidate) -> None:
         """Record that a worker has one more run in this pass."""
+        worker = chosen.worker
         self._remaining.pop(worker.report.worker_id, None)
-        self._sorted_runs.clear()
+        speed = self._estimates.speed(worker.report)
+        started = (chosen.run_time.expected_ms, speed, worker)
+        sorted_runs = self._sorted_runs.get(_pool(worker))
+        if sorted_runs is not None:
+            bisect.insort(sorted_runs, started, key=operator.itemgetter(0))
+
+
+def _pool(worker: held_worker.HeldWorker) -> tuple[str, str]:
+    """Return service and data centre, whose workers are usable for the same tasks."""
+    return worker.report.service, worker.report.data_centre
