--- a/libs/carawaysail_platform/src/carawaysail_platform/http_calls.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/http_calls.py
@@ -54,6 +54,18 @@
 OnResult = collections.abc.Callable[[Reply | errors.NoReplyError], None]
 
 
+def encode(address: str, request: Request) -> bytes:
+    """Return the bytes of a request to an address on the wire."""
+    lines = [
+        f"{request.method} {request.path} HTTP/1.1",
+        f"Host: {address}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(request.body)}",
+        *(f"{name}: {value}" for name, value in request.headers),
+    ]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + request.body
+
+
 class Client:
     """Calls to one address; used in the event loop's thread only.
 
@@ -88,25 +100,15 @@
         """
         while self._idle:
             connection = self._idle.pop()
-            if connection.send(request, self._encode(request), on_result):
+            if connection.send(request, encode(self.address, request), on_result):
                 return
         task = asyncio.get_running_loop().create_task(self._connect(request, on_result))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
-    def _encode(self, request: Request) -> bytes:
-        lines = [
-            f"{request.method} {request.path} HTTP/1.1",
-            f"Host: {self.address}",
-            "Content-Type: application/json",
-            f"Content-Length: {len(request.body)}",
-            *(f"{name}: {value}" for name, value in request.headers),
-        ]
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + request.body
-
     async def _connect(self, request: Request, on_result: OnResult) -> None:
         try:
-            data = self._encode(request)
+            data = encode(self.address, request)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: _Connection(self), self._host, self._port
