--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -30,7 +30,7 @@
 from carawaysail_types import clock, daemons, jobs, registry
 
 BUSY_TICK_INTERVAL = clock.milliseconds(20)
-"""Interval of checks for deadlines and expired leases while shards run here."""
+"""Interval of checks for deadlines, expired leases and load while shards run here."""
 
 TICKS_PER_HEARTBEAT = 2
 """Checks of other daemons and of claims for each heartbeat interval."""
@@ -195,7 +195,10 @@
         return now >= self._next_tick()
 
     def _next_tick(self) -> datetime.datetime:
-        is_busy = self.broker.open_shards()
+        # The load of a holder whose clients wait must reach the gateways soon.
+        is_busy = self.broker.open_shards() or (
+            self.gateway.open_jobs() and self.broker.is_holding()
+        )
         interval = BUSY_TICK_INTERVAL if is_busy else self._slow_tick_interval()
         next_tick = min(self._last_tick + interval, self._next_heartbeat)
         job_due = self.gateway.next_due()
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -63,6 +63,10 @@
         """Return the fencing token of each held data centre, by name."""
         return dict(self._workers.tokens)
 
+    def is_holding(self) -> bool:
+        """Return whether this daemon holds the workers of some data centre."""
+        return bool(self._workers.tokens)
+
     def start_holding(
         self, data_centre: str, token: int, now: datetime.datetime
     ) -> list[broker_messages.Action]:
