--- a/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/worker_links.py
@@ -15,7 +15,7 @@
 orders."""
 
 RETRY_PAUSE = clock.milliseconds(100)
-"""Pause before a poll that was refused, unsent or failed is repeated."""
+"""Least time between a poll without a status and the next one."""
 
 NO_REPLY_OUTCOME = "lost"
 """Outcome in the metrics of a call without a reply."""
@@ -60,12 +60,12 @@
         return status
 
     def post(self, result: Result) -> None:
-        # A poll without an answer has waited; others would be repeated at once.
-        is_immediate = (
-            isinstance(result, runs.OrderResult)
-            and result is not runs.OrderResult.NO_ANSWER
-        )
-        self._post(result, RETRY_PAUSE if is_immediate else clock.milliseconds(0))
+        pause = clock.milliseconds(0)
+        if isinstance(result, runs.OrderResult):
+            # A worker that ends may accept connections and close them at once.
+            waited = self._links.clock.now() - self._requested_at
+            pause = max(pause, RETRY_PAUSE - waited)
+        self._post(result, pause)
 
     def fail(self, exc: Exception) -> None:
         worker_id = self.worker.worker_id
--- a/libs/carawaysail_fleet/tests/test_worker_links.py
+++ b/libs/carawaysail_fleet/tests/test_worker_links.py
@@ -149,6 +149,27 @@
         self.play(run, runs.OrderResult.UNHEALTHY)
 
 
+class TestBrokenConnections(LinksCase):
+    """A worker that accepts each connection and closes it at once."""
+
+    async def _answer(self, reader, writer):
+        self.handlers.append(asyncio.current_task())
+        writer.transport.abort()
+
+    # Such workers were polled again without a pause, 238 times a second each.
+    def test_lost_poll_is_passed_on_after_a_pause(self):
+        async def run(links):
+            source = clock.SystemClock()
+            links.poll(self.make_poll())
+            message = await self.receive()
+            self.assertIs(runs.OrderResult.NO_ANSWER, message.result)
+            self.assertGreaterEqual(
+                source.seconds(), worker_links.RETRY_PAUSE.total_seconds()
+            )
+
+        self.play(run)
+
+
 class TestUnexpectedExceptions(LinksCase):
     """An exception that nobody expects leaves a log line and a typed result."""
 
