--- a/libs/carawaysail_fleet/tests/test_worker_links.py
+++ b/libs/carawaysail_fleet/tests/test_worker_links.py
@@ -167,7 +167,7 @@
                 source.seconds(), worker_links.RETRY_PAUSE.total_seconds()
             )
 
-        self.play(run)
+        self.play(run, STATUS)
 
 
 class TestUnexpectedExceptions(LinksCase):
