--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -137,16 +137,15 @@
             cfg, self._me, self._inbox, self._clock, self._open_stream
         )
         loop_inbox, seed = self._inbox, secrets.randbits(32)
-        claims = store_tasks.ClaimTask(adapter.open_store(), self._me, loop_inbox, seed)
+        context = store_tasks.Context(loop_inbox, self._clock, self._metrics, seed)
+        claims = store_tasks.ClaimTask(adapter.open_store(), self._me, context)
         reports = store_tasks.ReportsTask(
-            adapter.open_store(), adapter.store_codec, loop_inbox, seed, self._clock
-        )
-        members = store_tasks.MembersTask(adapter.open_store(), loop_inbox, seed)
-        self._lease = store_tasks.LeaseTask(
-            adapter.open_store(), self._me, loop_inbox, seed
+            adapter.open_store(), adapter.store_codec, context
         )
+        members = store_tasks.MembersTask(adapter.open_store(), context)
+        self._lease = store_tasks.LeaseTask(adapter.open_store(), self._me, context)
         configuration = store_tasks.ConfigurationTask(
-            adapter.open_store(), adapter.store_codec, loop_inbox, seed
+            adapter.open_store(), adapter.store_codec, context
         )
         self._store_tasks = (configuration, members, self._lease, reports, claims)
         links = worker_links.WorkerLinks(
@@ -199,7 +198,7 @@
     def _respond_metrics(
         self, request: ports.Request, exchange: http_server.Exchange
     ) -> None:
-        body, content_type = self._metrics.render()
+        body, content_type = self._metrics.render(self._clock.now())
         exchange.respond(ports.Response(200, body, content_type=content_type))
 
     def _watch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -114,9 +114,11 @@
     loop.apply_limits(newest.limits)
     loop.dependencies.front_end.configure(newest)
     loop.configuration = newest
+    loop.dependencies.metrics.set_configuration_version(newest.version)
     logs.log_event(
         "configuration", "Configuration in force.", version=newest.version,
         queues=len(newest.queues), services=len(newest.services),
+        read_ago_ms=round(clock.to_milliseconds(now - message.read_at)),
     )  # fmt: skip
 
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -96,9 +96,18 @@
 
 
 class ConfigurationRead(typing.NamedTuple):
-    """The operators' configuration was read from the store, at start or on change."""
+    """The operators' configuration was read from the store, at start or on change.
+
+    Parameters
+    ----------
+    configuration : jobs.Configuration
+        The configuration.
+    read_at : datetime.datetime
+        When the store's answer arrived.
+    """
 
     configuration: jobs.Configuration
+    read_at: datetime.datetime
 
 
 class ReportsRead(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a daemon: decisions, responses, outside calls and sizes of its state."""
 
 import datetime
+import re
 
 from carawaysail_runtime import metrics
 from carawaysail_types import clock
@@ -9,6 +10,39 @@
     2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0,
 ]  # fmt: skip
 
+CONFIGURATION_VERSION = "carawaysail_configuration_version"
+STORE_ANSWER_AGE = "carawaysail_store_answer_age_ms"
+"""Names of metrics that the operators' command line reads."""
+
+_SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$", re.MULTILINE)
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+
+def find_sample(text: str, name: str, **labels: str) -> float | None:
+    """Return the value of the first sample of a metric that has all of some labels.
+
+    Parameters
+    ----------
+    text : str
+        Metrics as ``DaemonMetrics.render`` returns them.
+    name : str
+        Name of the metric.
+    **labels : str
+        Labels that the sample has, perhaps among others.
+
+    Returns
+    -------
+    float or None
+        ``None`` if there is no such sample.
+    """
+    for found_name, found_labels, value in _SAMPLE.findall(text):
+        if (
+            found_name == name
+            and labels.items() <= dict(_LABEL.findall(found_labels)).items()
+        ):
+            return float(value)
+    return None
+
 
 class DaemonMetrics:
     """The metrics of one daemon; thread-safe.
@@ -38,6 +72,14 @@
         self._sizes = registry.gauge(
             "carawaysail_size", "Sizes of the daemon's state by name."
         )
+        self._configuration_version = registry.gauge(
+            CONFIGURATION_VERSION, "Version of the configuration in force."
+        )
+        self._answer_age_ms = registry.gauge(
+            STORE_ANSWER_AGE,
+            "Time since the store's last answer in milliseconds by task.",
+        )
+        self._answered_at: dict[str, datetime.datetime] = {}
 
     def count_decision(self, name: str, outcome: str) -> None:
         """Count a decision by its name and outcome; an outcome may be empty."""
@@ -88,6 +130,26 @@
             for name, value in sizes.items():
                 self._sizes.set({"name": name}, value)
 
-    def render(self) -> tuple[bytes, str]:
-        """Return all metrics as text, and the content type."""
+    def set_configuration_version(self, version: int) -> None:
+        """Set the version of the configuration in force."""
+        with self._registry.lock:
+            self._configuration_version.set({}, version)
+
+    def record_store_answer(self, task: str, at: datetime.datetime) -> None:
+        """Record when the store last answered a task."""
+        with self._registry.lock:
+            self._answered_at[task] = at
+
+    def render(self, now: datetime.datetime) -> tuple[bytes, str]:
+        """Return all metrics as text, and the content type.
+
+        Parameters
+        ----------
+        now : datetime.datetime
+            Present instant, at which ages are given.
+        """
+        with self._registry.lock:
+            for task, at in self._answered_at.items():
+                age_ms = round(clock.to_milliseconds(now - at))
+                self._answer_age_ms.set({"task": task}, age_ms)
         return self._registry.render()
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -6,13 +6,15 @@
 centres. Each logs when the store becomes unreachable and when it is reachable again.
 """
 
+import datetime
 import queue
 import random
 import threading
+import typing
 
 import msgspec
 
-from carawaysail_fleet import backoff, member_records, messages, ports
+from carawaysail_fleet import backoff, member_records, messages, metrics, ports
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, daemons
@@ -37,6 +39,27 @@
 _encode = msgspec.json.encode
 
 
+class Context(typing.NamedTuple):
+    """What all tasks of a daemon share.
+
+    Parameters
+    ----------
+    loop_inbox : inbox.Inbox
+        Inbox of the decision loop, for what was read.
+    source : clock.Clock
+        Source of the present instant.
+    metrics : metrics.DaemonMetrics
+        Metrics of the daemon.
+    seed : int
+        Seed of the jitter of the backoff.
+    """
+
+    loop_inbox: "inbox.Inbox[messages.Message]"
+    source: clock.Clock
+    metrics: metrics.DaemonMetrics
+    seed: int
+
+
 class _Task:
     """A thread that repeats a step until it is stopped.
 
@@ -48,20 +71,20 @@
     store : ports.Store
         Client of the store; used by this thread only, except for
         ``LeaseTask.deregister``.
-    loop_inbox : inbox.Inbox
-        Inbox of the decision loop, for what was read.
-    seed : int
-        Seed of the jitter of the backoff.
+    context : Context
+        What all tasks share.
     """
 
     name = "store"
 
-    def __init__(
-        self, store: ports.Store, loop_inbox: "inbox.Inbox[messages.Message]", seed: int
-    ) -> None:
+    def __init__(self, store: ports.Store, context: Context) -> None:
         self._store = store
-        self._loop_inbox = loop_inbox
-        self._backoff = backoff.Backoff(random.Random(seed))
+        self._loop_inbox = context.loop_inbox
+        self._clock = context.source
+        self._metrics = context.metrics
+        self._backoff = backoff.Backoff(random.Random(context.seed))
+        self._answered_at = context.source.now()
+        self._step_began_at = self._answered_at
         self._is_stopping = threading.Event()
         self._is_reachable = True
         self._has_lost_history = False
@@ -78,25 +101,30 @@
 
     def _run(self) -> None:
         while not self._is_stopping.is_set():
-            try:
-                pause_s = self._step()
-            except errors.HistoryLostError as exc:
-                name = self.name
-                logs.log_event(
-                    "store", "Watch history expired.", task=name, after=exc.after
-                )
-                # A store that keeps no history at all would be read without a pause.
-                pause_s = self._backoff.next_pause_s() if self._has_lost_history else 0
-                self._has_lost_history = True
-            except type_errors.CarawaysailError as exc:
-                self._log_unreachable(exc)
-                pause_s = self._backoff.next_pause_s()
-            except Exception as exc:
-                self._handle_failure(exc)
-                pause_s = self._backoff.next_pause_s()
-            else:
-                self._record_success()
-            self._is_stopping.wait(pause_s)
+            self._is_stopping.wait(self._attempt())
+
+    def _attempt(self) -> float:
+        """Do one step, whatever fails; return the pause before the next, in seconds."""
+        self._step_began_at = self._clock.now()
+        try:
+            pause_s = self._step()
+        except errors.HistoryLostError as exc:
+            name = self.name
+            logs.log_event(
+                "store", "Watch history expired.", task=name, after=exc.after
+            )
+            # A store that keeps no history at all would be read without a pause.
+            pause_s = self._backoff.next_pause_s() if self._has_lost_history else 0
+            self._has_lost_history = True
+        except type_errors.CarawaysailError as exc:
+            self._log_unreachable(exc)
+            pause_s = self._backoff.next_pause_s()
+        except Exception as exc:
+            self._handle_failure(exc)
+            pause_s = self._backoff.next_pause_s()
+        else:
+            self._record_success()
+        return pause_s
 
     def _step(self) -> float:
         """Do one step; return the pause before the next one, in seconds."""
@@ -105,7 +133,13 @@
     def _log_unreachable(self, exc: type_errors.CarawaysailError) -> None:
         if self._is_reachable:
             self._is_reachable = False
-            logs.log_error("store", "Store unreachable.", exc, task=self.name)
+            logs.log_error(
+                "store", "Store unreachable.", exc, task=self.name,
+                waited_ms=self._milliseconds_since(self._step_began_at),
+            )  # fmt: skip
+
+    def _milliseconds_since(self, instant: datetime.datetime) -> int:
+        return round(clock.to_milliseconds(self._clock.now() - instant))
 
     def _handle_failure(self, exc: Exception) -> None:
         """Log an exception that nobody expects; once if its type repeats."""
@@ -120,16 +154,23 @@
         self._last_failure = ""
         if not self._is_reachable:
             self._is_reachable = True
-            logs.log_event("store", "Store reachable again.", task=self.name)
+            logs.log_event(
+                "store", "Store reachable again.", task=self.name,
+                after_ms=self._milliseconds_since(self._answered_at),
+            )  # fmt: skip
+        self._record_answer()
+
+    def _record_answer(self) -> None:
+        """Record that the store has answered, so that what is known is up to date."""
+        self._answered_at = self._clock.now()
+        self._metrics.record_store_answer(self.name, self._answered_at)
 
 
 class _Watcher(_Task):
     """A task that reads once and then watches for changes."""
 
-    def __init__(
-        self, store: ports.Store, loop_inbox: "inbox.Inbox[messages.Message]", seed: int
-    ) -> None:
-        super().__init__(store, loop_inbox, seed)
+    def __init__(self, store: ports.Store, context: Context) -> None:
+        super().__init__(store, context)
         # Last known revision; 0 makes the next step start with a read.
         self._after = 0
 
@@ -172,13 +213,9 @@
     name = "configuration"
 
     def __init__(
-        self,
-        store: ports.Store,
-        codec: ports.StoreCodec,
-        loop_inbox: "inbox.Inbox[messages.Message]",
-        seed: int,
+        self, store: ports.Store, codec: ports.StoreCodec, context: Context
     ) -> None:
-        super().__init__(store, loop_inbox, seed)
+        super().__init__(store, context)
         self._codec = codec
 
     def _step(self) -> float:
@@ -204,7 +241,9 @@
         except type_errors.CarawaysailError as exc:
             logs.log_error("store", "Configuration unreadable.", exc)
             return
-        self._loop_inbox.put(messages.ConfigurationRead(configuration))
+        self._loop_inbox.put(
+            messages.ConfigurationRead(configuration, self._clock.now())
+        )
 
 
 class LeaseTask(_Task):
@@ -219,13 +258,9 @@
     name = "lease"
 
     def __init__(
-        self,
-        store: ports.Store,
-        me: daemons.Daemon,
-        loop_inbox: "inbox.Inbox[messages.Message]",
-        seed: int,
+        self, store: ports.Store, me: daemons.Daemon, context: Context
     ) -> None:
-        super().__init__(store, loop_inbox, seed)
+        super().__init__(store, context)
         self._me = me
         self._lease = 0
 
@@ -256,10 +291,8 @@
 
     name = "members"
 
-    def __init__(
-        self, store: ports.Store, loop_inbox: "inbox.Inbox[messages.Message]", seed: int
-    ) -> None:
-        super().__init__(store, loop_inbox, seed)
+    def __init__(self, store: ports.Store, context: Context) -> None:
+        super().__init__(store, context)
         self._registered: dict[str, daemons.Daemon] = {}
         self._holders: dict[str, daemons.Holder] = {}
         self._unreadable_keys: set[str] = set()
@@ -318,8 +351,6 @@
     ----------
     codec : ports.StoreCodec
         Keys and format of the reports.
-    source : clock.Clock
-        Source of the present instant.
     """
 
     name = "reports"
@@ -328,13 +359,10 @@
         self,
         store: ports.Store,
         codec: ports.StoreCodec,
-        loop_inbox: "inbox.Inbox[messages.Message]",
-        seed: int,
-        source: clock.Clock,
+        context: Context,
     ) -> None:
-        super().__init__(store, loop_inbox, seed)
+        super().__init__(store, context)
         self._codec = codec
-        self._clock = source
         self._heartbeats: dict[str, int] = {}
         self._revision = 0
         self._needs_fresh_read = False
@@ -411,13 +439,9 @@
     name = "claims"
 
     def __init__(
-        self,
-        store: ports.Store,
-        me: daemons.Daemon,
-        loop_inbox: "inbox.Inbox[messages.Message]",
-        seed: int,
+        self, store: ports.Store, me: daemons.Daemon, context: Context
     ) -> None:
-        super().__init__(store, loop_inbox, seed)
+        super().__init__(store, context)
         self._me = me
         self._claims: queue.SimpleQueue[tuple[str, int] | None] = queue.SimpleQueue()
 
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -180,9 +180,9 @@
     def test_configuration_that_failed_is_applied_when_it_is_read_again(self):
         self.loop.apply_limits = self.raise_error
         cfg = jobs.Configuration(3, (), (), jobs.Limits())
-        self.loop.handle(messages.ConfigurationRead(cfg))
+        self.loop.handle(messages.ConfigurationRead(cfg, self.clock.now()))
         self.loop.apply_limits = lambda limits: None
-        self.loop.handle(messages.ConfigurationRead(cfg))
+        self.loop.handle(messages.ConfigurationRead(cfg, self.clock.now()))
         self.assertIn(("configure", (cfg,)), self.loop.dependencies.front_end.calls)
 
 
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from carawaysail_fleet import backoff, ports, store_tasks
+from carawaysail_fleet import backoff, metrics, ports, store_tasks
 from carawaysail_platform import errors
 from carawaysail_types import clock, daemons
 
@@ -71,6 +71,13 @@
         self.messages.append(message)
 
 
+def make_context(inbox, source=None):
+    """Return the context of a task; its clock is the system's by default."""
+    return store_tasks.Context(
+        inbox, source or clock.SystemClock(), metrics.DaemonMetrics("a-1", "a"), 1
+    )
+
+
 class Codec:
     """Returns the bytes of a configuration undecoded."""
 
@@ -114,7 +121,9 @@
         self.store = Store()
         self.store.items = (ports.Item("settings", b"old", 4),)
         self.inbox = FakeInbox()
-        self.task = store_tasks.ConfigurationTask(self.store, Codec(), self.inbox, 1)
+        self.task = store_tasks.ConfigurationTask(
+            self.store, Codec(), make_context(self.inbox)
+        )
 
     def step(self, failure=None):
         self.store.failure = failure
@@ -174,6 +183,31 @@
         self.assertEqual([b"old", b"new"], published)
 
 
+class TestAnswerAge(testtools.TestCase):
+    """Metrics and log lines that show how old a daemon's knowledge is."""
+
+    def test_age_counts_from_the_last_answer(self):
+        source, store = clock.ManualClock(), Store()
+        store.items = (ports.Item("settings", b"old", 4),)
+        context = make_context(FakeInbox(), source)
+        task = store_tasks.ConfigurationTask(store, Codec(), context)
+        log = []
+        eliot.add_destinations(log.append)
+        self.addCleanup(eliot.remove_destination, log.append)
+        task._attempt()
+        source.advance(clock.milliseconds(7000))
+        store.failure = errors.StoreUnavailableError("watch", "timed out")
+        task._attempt()
+        text = context.metrics.render(source.now())[0].decode()
+        age_ms = metrics.find_sample(
+            text, metrics.STORE_ANSWER_AGE, task="configuration"
+        )
+        self.assertEqual(7000.0, age_ms)
+        task._attempt()
+        again = [x for x in log if x["text"] == "Store reachable again."]
+        self.assertEqual([7000], [x["after_ms"] for x in again])
+
+
 class TestUnexpectedExceptions(testtools.TestCase):
     """A task goes on after an exception that nobody expects."""
 
@@ -205,14 +239,14 @@
     # The thread ended without a log line, and the list was not followed any more.
     def test_watch_goes_on_with_a_read(self):
         self.store.failure = RecursionError("too deep")
-        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        task = store_tasks.MembersTask(self.store, make_context(self.inbox))
         self.run_until(task, lambda: len(self.inbox.messages) > 0)
         self.assertEqual(["list", "list"], self.store.calls[:2])
         self.assertEqual(1, len(self.failures()))
         self.assertGreater(self.pauses[0], 0.0)
 
     def test_failed_watch_is_followed_by_a_read(self):
-        task = store_tasks.MembersTask(self.store, self.inbox, 1)
+        task = store_tasks.MembersTask(self.store, make_context(self.inbox))
         task._step()
         task._handle_failure(ValueError("odd"))
         task._handle_failure(ValueError("odd"))
@@ -223,7 +257,7 @@
 
     def test_claim_has_a_result(self):
         self.store.failure = OverflowError("odd")
-        task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+        task = store_tasks.ClaimTask(self.store, ME, make_context(self.inbox))
         task.claim("a", 5)
         task.claim("a", 5)
         self.run_until(task, lambda: len(self.inbox.messages) == 2)
@@ -241,7 +275,7 @@
 
     def read(self, *items):
         self.store.items = items
-        store_tasks.MembersTask(self.store, self.inbox, 1)._step()
+        store_tasks.MembersTask(self.store, make_context(self.inbox))._step()
         return self.inbox.messages[-1]
 
     def test_odd_records_are_ignored(self):
@@ -268,7 +302,7 @@
         super().setUp()
         self.store = Store()
         self.inbox = FakeInbox()
-        self.task = store_tasks.ClaimTask(self.store, ME, self.inbox, 1)
+        self.task = store_tasks.ClaimTask(self.store, ME, make_context(self.inbox))
 
     def claim(self, token):
         self.task.claim("a", token)
