Let the calls to the store end in the time that the platform promises its users

Cause: callers were answered by an old configuration, or found a queue missing, up to 16 s after the store was back from a silence. A watch that is sent while the store is silent never gets an answer, also later; its connection stays open, so that keep-alive probes succeed, and only its own limit of 15 s + 1 s, a constant without relation to any promise, ended it. Class: a wait on the network that is as long as is convenient, not as long as what depends on it allows. The watch of daemons and holders had the same cause, and so had backoff: after a lost call, which had waited a second, it paused up to 1.4 s more. Change: the wait of a watch, the timeout of a call and the longest pause follow from contact_ms of the settings file, so that one call may be lost and the next one answered within it. The time that a lost call has waited counts as a part of the pause. The backoff's bound is a parameter; its tests use the bound that was a constant (1.0 s on average, 1.4 s with jitter) and are as strict.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -19,6 +19,7 @@
     peer_links,
     ports,
     replies,
+    store_limits,
     store_tasks,
     worker_links,
 )
@@ -137,7 +138,10 @@
             cfg, self._me, self._inbox, self._clock, self._open_stream
         )
         loop_inbox, seed = self._inbox, secrets.randbits(32)
-        context = store_tasks.Context(loop_inbox, self._clock, self._metrics, seed)
+        context = store_tasks.Context(
+            loop_inbox, self._clock, self._metrics, seed,
+            store_limits.for_contact(cfg.contact),
+        )  # fmt: skip
         claims = store_tasks.ClaimTask(adapter.open_store(), self._me, context)
         reports = store_tasks.ReportsTask(
             adapter.open_store(), adapter.store_codec, context
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -14,16 +14,19 @@
 
 import msgspec
 
-from carawaysail_fleet import backoff, member_records, messages, metrics, ports
+from carawaysail_fleet import (
+    backoff,
+    member_records,
+    messages,
+    metrics,
+    ports,
+    store_limits,
+)
 from carawaysail_platform import errors
 from carawaysail_runtime import inbox, logs
 from carawaysail_types import clock, daemons
 from carawaysail_types import errors as type_errors
 
-WATCH_TIMEOUT = clock.milliseconds(15_000)
-"""Longest wait of one watch call. It is below the 20 s of history that the store
-keeps, so that the next call can resume from the returned revision."""
-
 LEASE_RENEWAL_INTERVAL = clock.milliseconds(1000)
 LEASE_TTL = clock.milliseconds(3000)
 REPORTS_INTERVAL = clock.milliseconds(700)
@@ -52,19 +55,23 @@
         Metrics of the daemon.
     seed : int
         Seed of the jitter of the backoff.
+    limits : store_limits.StoreLimits
+        Time limits of calls to the store.
     """
 
     loop_inbox: "inbox.Inbox[messages.Message]"
     source: clock.Clock
     metrics: metrics.DaemonMetrics
     seed: int
+    limits: store_limits.StoreLimits
 
 
 class _Task:
     """A thread that repeats a step until it is stopped.
 
     After a failed step, whatever its exception, it waits with exponential backoff and
-    tries again.
+    tries again. The time that a call without an answer has waited counts as a part of
+    that pause.
 
     Parameters
     ----------
@@ -82,7 +89,10 @@
         self._loop_inbox = context.loop_inbox
         self._clock = context.source
         self._metrics = context.metrics
-        self._backoff = backoff.Backoff(random.Random(context.seed))
+        self._limits = context.limits
+        self._backoff = backoff.Backoff(
+            random.Random(context.seed), context.limits.call_timeout
+        )
         self._answered_at = context.source.now()
         self._step_began_at = self._answered_at
         self._is_stopping = threading.Event()
@@ -118,14 +128,27 @@
             self._has_lost_history = True
         except type_errors.CarawaysailError as exc:
             self._log_unreachable(exc)
-            pause_s = self._backoff.next_pause_s()
+            pause_s = self._remaining_backoff_s()
         except Exception as exc:
             self._handle_failure(exc)
-            pause_s = self._backoff.next_pause_s()
+            pause_s = self._remaining_backoff_s()
         else:
             self._record_success()
         return pause_s
 
+    def _remaining_backoff_s(self) -> float:
+        """Return the pause after a failed step, in seconds.
+
+        It is shorter by what the step has waited in vain.
+        """
+        waited = self._clock.now() - self._step_began_at - self._longest_wait()
+        waited_s = max(0.0, waited.total_seconds())
+        return max(0.0, self._backoff.next_pause_s() - waited_s)
+
+    def _longest_wait(self) -> datetime.timedelta:
+        """Return how long a step may wait for its answer without a failure."""
+        return datetime.timedelta()
+
     def _step(self) -> float:
         """Do one step; return the pause before the next one, in seconds."""
         raise NotImplementedError
@@ -174,6 +197,9 @@
         # Last known revision; 0 makes the next step start with a read.
         self._after = 0
 
+    def _longest_wait(self) -> datetime.timedelta:
+        return self._limits.watch_wait
+
     def _handle_failure(self, exc: Exception) -> None:
         """Log an exception that nobody expects; the next step starts with a read."""
         super()._handle_failure(exc)
@@ -193,7 +219,7 @@
         """
         after_revision = self._after
         try:
-            result = self._store.watch(prefix, after_revision, WATCH_TIMEOUT)
+            result = self._store.watch(prefix, after_revision, self._limits.watch_wait)
         except errors.HistoryLostError:
             self._after = 0
             raise
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -6,12 +6,14 @@
 import msgspec
 import testtools
 
-from carawaysail_fleet import backoff, metrics, ports, store_tasks
+from carawaysail_fleet import backoff, metrics, ports, store_limits, store_tasks
 from carawaysail_platform import errors
 from carawaysail_types import clock, daemons
 
 ME = daemons.Daemon("a-1", "a", "incarnation", "127.0.0.1:7720")
 TIMEOUT_S = 5.0
+LIMITS = store_limits.for_contact(clock.milliseconds(3000))
+LONGEST_PAUSE = clock.milliseconds(1400)
 NESTED = b"[" * 100_000
 ODD_RECORDS = (
     b"", b"\xff", b"7", b"{}", b"[]", NESTED, b'{"a":' * 100_000, b'["a-2",' + NESTED,
@@ -74,8 +76,9 @@
 def make_context(inbox, source=None):
     """Return the context of a task; its clock is the system's by default."""
     return store_tasks.Context(
-        inbox, source or clock.SystemClock(), metrics.DaemonMetrics("a-1", "a"), 1
-    )
+        inbox, source or clock.SystemClock(), metrics.DaemonMetrics("a-1", "a"), 1,
+        LIMITS,
+    )  # fmt: skip
 
 
 class Codec:
@@ -91,28 +94,42 @@
     """Growth, jitter and reset of the pauses between failed calls."""
 
     def pauses(self, count, seed=1):
-        pauses = backoff.Backoff(random.Random(seed))
+        pauses = backoff.Backoff(random.Random(seed), LONGEST_PAUSE)
         return [pauses.next_pause_s() for _ in range(count)]
 
     def test_pauses_grow_up_to_a_bound(self):
         pauses = self.pauses(40)
         self.assertLess(pauses[0], backoff.FIRST_PAUSE_S * 1.5)
-        max_pause_s = backoff.MAX_PAUSE_S * (1.0 + backoff.JITTER)
+        max_pause_s = LONGEST_PAUSE.total_seconds()
         self.assertLessEqual(max(pauses), max_pause_s)
         mean_s = sum(pauses[5:]) / 35
-        self.assertAlmostEqual(backoff.MAX_PAUSE_S, mean_s, delta=0.15)
+        max_mean_s = max_pause_s / (1.0 + backoff.JITTER)
+        self.assertAlmostEqual(max_mean_s, mean_s, delta=0.15)
 
     def test_pauses_differ_between_daemons(self):
         self.assertEqual(20, len({self.pauses(1, seed)[0] for seed in range(20)}))
 
     def test_reset_returns_to_the_first_pause(self):
-        pauses = backoff.Backoff(random.Random(1))
+        pauses = backoff.Backoff(random.Random(1), LONGEST_PAUSE)
         for _ in range(10):
             pauses.next_pause_s()
         pauses.reset()
         self.assertLess(pauses.next_pause_s(), backoff.FIRST_PAUSE_S * 1.5)
 
 
+class TestLimits(testtools.TestCase):
+    """Time limits of calls to the store."""
+
+    # A watch waited for 16 s whatever the platform promised its users.
+    def test_lost_watch_and_the_next_call_fit_into_the_time_in_touch(self):
+        for contact_ms in (1000, 3000, 5000, 30_000):
+            with self.subTest(contact_ms=contact_ms):
+                contact = clock.milliseconds(contact_ms)
+                limits = store_limits.for_contact(contact)
+                lost = limits.watch_wait + limits.call_timeout
+                self.assertLessEqual(lost + limits.call_timeout, contact)
+
+
 class TestWatches(testtools.TestCase):
     """A watch resumes after failed calls, and starts with a read after lost history."""
 
