Play a change of the configuration after lost calls on real daemons

Cause: the soak can silence the connections to the store, after which a waiting call gets no answer, but its series of faults leave no calm between that and a change, so its check of the configuration never judged one.

--- a/libs/carawaysail_soak/tests/test_soak.py
+++ b/libs/carawaysail_soak/tests/test_soak.py
@@ -60,6 +60,10 @@
     def test_signal_at_start(self):
         self.play_file("signal_at_start")
 
+    # Daemons whose calls to the store were lost missed a later change for 16 s.
+    def test_change_after_lost_calls(self):
+        self.play_file("change_after_lost_calls")
+
 
 class TestStrictReading(PlayCase):
     """Each end of a completed job is acknowledged before it can be lost."""
