Let the earlier daemon's watch of the settings end in its promised time, too

A watch on a connection on which the service had stopped sending waited for 60 s, and after an outage the next try could be 10 s away; a change is to be in force within 6 s. Change: a watch ends after 2 s without data and is begun again after the last revision seen, without reading all sections; every 30 quiet watches, and after an error, they are read. A watch that the service cancels, since the revision is compacted, is an error instead of a quiet end. Retries pause 2 s at most.

--- a/libs/carawaysail_entry/src/carawaysail_entry/settings_task.py
+++ b/libs/carawaysail_entry/src/carawaysail_entry/settings_task.py
@@ -18,7 +18,13 @@
 
 MAX_INBOX_MESSAGES = 1_000
 MIN_RETRY_DELAY_S = 0.5
-MAX_RETRY_DELAY_S = 10.0
+MAX_RETRY_DELAY_S = 2.0
+"""A change has to be in force within 6 s, also if the store was down before."""
+
+WATCHES_PER_READ = 30
+"""Quiet watches after which the store is read once more, in case its revisions have
+gone back, as after a restore."""
+
 ROLE_CHECK_PERIOD_S = 0.5
 """Time between two checks whether this daemon has become a watcher."""
 
@@ -226,11 +232,19 @@
         self._post(snapshot.items, snapshot.revision)
         if not watch:
             return
-        for items in self._store.watch(sections.STORE_PREFIX, snapshot.revision):
-            self._post(items)
-            if self._stop.is_set() or not self._is_watcher():
+        revision = snapshot.revision
+        for _ in range(WATCHES_PER_READ):
+            for items in self._store.watch(sections.STORE_PREFIX, revision):
+                self._post(items)
+                revision = max(revision, *(item.revision for item in items))
+                if self._must_end():
+                    return
+            if self._must_end():
                 return
 
+    def _must_end(self) -> bool:
+        return self._stop.is_set() or not self._is_watcher()
+
     def _post(
         self, items: tuple[keyvalue.Item, ...], snapshot_revision: int = 0
     ) -> None:
--- a/libs/carawaysail_platform/src/carawaysail_platform/keyvalue.py
+++ b/libs/carawaysail_platform/src/carawaysail_platform/keyvalue.py
@@ -18,7 +18,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
-WATCH_READ_TIMEOUT_S = 60.0
+WATCH_READ_TIMEOUT_S = 2.0
+"""A service may stop sending on an open connection. A change has to be in force within
+6 s, which leaves this time after the timeouts of the next call."""
 
 
 class Item(typing.NamedTuple):
@@ -152,8 +154,8 @@
         """Yield the changes of keys with a prefix after a revision, as they arrive.
 
         The iterator ends when no data arrived for ``WATCH_READ_TIMEOUT_S``. The calling
-        code then reads once and watches again, so that a dead connection does not block
-        the watch for longer.
+        code then watches again after the last revision that it has seen, so that a dead
+        connection does not block the watch for longer.
 
         Parameters
         ----------
@@ -170,7 +172,8 @@
         Raises
         ------
         errors.StoreUnavailableError
-            If the service does not answer, or the connection breaks.
+            If the service does not answer, the connection breaks, or the service
+            cancels the watch because it no longer has the changes after the revision.
         """
         request = {
             "key": _to_base64(prefix),
@@ -263,6 +266,9 @@
             if not line.strip():
                 continue
             result = _parse_object(line, 200, url).get("result", {})
+            if result.get("canceled"):
+                reason = result.get("cancel_reason") or "the changes are compacted"
+                raise errors.StoreUnavailableError(url, f"watch cancelled: {reason}")
             items = tuple(_parse_event(event) for event in result.get("events", []))
             if items:
                 yield items
