Count only the wait of a call, not idle time, as a part of the pause after it

Cause: since the pause after a failed call is shorter by what the call has waited, counted from the beginning of the step. The steps of the reports and of the claims begin with a wait until they are needed, so that a call that was refused at once was repeated without a pause after an idle time. Change: the count begins with the call; `waited_ms` of the log follows.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -94,7 +94,7 @@
             random.Random(context.seed), context.limits.call_timeout
         )
         self._answered_at = context.source.now()
-        self._step_began_at = self._answered_at
+        self._call_began_at = self._answered_at
         self._is_stopping = threading.Event()
         self._is_reachable = True
         self._has_lost_history = False
@@ -115,7 +115,7 @@
 
     def _attempt(self) -> float:
         """Do one step, whatever fails; return the pause before the next, in seconds."""
-        self._step_began_at = self._clock.now()
+        self._call_began_at = self._clock.now()
         try:
             pause_s = self._step()
         except errors.HistoryLostError as exc:
@@ -139,9 +139,9 @@
     def _remaining_backoff_s(self) -> float:
         """Return the pause after a failed step, in seconds.
 
-        It is shorter by what the step has waited in vain.
+        It is shorter by what the step's call has waited in vain.
         """
-        waited = self._clock.now() - self._step_began_at - self._longest_wait()
+        waited = self._clock.now() - self._call_began_at - self._longest_wait()
         waited_s = max(0.0, waited.total_seconds())
         return max(0.0, self._backoff.next_pause_s() - waited_s)
 
@@ -158,7 +158,7 @@
             self._is_reachable = False
             logs.log_error(
                 "store", "Store unreachable.", exc, task=self.name,
-                waited_ms=self._milliseconds_since(self._step_began_at),
+                waited_ms=self._milliseconds_since(self._call_began_at),
             )  # fmt: skip
 
     def _milliseconds_since(self, instant: datetime.datetime) -> int:
@@ -420,7 +420,7 @@
             return 0.0
         self._read_now.clear()
         reports, live_data_centres = [], set()
-        requested_at = self._clock.now()
+        requested_at = self._call_began_at = self._clock.now()
         for item in self._read().items:
             decoded = self._codec.report(item)
             if decoded is None:
@@ -493,6 +493,7 @@
         if claim is None:
             return 0.0
         data_centre, token = claim
+        self._call_began_at = self._clock.now()
         try:
             holder = self._write_claim(data_centre, token)
         except Exception:
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -81,10 +81,23 @@
     )  # fmt: skip
 
 
+class IdleClaims:
+    """A queue of claims in which the first one waits for a while."""
+
+    def __init__(self, claims, idle):
+        self._claims = claims
+        self._idle = idle
+
+    def get(self):
+        self._idle()
+        return self._claims.get()
+
+
 class Codec:
     """Returns the bytes of a configuration undecoded."""
 
     configuration_key = "settings"
+    reports_prefix = "reports"
 
     def configuration(self, value):
         return value
@@ -225,6 +238,31 @@
         self.assertEqual([7000], [x["after_ms"] for x in again])
 
 
+class TestPauses(testtools.TestCase):
+    """Pauses after failed calls of tasks that wait until they are needed."""
+
+    def setUp(self):
+        super().setUp()
+        self.source = clock.ManualClock()
+        self.store = Store()
+        self.store.failure = errors.StoreUnavailableError("store", "503")
+        self.context = make_context(FakeInbox(), self.source)
+
+    def idle(self, *args):
+        self.source.advance(clock.milliseconds(30_000))
+
+    def test_idle_time_before_a_refused_read_is_no_pause(self):
+        task = store_tasks.ReportsTask(self.store, Codec(), self.context)
+        task._is_needed.wait = self.idle
+        self.assertGreater(task._attempt(), 0.0)
+
+    def test_idle_time_before_a_refused_claim_is_no_pause(self):
+        task = store_tasks.ClaimTask(self.store, ME, self.context)
+        task.claim("a", 5)
+        task._claims = IdleClaims(task._claims, self.idle)
+        self.assertGreater(task._attempt(), 0.0)
+
+
 class TestUnexpectedExceptions(testtools.TestCase):
     """A task goes on after an exception that nobody expects."""
 
