--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
@@ -48,7 +48,7 @@
     --------
     >>> limits = for_contact(clock.milliseconds(3000))
     >>> limits.watch_wait.total_seconds(), limits.call_timeout.total_seconds()
-    (1.0, 1.0)
+    (1.5, 0.75)
     """
-    call_timeout = max(MIN_CALL_TIMEOUT, min(MAX_CALL_TIMEOUT, contact / 3))
+    call_timeout = max(MIN_CALL_TIMEOUT, min(MAX_CALL_TIMEOUT, contact / 4))
     return StoreLimits(call_timeout, max(call_timeout, contact - 2 * call_timeout))
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -198,6 +198,10 @@
         self._after = 0
 
     def _longest_wait(self) -> datetime.timedelta:
+        return self._watch_wait()
+
+    def _watch_wait(self) -> datetime.timedelta:
+        """Return how long the store may hold a watch back."""
         return self._limits.watch_wait
 
     def _handle_failure(self, exc: Exception) -> None:
@@ -219,7 +223,7 @@
         """
         after_revision = self._after
         try:
-            result = self._store.watch(prefix, after_revision, self._limits.watch_wait)
+            result = self._store.watch(prefix, after_revision, self._watch_wait())
         except errors.HistoryLostError:
             self._after = 0
             raise
@@ -341,6 +345,14 @@
             self._publish()
         return WATCH_PAUSE_PER_MEMBER_S * len(self._registered)
 
+    def _watch_wait(self) -> datetime.timedelta:
+        """Return how long the store may hold a watch back.
+
+        It is longer than that of the configuration, since holders also travel on
+        heartbeats, and an entry outlives its daemon by the lease in any case.
+        """
+        return max(self._limits.watch_wait, LEASE_TTL)
+
     def _record(self, item: ports.Item) -> None:
         """Record an entry; one that cannot be read counts as removed, and is logged."""
         key = item.key
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -29,6 +29,7 @@
 
     def __init__(self):
         self.calls = []
+        self.timeouts = []
         self.failure = None
         self.changed = ()
         self.items = ()
@@ -51,6 +52,7 @@
 
     def watch(self, prefix, after_revision, timeout):
         self._record(("watch", after_revision))
+        self.timeouts.append(timeout)
         self.revision += 1
         changed, self.changed = self.changed, ()
         return ports.WatchResult(changed, (), self.revision)
@@ -142,6 +144,12 @@
                 lost = limits.watch_wait + limits.call_timeout
                 self.assertLessEqual(lost + limits.call_timeout, contact)
 
+    # Daemons and holders were not followed for 16 s after a call was lost.
+    def test_watch_of_members_waits_no_longer_than_a_lease(self):
+        store = Store()
+        store_tasks.MembersTask(store, make_context(FakeInbox()))._step()
+        self.assertEqual([store_tasks.LEASE_TTL], store.timeouts)
+
 
 class TestWatches(testtools.TestCase):
     """A watch resumes after failed calls, and starts with a read after lost history."""
