Keep watches of the store shorter than its history, whatever contact_ms is

Cause: since the wait of a watch follows from contact_ms without a bound. With 30 s it would be 29 s: longer than the 20 s of history that the store keeps, so that each watch ended with a listing. Result: the test passes; nothing changes at the 3 s of the deployments at hand.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
@@ -20,6 +20,11 @@
 """A store that is only slow must still be heard."""
 
 
+MAX_WATCH_WAIT = clock.milliseconds(15_000)
+"""Below the 20 s of history that the store keeps, so that the next watch can resume from
+the returned revision."""
+
+
 class StoreLimits(typing.NamedTuple):
     """Time limits of calls to the store.
 
@@ -51,4 +56,5 @@
     (1.5, 0.75)
     """
     call_timeout = max(MIN_CALL_TIMEOUT, min(MAX_CALL_TIMEOUT, contact / 4))
-    return StoreLimits(call_timeout, max(call_timeout, contact - 2 * call_timeout))
+    watch_wait = max(call_timeout, contact - 2 * call_timeout)
+    return StoreLimits(call_timeout, min(MAX_WATCH_WAIT, watch_wait))
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -144,6 +144,12 @@
                 lost = limits.watch_wait + limits.call_timeout
                 self.assertLessEqual(lost + limits.call_timeout, contact)
 
+    def test_watch_can_resume_within_the_history(self):
+        for contact_ms in (3000, 30_000, 3_600_000):
+            limits = store_limits.for_contact(clock.milliseconds(contact_ms))
+            lost = limits.watch_wait + limits.call_timeout
+            self.assertLess(lost, clock.milliseconds(20_000))
+
     # Daemons and holders were not followed for 16 s after a call was lost.
     def test_watch_of_members_waits_no_longer_than_a_lease(self):
         store = Store()
