--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_limits.py
@@ -21,8 +21,8 @@
 
 
 MAX_WATCH_WAIT = clock.milliseconds(15_000)
-"""Below the 20 s of history that the store keeps, so that the next watch can resume from
-the returned revision."""
+"""Below the 20 s of history that the store keeps, so that the next watch can resume
+from the returned revision."""
 
 
 class StoreLimits(typing.NamedTuple):
