Give the thread of the store's tasks a module of its own

Change: what all tasks share (context, pauses, log, watching) moves to store_thread; the tasks stay. Nothing else changes.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -21,6 +21,7 @@
     replies,
     store_limits,
     store_tasks,
+    store_thread,
     worker_links,
 )
 from carawaysail_runtime import inbox, logs
@@ -138,7 +139,7 @@
             cfg, self._me, self._inbox, self._clock, self._open_stream
         )
         loop_inbox, seed = self._inbox, secrets.randbits(32)
-        context = store_tasks.Context(
+        context = store_thread.Context(
             loop_inbox, self._clock, self._metrics, seed,
             store_limits.for_contact(cfg.contact),
         )  # fmt: skip
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -8,22 +8,13 @@
 
 import datetime
 import queue
-import random
 import threading
-import typing
 
 import msgspec
 
-from carawaysail_fleet import (
-    backoff,
-    member_records,
-    messages,
-    metrics,
-    ports,
-    store_limits,
-)
+from carawaysail_fleet import member_records, messages, ports, store_thread
 from carawaysail_platform import errors
-from carawaysail_runtime import inbox, logs
+from carawaysail_runtime import logs
 from carawaysail_types import clock, daemons
 from carawaysail_types import errors as type_errors
 
@@ -42,196 +33,7 @@
 _encode = msgspec.json.encode
 
 
-class Context(typing.NamedTuple):
-    """What all tasks of a daemon share.
-
-    Parameters
-    ----------
-    loop_inbox : inbox.Inbox
-        Inbox of the decision loop, for what was read.
-    source : clock.Clock
-        Source of the present instant.
-    metrics : metrics.DaemonMetrics
-        Metrics of the daemon.
-    seed : int
-        Seed of the jitter of the backoff.
-    limits : store_limits.StoreLimits
-        Time limits of calls to the store.
-    """
-
-    loop_inbox: "inbox.Inbox[messages.Message]"
-    source: clock.Clock
-    metrics: metrics.DaemonMetrics
-    seed: int
-    limits: store_limits.StoreLimits
-
-
-class _Task:
-    """A thread that repeats a step until it is stopped.
-
-    After a failed step, whatever its exception, it waits with exponential backoff and
-    tries again. The time that a call without an answer has waited counts as a part of
-    that pause.
-
-    Parameters
-    ----------
-    store : ports.Store
-        Client of the store; used by this thread only, except for
-        ``LeaseTask.deregister``.
-    context : Context
-        What all tasks share.
-    """
-
-    name = "store"
-
-    def __init__(self, store: ports.Store, context: Context) -> None:
-        self._store = store
-        self._loop_inbox = context.loop_inbox
-        self._clock = context.source
-        self._metrics = context.metrics
-        self._limits = context.limits
-        self._backoff = backoff.Backoff(
-            random.Random(context.seed), context.limits.call_timeout
-        )
-        self._answered_at = context.source.now()
-        self._call_began_at = self._answered_at
-        self._is_stopping = threading.Event()
-        self._is_reachable = True
-        self._has_lost_history = False
-        self._last_failure = ""
-        self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
-
-    def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Let the thread end after its present call; returns at once."""
-        self._is_stopping.set()
-
-    def _run(self) -> None:
-        while not self._is_stopping.is_set():
-            self._is_stopping.wait(self._attempt())
-
-    def _attempt(self) -> float:
-        """Do one step, whatever fails; return the pause before the next, in seconds."""
-        self._call_began_at = self._clock.now()
-        try:
-            pause_s = self._step()
-        except errors.HistoryLostError as exc:
-            name = self.name
-            logs.log_event(
-                "store", "Watch history expired.", task=name, after=exc.after
-            )
-            # A store that keeps no history at all would be read without a pause.
-            pause_s = self._backoff.next_pause_s() if self._has_lost_history else 0
-            self._has_lost_history = True
-        except type_errors.CarawaysailError as exc:
-            self._log_unreachable(exc)
-            pause_s = self._remaining_backoff_s()
-        except Exception as exc:
-            self._handle_failure(exc)
-            pause_s = self._remaining_backoff_s()
-        else:
-            self._record_success()
-        return pause_s
-
-    def _remaining_backoff_s(self) -> float:
-        """Return the pause after a failed step, in seconds.
-
-        It is shorter by what the step's call has waited in vain.
-        """
-        waited = self._clock.now() - self._call_began_at - self._longest_wait()
-        waited_s = max(0.0, waited.total_seconds())
-        return max(0.0, self._backoff.next_pause_s() - waited_s)
-
-    def _longest_wait(self) -> datetime.timedelta:
-        """Return how long a step may wait for its answer without a failure."""
-        return datetime.timedelta()
-
-    def _step(self) -> float:
-        """Do one step; return the pause before the next one, in seconds."""
-        raise NotImplementedError
-
-    def _log_unreachable(self, exc: type_errors.CarawaysailError) -> None:
-        if self._is_reachable:
-            self._is_reachable = False
-            logs.log_error(
-                "store", "Store unreachable.", exc, task=self.name,
-                waited_ms=self._milliseconds_since(self._call_began_at),
-            )  # fmt: skip
-
-    def _milliseconds_since(self, instant: datetime.datetime) -> int:
-        return round(clock.to_milliseconds(self._clock.now() - instant))
-
-    def _handle_failure(self, exc: Exception) -> None:
-        """Log an exception that nobody expects; once if its type repeats."""
-        failure = type(exc).__name__
-        if failure != self._last_failure:
-            self._last_failure = failure
-            logs.log_error("store", "Task failed.", exc, task=self.name)
-
-    def _record_success(self) -> None:
-        self._backoff.reset()
-        self._has_lost_history = False
-        self._last_failure = ""
-        if not self._is_reachable:
-            self._is_reachable = True
-            logs.log_event(
-                "store", "Store reachable again.", task=self.name,
-                after_ms=self._milliseconds_since(self._answered_at),
-            )  # fmt: skip
-        self._record_answer()
-
-    def _record_answer(self) -> None:
-        """Record that the store has answered, so that what is known is up to date."""
-        self._answered_at = self._clock.now()
-        self._metrics.record_store_answer(self.name, self._answered_at)
-
-
-class _Watcher(_Task):
-    """A task that reads once and then watches for changes."""
-
-    def __init__(self, store: ports.Store, context: Context) -> None:
-        super().__init__(store, context)
-        # Last known revision; 0 makes the next step start with a read.
-        self._after = 0
-
-    def _longest_wait(self) -> datetime.timedelta:
-        return self._watch_wait()
-
-    def _watch_wait(self) -> datetime.timedelta:
-        """Return how long the store may hold a watch back."""
-        return self._limits.watch_wait
-
-    def _handle_failure(self, exc: Exception) -> None:
-        """Log an exception that nobody expects; the next step starts with a read."""
-        super()._handle_failure(exc)
-        # A change that was received may not have been published.
-        self._after = 0
-
-    def _watch(self, prefix: str) -> ports.WatchResult:
-        """Wait for changes since the last known revision.
-
-        After a failed call the next one resumes from the same revision. If the store no
-        longer has the history since then, the next step starts with a read.
-
-        Raises
-        ------
-        errors.HistoryLostError
-            If the store no longer has the history since the last known revision.
-        """
-        after_revision = self._after
-        try:
-            result = self._store.watch(prefix, after_revision, self._watch_wait())
-        except errors.HistoryLostError:
-            self._after = 0
-            raise
-        self._after = max(after_revision, result.revision)
-        return result
-
-
-class ConfigurationTask(_Watcher):
+class ConfigurationTask(store_thread.WatchThread):
     """Watches the operators' configuration; reads it anew if its history is lost.
 
     Parameters
@@ -243,7 +45,7 @@
     name = "configuration"
 
     def __init__(
-        self, store: ports.Store, codec: ports.StoreCodec, context: Context
+        self, store: ports.Store, codec: ports.StoreCodec, context: store_thread.Context
     ) -> None:
         super().__init__(store, context)
         self._codec = codec
@@ -276,7 +78,7 @@
         )
 
 
-class LeaseTask(_Task):
+class LeaseTask(store_thread.StoreThread):
     """Keeps this daemon's entry in the store under a lease that it renews.
 
     Parameters
@@ -288,7 +90,7 @@
     name = "lease"
 
     def __init__(
-        self, store: ports.Store, me: daemons.Daemon, context: Context
+        self, store: ports.Store, me: daemons.Daemon, context: store_thread.Context
     ) -> None:
         super().__init__(store, context)
         self._me = me
@@ -316,12 +118,12 @@
                 logs.log_error("store", "Lease not revoked.", exc)
 
 
-class MembersTask(_Watcher):
+class MembersTask(store_thread.WatchThread):
     """Watches the entries of all daemons and holders."""
 
     name = "members"
 
-    def __init__(self, store: ports.Store, context: Context) -> None:
+    def __init__(self, store: ports.Store, context: store_thread.Context) -> None:
         super().__init__(store, context)
         self._registered: dict[str, daemons.Daemon] = {}
         self._holders: dict[str, daemons.Holder] = {}
@@ -382,7 +184,7 @@
         )
 
 
-class ReportsTask(_Task):
+class ReportsTask(store_thread.StoreThread):
     """Reads the workers' reports at an interval while this daemon needs them.
 
     Parameters
@@ -397,7 +199,7 @@
         self,
         store: ports.Store,
         codec: ports.StoreCodec,
-        context: Context,
+        context: store_thread.Context,
     ) -> None:
         super().__init__(store, context)
         self._codec = codec
@@ -465,7 +267,7 @@
         return snapshot
 
 
-class ClaimTask(_Task):
+class ClaimTask(store_thread.StoreThread):
     """Claims data centres for this daemon by conditional writes.
 
     Parameters
@@ -477,7 +279,7 @@
     name = "claims"
 
     def __init__(
-        self, store: ports.Store, me: daemons.Daemon, context: Context
+        self, store: ports.Store, me: daemons.Daemon, context: store_thread.Context
     ) -> None:
         super().__init__(store, context)
         self._me = me
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -6,7 +6,14 @@
 import msgspec
 import testtools
 
-from carawaysail_fleet import backoff, metrics, ports, store_limits, store_tasks
+from carawaysail_fleet import (
+    backoff,
+    metrics,
+    ports,
+    store_limits,
+    store_tasks,
+    store_thread,
+)
 from carawaysail_platform import errors
 from carawaysail_types import clock, daemons
 
@@ -77,7 +84,7 @@
 
 def make_context(inbox, source=None):
     """Return the context of a task; its clock is the system's by default."""
-    return store_tasks.Context(
+    return store_thread.Context(
         inbox, source or clock.SystemClock(), metrics.DaemonMetrics("a-1", "a"), 1,
         LIMITS,
     )  # fmt: skip
