Use one name for how long the store may hold an answer back

Cause: two methods of the watching threads returned the same value. Change: one remains; nothing else changes. Result: the tests of the tasks and of the outages pass; bin/check is clean.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -147,7 +147,7 @@
             self._publish()
         return WATCH_PAUSE_PER_MEMBER_S * len(self._registered)
 
-    def _watch_wait(self) -> datetime.timedelta:
+    def _longest_wait(self) -> datetime.timedelta:
         """Return how long the store may hold a watch back.
 
         It is longer than that of the configuration, since holders also travel on
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_thread.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_thread.py
@@ -120,7 +120,7 @@
         return max(0.0, self._backoff.next_pause_s() - waited_s)
 
     def _longest_wait(self) -> datetime.timedelta:
-        """Return how long a step may wait for its answer without a failure."""
+        """Return how long the store may hold the answer of a step back."""
         return datetime.timedelta()
 
     def _step(self) -> float:
@@ -172,10 +172,6 @@
         self._after = 0
 
     def _longest_wait(self) -> datetime.timedelta:
-        return self._watch_wait()
-
-    def _watch_wait(self) -> datetime.timedelta:
-        """Return how long the store may hold a watch back."""
         return self._limits.watch_wait
 
     def _handle_failure(self, exc: Exception) -> None:
@@ -197,7 +193,7 @@
         """
         after_revision = self._after
         try:
-            result = self._store.watch(prefix, after_revision, self._watch_wait())
+            result = self._store.watch(prefix, after_revision, self._longest_wait())
         except errors.HistoryLostError:
             self._after = 0
             raise
