Show how jobs are served by their size

Neither logs nor metrics tell how large a job is among those of its queue, what was free when one was refused, or how long a run took; the model has no check of who is served by size.

A gateway classes each job by its expected work against moving quantiles of its queue: in the lines routed, refused and answered, and in carawaysail_jobs_total by queue, size and outcome.

No decision changes.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -14,7 +14,7 @@
 from carawaysail_holding import broker_messages, gateway
 from carawaysail_runtime import logs
 from carawaysail_streams import messages as stream_messages
-from carawaysail_types import clock, daemons, runs
+from carawaysail_types import clock, daemons, jobs, runs
 
 # Messages of this daemon's own tasks and threads
 
@@ -417,6 +417,16 @@
     loop.log_decision(action.name, action.subject, action.fields)
 
 
+@decision_loop.action_handlers.register("CountJob")
+def _perform_count_job(
+    loop: decision_loop.DecisionLoop, action: gateway.CountJob, now: datetime.datetime
+) -> None:
+    outcome = action.outcome
+    is_plain = outcome.reason is jobs.Reason.NONE
+    text = outcome.verdict.value if is_plain else outcome.reason.value
+    loop.dependencies.metrics.count_job(action.queue, action.size_class.value, text)
+
+
 @decision_loop.action_handlers.register("SendShard")
 def _perform_send_shard(
     loop: decision_loop.DecisionLoop, action: gateway.SendShard, now: datetime.datetime
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
@@ -58,6 +58,10 @@
         self._decisions = registry.counter(
             "carawaysail_decisions_total", "Decisions by name and outcome."
         )
+        self._jobs = registry.counter(
+            "carawaysail_jobs_total",
+            "Jobs that have ended by queue, size class and outcome.",
+        )
         self._responses = registry.counter(
             "carawaysail_answers_total", "Answers to clients by status and reason."
         )
@@ -86,6 +90,11 @@
         with self._registry.lock:
             self._decisions.inc({"name": name, "outcome": outcome})
 
+    def count_job(self, queue: str, size_class: str, outcome: str) -> None:
+        """Count a job that has ended by its queue, size class and outcome."""
+        with self._registry.lock:
+            self._jobs.inc({"queue": queue, "size": size_class, "outcome": outcome})
+
     def record_response(
         self, queue: str, status: int, duration: datetime.timedelta
     ) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -343,6 +343,7 @@
         self._actions.log(
             "run_ended", task.job_id, run=name, how=how, worker=worker_id,
             sequence=finished.sequence, token=worker.ledger.token,
+            took_ms=_elapsed_ms(state, now),
             part=shard.shard_id.shard if shard is not None else None,
             last_run=state.last_run_number if state is not None else None,
         )  # fmt: skip
@@ -631,6 +632,15 @@
         return {"jobs": self._jobs.count(), **self._workers.counts()}
 
 
+def _elapsed_ms(
+    state: shard_state.TaskState | None, now: datetime.datetime
+) -> int | None:
+    """Return the time since a task's present run was ordered, for logs."""
+    if state is None or state.started_at is None:
+        return None
+    return round(clock.to_milliseconds(now - state.started_at))
+
+
 def _with_room(
     workers: list[held_worker.HeldWorker], least_milli: int
 ) -> list[held_worker.HeldWorker]:
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -14,6 +14,7 @@
 from carawaysail_holding import (
     broker_messages,
     job_admission,
+    job_sizes,
     loads,
     planning,
     run_time_estimates,
@@ -75,7 +76,15 @@
     outcome: jobs.JobOutcome
 
 
-Action = SendShard | SendWithdrawal | Answer | broker_messages.LogDecision
+class CountJob(typing.NamedTuple):
+    """Count a job that has ended, by queue, size class and outcome."""
+
+    queue: str
+    size_class: job_sizes.SizeClass
+    outcome: jobs.JobOutcome
+
+
+Action = SendShard | SendWithdrawal | Answer | CountJob | broker_messages.LogDecision
 
 
 class _Shard:
@@ -107,6 +116,7 @@
         self.reply_ids = [reply_id]
         self.shards: dict[int, _Shard] = {}
         self.avoided_data_centres: set[str] = set()
+        self.size_class = job_sizes.SizeClass.USUAL
 
     @property
     def job_id(self) -> str:
@@ -184,6 +194,7 @@
         self._brokers: dict[str, ReachableBroker] = {}
         self._capacity = planning.CapacityView(me.data_centre, me.vm)
         self._estimates = run_time_estimates.RunTimeEstimates()
+        self._sizes = job_sizes.JobSizes()
         # No job is due before; the job that was due then may have been answered.
         self._next_due: datetime.datetime | None = None
         # By service; 0 is the highest priority.
@@ -310,8 +321,9 @@
         forecast = self._forecast(job)
         if forecast is None:
             return self._submit_whole(job)
-        fields = {
+        fields: dict[str, typing.Any] = {
             "queue": submission.queue.name,
+            "size": job.size_class.value,
             "tasks": forecast.requirements.task_count,
             "length_ms": round(forecast.requirements.run_time_ms),
             "finish_ms": round(forecast.plan.finish_ms),
@@ -322,7 +334,11 @@
             if forecast.exceeds_client_timeout:
                 no_retry = datetime.timedelta()
                 return self._refuse(job, jobs.Reason.TOO_LONG, no_retry, **fields)
-            retry_after = self._retry_after(submission.queue.service)
+            service = submission.queue.service
+            retry_after = self._retry_after(service)
+            fields["free"] = self._capacity.free_by_speed(
+                service, forecast.requirements
+            )
             return self._refuse(job, jobs.Reason.OVERLOADED, retry_after, **fields)
         self._capacity.occupy(
             submission.queue.service, forecast.requirements, forecast.plan
@@ -353,6 +369,13 @@
             target_finish_ms,
             clock.to_milliseconds(submission.deadline - submission.arrived),
         )
+        work = sum(
+            self._estimates.expected_ms(queue.name, step)
+            * step.task_count
+            * step.resources.processor_milli
+            for step in steps
+        )
+        job.size_class = self._sizes.classify(queue.name, work)
         plan = self._capacity.plan(
             queue.service, requirements, job.avoided_data_centres
         )
@@ -426,6 +449,7 @@
         outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, retry_after)
         return [
             _log("refused", job, reason=reason.value, **fields),
+            _count(job, outcome),
             *(Answer(reply_id, job.job_id, outcome) for reply_id in job.reply_ids),
         ]
 
@@ -572,15 +596,22 @@
                 job,
                 verdict=outcome.verdict.value,
                 reason=outcome.reason.value,
+                queue=job.submission.queue.name,
+                size=job.size_class.value,
                 tasks=job.task_count,
                 parts=job.describe_shards(),
-            )  # fmt: skip
+            ),
+            _count(job, outcome),
         ]
         for reply_id in job.reply_ids:
             out.append(Answer(reply_id, job.job_id, outcome))
         return out
 
 
+def _count(job: _WaitingJob, outcome: jobs.JobOutcome) -> CountJob:
+    return CountJob(job.submission.queue.name, job.size_class, outcome)
+
+
 def _log(
     name: str, job: _WaitingJob, **fields: typing.Any
 ) -> broker_messages.LogDecision:
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -281,6 +281,22 @@
             else:
                 self._occupy(option, option.slot_index, service, requirements)
 
+    def free_by_speed(self, service: str, requirements: Requirements) -> dict[str, int]:
+        """Return the number of tasks that free slots hold, for logs.
+
+        ``fast`` slots are those of workers faster than the average.
+        """
+        loads_by_data_centre = {
+            data_centre: load
+            for (data_centre, name), load in self._loads.items()
+            if name == service and load.speeds
+        }
+        counts = {"fast": 0, "slow": 0}
+        for slots in self._free_slots(loads_by_data_centre, requirements):
+            is_fast = slots.option.run_time_ms < requirements.run_time_ms
+            counts["fast" if is_fast else "slow"] += sum(x for _, x in slots.free)
+        return counts
+
     def highest_speed(self, service: str) -> float:
         """Return the speed of the service's fastest worker in all data centres.
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
@@ -183,8 +183,12 @@
 
     def expected(self, queue: str, step: jobs.Step) -> datetime.timedelta:
         """Return the expected run time of a step's tasks on an average worker."""
+        return clock.milliseconds(self.expected_ms(queue, step))
+
+    def expected_ms(self, queue: str, step: jobs.Step) -> float:
+        """Return the same in milliseconds."""
         queue_estimates, log_ms = self._lookup(queue, step)
-        return clock.milliseconds(queue_estimates.expected_ms(log_ms))
+        return queue_estimates.expected_ms(log_ms)
 
     def _lookup(self, queue: str, step: jobs.Step) -> tuple[_QueueEstimates, float]:
         """Return a queue's distribution and the log estimate of a step.
--- a/libs/carawaysail_model/src/carawaysail_model/main.py
+++ b/libs/carawaysail_model/src/carawaysail_model/main.py
@@ -3,7 +3,7 @@
 Usage:
   model [--settings FILE] [--seed N]... [--fault NAME]... [--rate X] [--seconds S]
         [--policy KIND=NAME]... [--burst KIND=X]... [--sweep FIELD=LIST]
-        [--plot FILE]
+        [--plot FILE] [--sizes]
   model --list
 
 Options:
@@ -18,6 +18,7 @@
   --sweep FIELD=LIST  Run each value of a field of the site, separated by commas, and
                       print one line for each; "rate" and the policies are fields too.
   --plot FILE         Write a PNG of the shares of jobs, by seed or swept value.
+  --sizes             Print a line for each kind and size class of jobs instead.
   --list              List faults and policies.
 """
 
@@ -29,7 +30,7 @@
 import json5
 
 from carawaysail_holding import job_admission, policies
-from carawaysail_model import faults, results, sites
+from carawaysail_model import faults, results, sites, sizes
 from carawaysail_types import clock, errors
 
 
@@ -64,10 +65,10 @@
     return sites.Site(**fields)
 
 
-def run_seed(
+def simulate(
     site: sites.Site, seed: int, args: dict[str, typing.Any]
-) -> dict[str, float]:
-    """Simulate a site with one seed and the parsed arguments; return its result."""
+) -> sites.Simulation:
+    """Simulate a site with one seed and the parsed arguments."""
     simulation = sites.Simulation(site, seed)
     simulation.rate_factor = float(args["--rate"])
     for arg in args["--burst"]:
@@ -76,9 +77,25 @@
     for name in args["--fault"]:
         faults.apply(simulation, name)
     simulation.run(clock.milliseconds(1000.0 * float(args["--seconds"])))
+    return simulation
+
+
+def run_seed(
+    site: sites.Site, seed: int, args: dict[str, typing.Any]
+) -> dict[str, float]:
+    """Simulate a site with one seed and the parsed arguments; return its result."""
+    simulation = simulate(site, seed, args)
     return typing.cast(dict[str, float], results.summarise(simulation))
 
 
+def size_rows(site: sites.Site, args: dict[str, typing.Any]) -> list[sizes.SizeRow]:
+    """Return how the jobs of all seeds were served, by kind and size class."""
+    served = [
+        job for seed in args["--seed"] for job in simulate(site, int(seed), args).served
+    ]
+    return sizes.by_size(served)
+
+
 def mean(rows: list[dict[str, float]]) -> dict[str, float]:
     """Return the mean of each field over several results."""
     return {name: sum(x[name] for x in rows) / len(rows) for name in rows[0]}
@@ -160,6 +177,10 @@
         return 0
     try:
         site = load_site(args["--settings"], args["--policy"])
+        if args["--sizes"]:
+            for size_row in size_rows(site, args):
+                print(json.dumps(size_row))
+            return 0
         if args["--sweep"]:
             rows = sweep(site, args)
         else:
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -117,6 +117,9 @@
         if name == "failed":
             self._node.on_failure(outcome)
 
+    def count_job(self, queue: str, size_class: str, outcome: str) -> None:
+        pass
+
     def set_sizes(self, sizes: dict[str, int]) -> None:
         pass
 
--- a/libs/carawaysail_model/src/carawaysail_model/pooled.py
+++ b/libs/carawaysail_model/src/carawaysail_model/pooled.py
@@ -145,14 +145,10 @@
     def _record(
         self, job: _WaitingJob, verdict: jobs.Verdict, at: datetime.datetime
     ) -> None:
-        arrival = job.arrival
-        response_ms = (at - arrival.at) / datetime.timedelta(milliseconds=1)
+        response_ms = (at - job.arrival.at) / datetime.timedelta(milliseconds=1)
         self.served.append(
-            sites.Served(
-                arrival.kind, jobs.JobOutcome(verdict), response_ms,
-                arrival.response_objective_ms, arrival.worth,
-            )
-        )  # fmt: skip
+            sites.served(job.arrival, jobs.JobOutcome(verdict), response_ms)
+        )
 
 
 def serve(simulation: sites.Simulation) -> list[sites.Served]:
--- a/libs/carawaysail_model/src/carawaysail_model/results.py
+++ b/libs/carawaysail_model/src/carawaysail_model/results.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from carawaysail_model import pooled, sites
+from carawaysail_model import pooled, sites, sizes
 from carawaysail_types import jobs
 
 LATE_WORTH_SHARE = 0.2
@@ -25,6 +25,8 @@
         The same for the reference: one pooled queue that knows all run times.
     worst_kind : float
         Smallest ``worth`` of a kind of job.
+    least_size_ratio : float
+        Least share of the jobs of a size class that are served, relative to their kind.
     in_time, late, refused, failed : float
         Shares of all jobs. Late answers are those that still have some worth; later
         ones are in none of the shares. Failed jobs are those whose tasks failed or
@@ -39,6 +41,7 @@
     worth: float
     pooled: float
     worst_kind: float
+    least_size_ratio: float
     in_time: float
     late: float
     refused: float
@@ -57,6 +60,7 @@
         worth=_worth(served),
         pooled=_worth(pooled.serve(simulation)),
         worst_kind=min((_worth_of_kind(served, x) for x in kinds), default=0.0),
+        least_size_ratio=sizes.least_size_ratio(served),
         in_time=sum(_is_in_time(x) for x in served) / count,
         late=sum(_is_late(x) for x in served) / count,
         refused=_share(served, jobs.Verdict.REFUSED),
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -148,6 +148,8 @@
         The response-time objective by true run times, in milliseconds.
     worth : float
         Worth of an answer in time.
+    work : float
+        Its size: run times of its tasks on an average worker times their processors.
     """
 
     kind: str
@@ -155,6 +157,7 @@
     response_ms: float
     response_objective_ms: float
     worth: float
+    work: float
 
 
 class Arrival(typing.NamedTuple):
@@ -183,13 +186,25 @@
     response_objective_ms: float
     worth: float
 
+    @property
+    def work(self) -> float:
+        """Size of the job: run times of its tasks times their processors."""
+        total_ms = clock.to_milliseconds(sum(self.run_times, datetime.timedelta()))
+        return total_ms * self.resources.processor_milli
+
+
+def served(arrival: Arrival, outcome: jobs.JobOutcome, response_ms: float) -> Served:
+    """Return how a job was served, given its outcome and response time in ms."""
+    return Served(
+        arrival.kind, outcome, response_ms, arrival.response_objective_ms,
+        arrival.worth, arrival.work,
+    )  # fmt: skip
+
 
 class _PendingJob(typing.NamedTuple):
     job: jobs.Job
+    arrival: Arrival
     kind: Kind
-    at: datetime.datetime
-    response_objective_ms: float
-    worth: float
 
 
 class Simulation:
@@ -436,10 +451,11 @@
         worth = kind.worth * worth_factor(work_ms / (kind.width * kind.length_ms))
         now = self.engine.now()
         resources, run_times = self._true_demands[job.job_id]
-        self.arrivals.append(
-            Arrival(kind.name, now, resources, tuple(run_times), objective_ms, worth)
+        arrival = Arrival(
+            kind.name, now, resources, tuple(run_times), objective_ms, worth
         )
-        self._send(_PendingJob(job, kind, now, objective_ms, worth))
+        self.arrivals.append(arrival)
+        self._send(_PendingJob(job, arrival, kind))
 
     def _draw_job(self, kind: Kind) -> tuple[jobs.Job, float, float]:
         """Draw a job; return it, its objective and its work, both in milliseconds."""
@@ -507,13 +523,9 @@
         self._record(pending, outcome)
 
     def _record(self, pending: _PendingJob, outcome: jobs.JobOutcome) -> None:
-        response_ms = clock.to_milliseconds(self.engine.now() - pending.at)
-        self.served.append(
-            Served(
-                pending.kind.name, outcome, response_ms, pending.response_objective_ms,
-                pending.worth,
-            )
-        )  # fmt: skip
+        arrival = pending.arrival
+        response_ms = clock.to_milliseconds(self.engine.now() - arrival.at)
+        self.served.append(served(arrival, outcome, response_ms))
 
 
 LOCAL_DELAY = clock.milliseconds(0.4)
