--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -270,6 +270,75 @@
         self.assertEqual(1, len(passes))
 
 
+class TestLongWaitingJobs(BrokerCase):
+    """Jobs whose run time is close to the client timeout, and that have to wait."""
+
+    def setUp(self):
+        super().setUp()
+        self.worker = make_report(milli=14_000)
+        self.hold(self.worker)
+        for number in range(20):
+            self.run_job(50 + number, run_ms=100, took_ms=70)
+
+    def run_job(self, number, run_ms, took_ms):
+        """Let the worker run a job, to teach the broker that it is a fast one."""
+        [start] = self.starts(self.submit(self.make(number, run_ms=run_ms)))
+        self.answer(start)
+        self.clock.advance(MS(took_ms - 1))
+        self.finish(start, sequence=number)
+
+    # Largest jobs were given up while they waited, by their run time on an average
+    # worker, though a fast worker would have completed them.
+    def test_job_that_a_fast_worker_completes_in_time_is_not_given_up(self):
+        [first] = self.starts(self.submit(self.make(1, run_ms=100)))
+        self.answer(first)
+        queue = jobs.Queue("long", "", "", "search", 0, 2, 1.6, MS(60), MS(1500))
+        self.submit(self.make(2, run_ms=1400, queue=queue))
+        self.clock.advance(MS(150))
+        self.assert_sent([], self.broker.tick(self.now))
+        [start] = self.starts(self.finish(first, sequence=100))
+        self.assertEqual(f"{2:016x}", start.run.task.job_id)
+
+    def test_job_that_no_worker_completes_in_time_is_refused(self):
+        [first] = self.starts(self.submit(self.make(1, run_ms=100)))
+        self.answer(first)
+        queue = jobs.Queue("long", "", "", "search", 0, 2, 1.6, MS(60), MS(1500))
+        self.submit(self.make(2, run_ms=1400, queue=queue))
+        self.clock.advance(MS(1200))
+        self.assert_sent([jobs.Verdict.REFUSED], self.broker.tick(self.now))
+
+
+class TestWideTasks(BrokerCase):
+    """Tasks that need more than half of a worker's processors."""
+
+    def record_speeds(self, **speeds):
+        self.broker.estimates._speeds.update(
+            {worker_id: (speed, 9) for worker_id, speed in speeds.items()}
+        )
+
+    # Short tasks were spread over all fast workers, by differences of their speeds that
+    # mean nothing, so that none had room for a wide task.
+    def test_narrow_task_goes_to_the_fuller_of_workers_of_similar_speed(self):
+        full, empty = make_report(0), make_report(1)
+        self.hold(full)
+        self.submit(self.make(1))
+        self.broker.handle_reports([full, empty], self.now)
+        self.poll(empty)
+        self.record_speeds(**{"w-0": 1.38, "w-1": 1.42})
+        [start] = self.starts(self.submit(self.make(2)))
+        self.assertEqual("w-0", start.worker.worker_id)
+
+    def test_faster_worker_is_chosen_if_speeds_differ_clearly(self):
+        full, empty = make_report(0), make_report(1)
+        self.hold(full)
+        self.submit(self.make(1))
+        self.broker.handle_reports([full, empty], self.now)
+        self.poll(empty)
+        self.record_speeds(**{"w-0": 0.6, "w-1": 1.42})
+        [start] = self.starts(self.submit(self.make(2)))
+        self.assertEqual("w-1", start.worker.worker_id)
+
+
 class TestUnansweredOrders(BrokerCase):
     """An order without an answer may be carried out much later."""
 
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -306,6 +306,22 @@
         self.assertEqual(jobs.Reason.TOO_LONG, answer.outcome.reason)
         self.assertEqual(MS(0), answer.outcome.retry_after)
 
+    # A long job in free slots counted as one that waits, since it might outlast its
+    # client, and was refused for the sake of more urgent jobs.
+    def test_long_job_with_free_slots_does_not_wait_for_urgent_jobs(self):
+        self.submit_job(1, task_count=1)
+        fast = loads.ServiceLoad(
+            "search", (loads.FreeCapacity(28_000, 1.4),), (1.4,), (), 0, 0.0
+        )
+        self.record_load("home", fast)
+        actions = self.submit_job(2, task_count=2, run_time_ms=2000, priority=2)
+        self.assertTrue(self.is_admitted(actions))
+
+    def test_job_that_would_outlast_its_client_is_refused_at_once(self):
+        self.fill_slots(600.0)
+        actions = self.submit_job(1, task_count=1, run_time_ms=1000)
+        self.assert_answers([jobs.Verdict.REFUSED], actions)
+
     def test_straggler_within_the_client_timeout_is_admitted(self):
         self.record_free_cores(home=28, away=28)
         self.assertTrue(
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -149,6 +149,13 @@
         remaining = view._loads["home", "search"].free_capacity
         self.assertEqual([14_000, 0], [x.free_milli for x in remaining])
 
+    # Half of all slots were free, but hardly a fast one, and short tasks took these.
+    def test_short_task_leaves_the_fast_worker_free_if_most_fast_ones_are_busy(self):
+        free = [(14, 1.4)] * 2 + [(14, 0.6)] * 20
+        load = make_load(free, [(100, 1.4)] * 8, speeds=(1.4,) * 10 + (0.6,) * 10)
+        plan = self.make(home=load).plan("search", make_requirements(1, 51.0))
+        self.assertAlmostEqual(51.0 / 0.6, plan.finish_ms)
+
     # A report lists 48 runs; a data centre with more looked half idle at a crest, and
     # short tasks took the fast workers.
     def test_runs_that_a_report_does_not_list_count_as_utilisation(self):
@@ -341,6 +348,13 @@
             started = self.key(name, 760, has_ordered_runs=True)
             self.assertLess(started, self.key(name, 51))
 
+    # The latest start of a long job followed from its objective alone, so it waited
+    # behind shorter ones until its client had left.
+    def test_job_whose_client_leaves_first_is_ordered_by_the_client_timeout(self):
+        for name in ("latest_start", "priority"):
+            long = self.key(name, 1350, age_ms=200)
+            self.assertLess(long, self.key(name, 500))
+
     def test_late_job_is_ordered_after_one_in_time(self):
         late = self.key("latest_start", 51, age_ms=500)
         self.assertLess(self.key("latest_start", 760), late)
