Give up a waiting job by the least run time on the fastest worker

Cause: a shard without a run was refused as too_late once less time was left than its expected run time on an average worker. Fast workers take 0.7 of that, and the estimate is uncertain, so the margin shrinks with the length of a job and is negative for the longest. The gateway's admission compares the lower bound of the run time on the fastest worker.

The holder compares the same now, and looks for its fastest worker only when the expected run time no longer fits.

--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -159,11 +159,25 @@
                 jobs.Verdict.UNKNOWN if shard.has_ordered_runs else jobs.Verdict.REFUSED
             )
             self.finish(shard, jobs.JobOutcome(verdict, jobs.Reason.TIMED_OUT), now)
-        elif not shard.has_ordered_runs and remaining < shard.schedule.run_time:
+        elif not shard.has_ordered_runs and self._is_too_late(shard, remaining, now):
             reason = jobs.Reason.TOO_LATE
             outcome = jobs.JobOutcome(jobs.Verdict.REFUSED, reason, RETRY_AFTER)
             self.finish(shard, outcome, now)
 
+    def _is_too_late(
+        self,
+        shard: shard_state.ShardState,
+        remaining: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether not even the fastest worker completes a shard in time."""
+        if remaining >= shard.schedule.run_time:
+            return False
+        least = policies.least_run_time(self._estimates, shard.submission)
+        usable = self._workers.usable(shard.submission, now)
+        fastest = self._estimates.highest_speed(x.report for x in usable)
+        return remaining < least / fastest
+
     def finish(
         self,
         shard: shard_state.ShardState,
--- a/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
@@ -221,6 +221,10 @@
         """Return the speed of a worker relative to an average worker, which has 1."""
         return self._speeds.get(report.worker_id, (1.0, 0))[0]
 
+    def highest_speed(self, reports: typing.Iterable[runs.WorkerReport]) -> float:
+        """Return the speed of the fastest of some workers; 1 without any."""
+        return max((self.speed(x) for x in reports), default=1.0)
+
     def record_run(
         self,
         queue: str,
