Let the client's limit bound the objective of a job

Cause: the objective is a multiple of the run time, and beyond 0.9 s it lies after the client's limit. The order of jobs followed from the objective alone, on an average worker, so the longest jobs seemed to have most time; a job planned to end between the limit and the objective was admitted.

The earlier of the two counts now: for the latest start, on the fastest worker, and in the admission. Admission by more urgent jobs that may overtake counts only jobs that have to wait: one in free slots that might outlast its client was counted as queued.

--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -358,16 +358,17 @@
         for step in steps:
             self._estimates.record_estimate(queue.name, step)
         run_time = max(self._estimates.estimate(queue.name, step) for step in steps)
-        target_finish_ms = run_time.expected_ms * queue.stretch + clock.to_milliseconds(
+        objective_ms = run_time.expected_ms * queue.stretch + clock.to_milliseconds(
             queue.objective
         )
+        timeout_ms = clock.to_milliseconds(submission.deadline - submission.arrived)
         requirements = planning.Requirements(
             sum(step.task_count for step in steps),
             max((step.resources for step in steps), key=lambda x: x.processor_milli),
             run_time.expected_ms,
             run_time.upper_bound_ms,
-            target_finish_ms,
-            clock.to_milliseconds(submission.deadline - submission.arrived),
+            min(objective_ms, timeout_ms),
+            timeout_ms,
         )
         work = sum(
             self._estimates.expected_ms(queue.name, step)
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_admission.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_admission.py
@@ -51,17 +51,13 @@
 
 @admission_policies.register("objective")
 def _meets_objective(forecast: Forecast) -> bool:
-    """Admit jobs that are expected to meet their response-time objective.
+    """Admit jobs that are expected to meet their objective before the client leaves.
 
-    A job whose tasks all have free slots in time is admitted as well, unless it would
-    outlast the client timeout even on an idle site.
+    A job that would outlast the client timeout even on an idle site is not.
     """
     if forecast.exceeds_client_timeout:
         return False
-    return (
-        not forecast.plan.queued
-        or forecast.plan.finish_ms <= forecast.requirements.target_finish_ms
-    )
+    return forecast.plan.finish_ms <= forecast.requirements.target_finish_ms
 
 
 @admission_policies.register("yielding")
@@ -71,7 +67,7 @@
     More urgent jobs that arrive later are likely to overtake one that has to wait.
     """
     requirements, plan = forecast.requirements, forecast.plan
-    is_overtaken = forecast.is_outranked and plan.queued
+    is_overtaken = forecast.is_outranked and plan.has_to_wait
     if (
         is_overtaken
         and plan.finish_ms + OVERTAKING_DELAY_MS > requirements.target_finish_ms
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -79,7 +79,9 @@
         """
         for step in submission.job.steps:
             self._estimates.record_estimate(submission.queue.name, step)
-        schedule = policies.make_schedule(self._estimates, submission)
+        usable = self._workers.usable(submission, now)
+        fastest = self._estimates.highest_speed(x.report for x in usable)
+        schedule = policies.make_schedule(self._estimates, submission, fastest)
         shard = shard_state.ShardState(shard_id, submission, schedule)
         self._supersede(shard, now)
         self._shards[shard_id] = shard
@@ -95,7 +97,7 @@
             "due_ms": round(clock.to_milliseconds(schedule.target_finish - now)),
             "resumed": submission.is_resumed,
         }
-        reason = self._refusal_reason(shard, now)
+        reason = self._refusal_reason(shard, bool(usable), now)
         if reason is not jobs.Reason.NONE and not shard.has_ordered_runs:
             self._actions.log("refused", shard_id.job_id, reason=reason.value, **fields)
             self.remove(shard)
@@ -133,14 +135,14 @@
                     self.match_run(worker, run, state, now)
 
     def _refusal_reason(
-        self, shard: shard_state.ShardState, now: datetime.datetime
+        self, shard: shard_state.ShardState, has_workers: bool, now: datetime.datetime
     ) -> jobs.Reason:
         """Return why a shard cannot be admitted; ``NONE`` if it can."""
         if shard.submission.job.unsupported_features():
             return jobs.Reason.UNSUPPORTED
         if shard.submission.deadline <= now:
             return jobs.Reason.TIMED_OUT
-        if not self._workers.usable(shard.submission, now):
+        if not has_workers:
             return jobs.Reason.NO_WORKERS
         if not self._workers.can_ever_fit(shard.submission):
             return jobs.Reason.NEVER_FITS
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -42,7 +42,8 @@
     upper_bound_ms : float
         Run time that nineteen tasks in twenty do not exceed, in milliseconds.
     target_finish_ms : float
-        Latest finish that meets the response-time objective, in milliseconds from now.
+        Latest finish that meets the response-time objective before the client stops
+        waiting, in milliseconds from now.
     timeout_ms : float
         When the client stops waiting, in milliseconds from now.
     """
@@ -75,6 +76,11 @@
     queued: int
     options: tuple["Option", ...] = ()
 
+    @property
+    def has_to_wait(self) -> bool:
+        """Whether a task of the job is planned behind others, without a free slot."""
+        return any(x.slot_index is None for x in self.options)
+
 
 class Option(typing.NamedTuple):
     """A slot that a task may get: free now, or later by waiting in a queue.
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -93,7 +93,7 @@
 class _LatestStart:
     """Started jobs first, then by the latest start that meets the objective.
 
-    Jobs that can no longer meet it come after all that can.
+    Jobs that can no longer meet it, or whose client leaves first, come after all others.
     """
 
     def key(self, shard: shard_state.ShardState, now: datetime.datetime) -> typing.Any:
@@ -223,6 +223,7 @@
 def make_schedule(
     estimates: run_time_estimates.RunTimeEstimates,
     submission: broker_messages.Submission,
+    highest_speed: float = 1.0,
 ) -> shard_state.Schedule:
     """Return the target times of a submission.
 
@@ -232,13 +233,17 @@
         Run-time estimates of the queues.
     submission : broker_messages.Submission
         The submission.
+    highest_speed : float
+        Speed of the fastest worker; 1 is that of an average one.
     """
     queue = submission.queue
     run_time = _critical_path(
         submission.job.steps, lambda step: estimates.expected_ms(queue.name, step)
     )
     target_finish = submission.arrived + run_time * queue.stretch + queue.objective
-    return shard_state.Schedule(run_time, target_finish, target_finish - run_time)
+    latest_finish = min(target_finish, submission.deadline)
+    latest_start = latest_finish - run_time / highest_speed
+    return shard_state.Schedule(run_time, target_finish, latest_start)
 
 
 def least_run_time(
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -108,7 +108,8 @@
     target_finish : datetime.datetime
         Latest finish that meets the response-time objective.
     latest_start : datetime.datetime
-        Latest start of the first task for that finish.
+        Latest start of the first task, on the fastest worker, for that finish, or for
+        an answer before the client leaves if that is earlier.
     """
 
     run_time: datetime.timedelta
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -256,7 +256,7 @@
             job.job_id, 0, broker_messages.GatewayId("vm", "1")
         )
         schedule = policies.make_schedule(
-            run_time_estimates.RunTimeEstimates(), submission
+            run_time_estimates.RunTimeEstimates(), submission, highest_speed=1.4
         )
         return shard_state.ShardState(shard_id, submission, schedule)
 
