Leave fast slots to long tasks once most fast workers are busy

Cause: below half of all slots in use each task takes the fastest free one. Fast workers have little more than half of the slots, so they are full before the slow ones begin to fill, and the rule that leaves them free comes too late.

--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -236,7 +236,11 @@
         context = policies.PlacementContext(
             shard,
             is_sooner_after_wait,
-            functools.partial(utilisation.processor_utilisation, usable),
+            functools.partial(
+                utilisation.fast_utilisation,
+                usable,
+                lambda x: self._estimates.speed(x.report),
+            ),
             now,
         )
         return self._choice.choose(candidates, context)
