--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -93,7 +93,7 @@
 class _LatestStart:
     """Started jobs first, then by the latest start that meets the objective.
 
-    Jobs that can no longer meet it, or whose client leaves first, come after all others.
+    Jobs that can no longer meet it, or whose client leaves first, come last.
     """
 
     def key(self, shard: shard_state.ShardState, now: datetime.datetime) -> typing.Any:
--- a/libs/carawaysail_holding/src/carawaysail_holding/utilisation.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/utilisation.py
@@ -4,7 +4,6 @@
 
 from carawaysail_holding import held_worker
 
-
 ROUNDING = 0.999
 """Workers of one speed are all fast, though their mean is rounded."""
 
