--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -470,3 +470,17 @@
             self.assertIn(b" 200 ", await self.exchange(self.GET))
 
         self.play(run)
+
+
+class TestJobMetric(testtools.TestCase):
+    """Ended jobs by queue, size class and outcome."""
+
+    def test_jobs_are_counted_by_their_labels(self):
+        daemon_metrics = metrics.DaemonMetrics("vm", "dc")
+        for outcome in ("completed", "completed", "overloaded"):
+            daemon_metrics.count_job("q", "largest", outcome)
+        text = daemon_metrics.render(clock.ManualClock().now())[0].decode()
+        name, labels = "carawaysail_jobs_total", {"queue": "q", "size": "largest"}
+        self.assertEqual(
+            2.0, metrics.find_sample(text, name, outcome="completed", **labels)
+        )
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -151,6 +151,29 @@
         self.assert_answers([jobs.Verdict.COMPLETED], actions)
 
 
+class TestCountedJobs(GatewayCase):
+    """Each job that ends is counted once, by queue, size class and outcome."""
+
+    def counted(self, actions):
+        return [
+            (x.queue, x.size_class.value, x.outcome.verdict)
+            for x in actions
+            if isinstance(x, gateway.CountJob)
+        ]
+
+    def test_completed_job_is_counted_by_its_size(self):
+        for number in range(9):
+            self.submit_job(number, task_count=1)
+            self.record_free_cores(home=28, away=28)
+        actions = self.submit_job(99, task_count=3)
+        [*_, last] = [self.handle_outcome(x, DONE) for x in self.sent(actions)]
+        self.assertEqual([("q0", "largest", DONE.verdict)], self.counted(last))
+
+    def test_refused_job_is_counted(self):
+        actions = self.submit_job(task_count=60)
+        self.assertEqual([("q0", "usual", jobs.Verdict.REFUSED)], self.counted(actions))
+
+
 class TestUnreachableDataCentre(GatewayCase):
     """Data centres whose load is known but whose broker cannot be reached."""
 
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -9,6 +9,7 @@
 from carawaysail_holding import (
     broker_messages,
     held_worker,
+    job_sizes,
     loads,
     planning,
     policies,
@@ -329,6 +330,29 @@
         self.assertEqual(1290, self.choose(760, [1290], next_finish_ms=1500))
 
 
+class TestJobSizes(testtools.TestCase):
+    """Classes of jobs by the rank of their work in their queue."""
+
+    def classify(self, count=2000, seed=1):
+        sizes, draw = job_sizes.JobSizes(), random.Random(seed)
+        return collections.Counter(
+            sizes.classify("q", draw.lognormvariate(7.0, 0.6)) for _ in range(count)
+        )
+
+    def test_classes_have_a_tenth_and_a_fifth_of_the_jobs(self):
+        found = self.classify()
+        self.assertAlmostEqual(0.1, found[job_sizes.SizeClass.LARGEST] / 2000, 1)
+        self.assertAlmostEqual(0.2, found[job_sizes.SizeClass.LARGE] / 2000, 1)
+
+    def test_queues_are_told_apart(self):
+        sizes = job_sizes.JobSizes()
+        for _ in range(50):
+            sizes.classify("short", 10.0)
+            sizes.classify("long", 1000.0)
+        self.assertIs(job_sizes.SizeClass.LARGEST, sizes.classify("short", 100.0))
+        self.assertIs(job_sizes.SizeClass.USUAL, sizes.classify("long", 100.0))
+
+
 class TestFastUtilisation(testtools.TestCase):
     """Utilisation counts the workers that long tasks need."""
 
