Let waiting tasks cost a holder less at a crest

Cause, as far as shown: tasks that wait for a fast worker while slow ones have room are looked at in each pass over waiting tasks, some 400 a second, and each pass worked out when every run of the data centre would end.

Ends of runs and utilisation are now kept for 20 ms, with the starts added; a new shard is placed by itself, as those that wait have declined the room that there is; the lower bound of a shard's run time is worked out once. Both tests fail on the code before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -422,7 +422,9 @@
             self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
         else:
             self._jobs.admit(shard_id, submission, now)
-            self._place(now)
+            shard = self._jobs.get(shard_id)
+            if shard is not None:
+                self._place_shards([shard], now)
         return self._actions.drain()
 
     def withdraw(
@@ -483,9 +485,19 @@
 
     def _place(self, now: datetime.datetime) -> None:
         """Start as many waiting tasks as fit, in the order of the job policy."""
-        waiting = [shard for shard in self._jobs.all() if shard.waiting_count()]
+        self._place_shards(self._jobs.all(), now)
+
+    def _place_shards(
+        self, shards: list[shard_state.ShardState], now: datetime.datetime
+    ) -> None:
+        """Start waiting tasks of some shards, where no room is left by others.
+
+        A new shard takes none from those that wait already: they did not fit, or wait
+        for other workers.
+        """
+        waiting = [shard for shard in shards if shard.waiting_count()]
         least = min((x.least_processor_milli for x in waiting), default=0)
-        self._placer.begin_pass()
+        self._placer.begin_pass(now)
         usable: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
         roomy: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
         for shard in sorted(waiting, key=lambda x: self._job_order.key(x, now)):
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -175,7 +175,10 @@
         """Return whether not even the fastest worker completes a shard in time."""
         if remaining >= shard.schedule.run_time:
             return False
-        least = policies.least_run_time(self._estimates, shard.submission)
+        least = shard.least_run_time(self._estimates)
+        if remaining >= least / shard.schedule.highest_speed:
+            return False
+        # A faster one may have joined, or shown its speed, since the job arrived.
         usable = self._workers.usable(shard.submission, now)
         fastest = self._estimates.highest_speed(x.report for x in usable)
         return remaining < least / fastest
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -15,7 +15,11 @@
     shard_state,
     utilisation,
 )
-from carawaysail_types import jobs, runs
+from carawaysail_types import clock, jobs, runs
+
+MAX_VIEW_AGE = clock.milliseconds(20)
+"""How long remaining run times and the utilisation are kept; starts of runs are added
+meanwhile. Short against any run, and many passes over waiting tasks come in it."""
 
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
@@ -141,12 +145,14 @@
         self._choice = choice
         self._estimates = estimates
         self._find_shard = find_shard
-        # Expected remaining times of runs, in milliseconds, for one pass over waiting
-        # tasks: by worker, and of all usable workers of a service.
+        self._view_until: datetime.datetime | None = None
+        # Expected remaining times of runs in milliseconds: by worker, and of all
+        # usable workers of a service.
         self._remaining: dict[str, list[float]] = {}
         self._sorted_runs: dict[
             tuple[str, str], list[tuple[float, float, held_worker.HeldWorker]]
         ] = {}
+        self._utilisations: dict[tuple[str, str], float] = {}
 
     def fitting(
         self,
@@ -236,15 +242,19 @@
         context = policies.PlacementContext(
             shard,
             is_sooner_after_wait,
-            functools.partial(
-                utilisation.fast_utilisation,
-                usable,
-                lambda x: self._estimates.speed(x.report),
-            ),
+            functools.partial(self._fast_utilisation, usable),
             now,
         )
         return self._choice.choose(candidates, context)
 
+    def _fast_utilisation(self, usable: list[held_worker.HeldWorker]) -> float:
+        pool = _pool(usable[0])
+        if pool not in self._utilisations:
+            self._utilisations[pool] = utilisation.fast_utilisation(
+                usable, lambda x: self._estimates.speed(x.report)
+            )
+        return self._utilisations[pool]
+
     def count_sooner(
         self,
         run_time_ms: float,
@@ -315,10 +325,14 @@
             self._remaining[worker_id] = remaining
         return self._remaining[worker_id]
 
-    def begin_pass(self) -> None:
-        """Forget the remaining times of runs, because time has passed."""
+    def begin_pass(self, now: datetime.datetime) -> None:
+        """Forget remaining times of runs and utilisations that are too old."""
+        if self._view_until is not None and now < self._view_until:
+            return
+        self._view_until = now + MAX_VIEW_AGE
         self._remaining.clear()
         self._sorted_runs.clear()
+        self._utilisations.clear()
 
     def record_start(self, chosen: policies.Candidate) -> None:
         """Record that a worker has one more run in this pass."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -12,7 +12,7 @@
     run_time_estimates,
     shard_state,
 )
-from carawaysail_types import clock, jobs, registry
+from carawaysail_types import clock, registry
 
 
 class Candidate(typing.NamedTuple):
@@ -252,42 +252,11 @@
         Speed of the fastest worker; 1 is that of an average one.
     """
     queue = submission.queue
-    run_time = _critical_path(
-        submission.job.steps, lambda step: estimates.expected_ms(queue.name, step)
+    run_time = shard_state.critical_path(
+        submission.job.steps,
+        [estimates.expected_ms(queue.name, x) for x in submission.job.steps],
     )
     target_finish = submission.arrived + run_time * queue.stretch + queue.objective
     latest_finish = min(target_finish, submission.deadline)
     latest_start = latest_finish - run_time / highest_speed
-    return shard_state.Schedule(run_time, target_finish, latest_start)
-
-
-def least_run_time(
-    estimates: run_time_estimates.RunTimeEstimates,
-    submission: broker_messages.Submission,
-) -> datetime.timedelta:
-    """Return the lower bound of a job's run time on an average worker.
-
-    Parameters
-    ----------
-    estimates : run_time_estimates.RunTimeEstimates
-        Run-time estimates of the queues.
-    submission : broker_messages.Submission
-        The submission.
-    """
-    name = submission.queue.name
-    return _critical_path(
-        submission.job.steps,
-        lambda step: estimates.estimate(name, step).lower_bound_ms,
-    )
-
-
-def _critical_path(
-    steps: tuple[jobs.Step, ...],
-    run_time_ms: collections.abc.Callable[[jobs.Step], float],
-) -> datetime.timedelta:
-    """Return the run time of the longest chain of steps."""
-    lengths_ms: list[float] = []
-    for step in steps:
-        before_ms = max((lengths_ms[x] for x in step.after), default=0.0)
-        lengths_ms.append(before_ms + run_time_ms(step))
-    return clock.milliseconds(max(lengths_ms, default=0.0))
+    return shard_state.Schedule(run_time, target_finish, latest_start, highest_speed)
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -110,11 +110,33 @@
     latest_start : datetime.datetime
         Latest start of the first task, on the fastest worker, for that finish, or for
         an answer before the client leaves if that is earlier.
+    highest_speed : float
+        Speed of the fastest worker as the job arrived; 1 is that of an average one.
     """
 
     run_time: datetime.timedelta
     target_finish: datetime.datetime
     latest_start: datetime.datetime
+    highest_speed: float = 1.0
+
+
+def critical_path(
+    steps: tuple[jobs.Step, ...], run_times_ms: list[float]
+) -> datetime.timedelta:
+    """Return the run time of the longest chain of steps.
+
+    Parameters
+    ----------
+    steps : tuple of jobs.Step
+        The steps of a job.
+    run_times_ms : list of float
+        Run time of a task of each step, in milliseconds.
+    """
+    lengths_ms: list[float] = []
+    for step, run_time_ms in zip(steps, run_times_ms, strict=True):
+        before_ms = max((lengths_ms[x] for x in step.after), default=0.0)
+        lengths_ms.append(before_ms + run_time_ms)
+    return clock.milliseconds(max(lengths_ms, default=0.0))
 
 
 class ShardState:
@@ -149,6 +171,7 @@
         self._observed_log_ms: list[float] = []
         # By step number; made when first needed, and replaced by observed run times.
         self._run_times: dict[int, run_time_estimates.RunTimeEstimate] = {}
+        self._least_run_time: datetime.timedelta | None = None
         for step_number, step in enumerate(submission.job.steps):
             for index in submission.tasks or range(step.task_count):
                 task = runs.Task(submission.job.job_id, 0, step_number, index)
@@ -191,6 +214,16 @@
             self._run_times[step_number] = run_time
         return run_time
 
+    def least_run_time(
+        self, estimates: run_time_estimates.RunTimeEstimates
+    ) -> datetime.timedelta:
+        """Return the lower bound of the job's run time on an average worker."""
+        if self._least_run_time is None:
+            name, steps = self.submission.queue.name, self.submission.job.steps
+            bounds_ms = [estimates.estimate(name, x).lower_bound_ms for x in steps]
+            self._least_run_time = critical_path(steps, bounds_ms)
+        return self._least_run_time
+
     def is_done(self) -> bool:
         """Return whether every task is done."""
         return not self._counts.open
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -256,6 +256,34 @@
             self.broker.tick(self.now)
         self.assertEqual([], estimated)
 
+    # Each of the passes of a crest, some 400 a second, worked out when every run of the
+    # data centre would end.
+    def test_ends_of_runs_are_not_worked_out_in_each_pass(self):
+        worked_out = []
+        real = self.broker._placer._remaining_times
+
+        def remaining_times(worker, now):
+            worked_out.append(worker)
+            return real(worker, now)
+
+        self.patch(self.broker._placer, "_remaining_times", remaining_times)
+        for _ in range(10):
+            self.clock.advance(MS(1))
+            self.broker.tick(self.now)
+        self.assertLessEqual(len(worked_out), 3)
+
+    def test_new_shard_does_not_let_the_waiting_ones_be_placed_again(self):
+        placed = []
+        real = self.broker._place_shard
+
+        def place_shard(shard, *args):
+            placed.append(shard.job_id)
+            return real(shard, *args)
+
+        self.patch(self.broker, "_place_shard", place_shard)
+        self.submit(self.make(99, task_count=2))
+        self.assertEqual([f"{99:016x}"], placed)
+
     # A holder that lost a gateway placed all its waiting tasks once for each shard.
     def test_shards_of_a_lost_gateway_are_withdrawn_in_one_pass(self):
         passes = []
