--- a/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
@@ -21,10 +21,6 @@
 SPEED_SMOOTHING = 0.15
 """Least weight of a new run in a worker's speed: about the last 7 count."""
 
-KIND_SMOOTHING = 0.02
-"""Least weight of a new run in the speed of all workers with the same resources: about
-the last 50 count."""
-
 DEFAULT_RUN_TIME = clock.milliseconds(300)
 """Run time of a queue without any estimate; the order of a short task."""
 
@@ -179,8 +175,6 @@
         self._estimates: dict[str, _QueueEstimates] = {}
         # Speed of each worker, and the number of runs that it was learned from.
         self._speeds: dict[str, tuple[float, int]] = {}
-        # The same of all workers with the same resources.
-        self._kind_speeds: dict[jobs.Resources, tuple[float, int]] = {}
 
     def estimate(self, queue: str, step: jobs.Step) -> RunTimeEstimate:
         """Estimate the run time of a step's tasks on an average worker."""
@@ -224,14 +218,8 @@
             )
 
     def speed(self, report: runs.WorkerReport) -> float:
-        """Return the speed of a worker relative to an average worker, which has 1.
-
-        A worker without runs is taken to be like others with its resources.
-        """
-        known = self._speeds.get(report.worker_id)
-        if known is None:
-            known = self._kind_speeds.get(report.resources, (1.0, 0))
-        return known[0]
+        """Return the speed of a worker relative to an average worker, which has 1."""
+        return self._speeds.get(report.worker_id, (1.0, 0))[0]
 
     def highest_speed(self, reports: typing.Iterable[runs.WorkerReport]) -> float:
         """Return the speed of the fastest of some workers; 1 without any."""
@@ -261,19 +249,11 @@
         expected_ms = max(
             MIN_RUN_TIME_MS, clock.to_milliseconds(self.expected(queue, step))
         )
-        ratio = expected_ms / run_time_ms
-        _, count = self._speeds.get(report.worker_id, (1.0, 0))
-        speed = _updated(self.speed(report), count, ratio, SPEED_SMOOTHING)
+        speed, count = self._speeds.get(report.worker_id, (1.0, 0))
+        log_error = _clamped(math.log(expected_ms / (run_time_ms * speed)))
+        weight = max(SPEED_SMOOTHING, 1.0 / (count + 2))
+        speed *= math.exp(weight * log_error)
         self._speeds[report.worker_id] = (speed, count + 1)
-        kind_speed, count = self._kind_speeds.get(report.resources, (1.0, 0))
-        kind_speed = _updated(kind_speed, count, ratio, KIND_SMOOTHING)
-        self._kind_speeds[report.resources] = (kind_speed, count + 1)
-
-
-def _updated(speed: float, count: int, observed: float, smoothing: float) -> float:
-    """Return a moving average of speeds, learned from ``count`` runs before."""
-    weight = max(smoothing, 1.0 / (count + 2))
-    return speed * math.exp(weight * _clamped(math.log(observed / speed)))
 
 
 def _clamped(log_error: float) -> float:
