Revert "Leave fast slots to long tasks once most fast workers are busy"

The gateways' refusals show why, by the free slots that they saw: at 17 to 19 s no fast slot and 310 to 330 slow ones, more than all slow workers have, so fast workers counted as slow and idled. A holder measures a run from its order to the poll that lists its end; lateness and the way there weigh most on short tasks. A worker that looks slow is kept for short tasks by this rule, and then stays slow.

--- a/libs/carawaysail_holding/src/carawaysail_holding/loads.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/loads.py
@@ -83,17 +83,6 @@
         """Return the number of runs, listed or not."""
         return len(self.expected_releases) + self.unlisted_releases
 
-    def run_count_above(self, speed: float) -> float:
-        """Return the number of runs on workers of at least a speed, listed or not.
-
-        Those that are not listed are taken to be spread like the listed ones.
-        """
-        listed = self.expected_releases
-        if not listed:
-            return 0.0
-        share = sum(x.speed >= speed for x in listed) / len(listed)
-        return share * self.run_count()
-
     def release(self, position: int) -> ExpectedRelease:
         """Return the expected release of a run by its position among all runs.
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -242,17 +242,15 @@
         context = policies.PlacementContext(
             shard,
             is_sooner_after_wait,
-            functools.partial(self._fast_utilisation, usable),
+            functools.partial(self._utilisation, usable),
             now,
         )
         return self._choice.choose(candidates, context)
 
-    def _fast_utilisation(self, usable: list[held_worker.HeldWorker]) -> float:
+    def _utilisation(self, usable: list[held_worker.HeldWorker]) -> float:
         pool = _pool(usable[0])
         if pool not in self._utilisations:
-            self._utilisations[pool] = utilisation.fast_utilisation(
-                usable, lambda x: self._estimates.speed(x.report)
-            )
+            self._utilisations[pool] = utilisation.processor_utilisation(usable)
         return self._utilisations[pool]
 
     def count_sooner(
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -9,15 +9,15 @@
 import typing
 import zlib
 
-from carawaysail_holding import loads, utilisation
+from carawaysail_holding import loads
 from carawaysail_types import jobs
 
 REMOTE_ROUND_TRIP_MS = 4.0
 """Added to the finish time in another data centre: a network round trip to it."""
 
 HIGH_UTILISATION = 0.5
-"""Share of the fast workers' slots in use (for the choice of a worker: of their
-processors) above which they are reserved for long tasks."""
+"""Share of the slots in use (for the choice of a worker: of the processors) above which
+fast workers are reserved for long tasks."""
 
 
 ALIKE_SHARE_PER_GATEWAY = 0.001
@@ -208,9 +208,9 @@
         for slots in all_free:
             is_in_time = _is_in_time(slots.option, requirements)
             (in_time if is_in_time else fallbacks).append(slots)
-        is_highly_utilised = (
-            _fast_utilisation(candidates, all_free, requirements) > HIGH_UTILISATION
-        )
+        free_count = sum(count for slots in all_free for _, count in slots.free)
+        busy = sum(load.run_count() for load in candidates.values())
+        is_highly_utilised = busy > HIGH_UTILISATION * (busy + free_count)
         preference = self._by_longest_run if is_highly_utilised else self._by_finish
         in_time.sort(key=lambda x: preference(x.option, requirements))
         chosen = _take(in_time, requirements.task_count)
@@ -423,29 +423,6 @@
         )
 
 
-def _fast_utilisation(
-    candidates: dict[str, loads.ServiceLoad],
-    all_free: list[_Slots],
-    requirements: Requirements,
-) -> float:
-    """Return the share of the fast workers' slots in use, from 0 to 1.
-
-    There is a worker, or there would be no candidate.
-    """
-    least_speed = utilisation.least_fast_speed(
-        [x for load in candidates.values() for x in load.speeds]
-    )
-    longest_ms = requirements.run_time_ms / least_speed
-    free = sum(
-        count
-        for slots in all_free
-        if slots.option.run_time_ms <= longest_ms
-        for _, count in slots.free
-    )
-    busy = sum(load.run_count_above(least_speed) for load in candidates.values())
-    return busy / (busy + free) if busy else 0.0
-
-
 def _is_in_time(option: Option, requirements: Requirements) -> bool:
     return is_in_time(
         option.finish_ms,
--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -52,7 +52,7 @@
         than a candidate with a given run time would. The second argument says whether
         upper bounds of the finish are compared.
     find_utilisation : callable
-        Returns the share of the fast workers' processors in use, from 0 to 1.
+        Returns the share of the usable workers' processors in use, from 0 to 1.
     now : datetime.datetime
         Present instant.
     """
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -15,7 +15,6 @@
     policies,
     run_time_estimates,
     shard_state,
-    utilisation,
     worker_health,
 )
 from carawaysail_types import clock, jobs, runs
@@ -353,33 +352,6 @@
         self.assertIs(job_sizes.SizeClass.USUAL, sizes.classify("long", 100.0))
 
 
-class TestFastUtilisation(testtools.TestCase):
-    """Utilisation counts the workers that long tasks need."""
-
-    def utilisation(self, *rows):
-        """Return the utilisation of workers, given pairs of free cores and speed."""
-        case = TestFitToTarget("setUp")
-        case.now = clock.ManualClock().now()
-        workers = [case.make_worker(number) for number in range(len(rows))]
-        for worker, (free, _) in zip(workers, rows, strict=True):
-            run = runs.Run(runs.Task("0" * 16, 0, 0, 0), 1)
-            used = jobs.Resources(32_000 - 1000 * free, 0, 0)
-            worker.ledger.record_order(run, used, case.now)
-        speeds = {
-            x.report.worker_id: y for x, (_, y) in zip(workers, rows, strict=True)
-        }
-        return utilisation.fast_utilisation(
-            workers, lambda x: speeds[x.report.worker_id]
-        )
-
-    def test_free_slow_workers_do_not_count(self):
-        rows = [(8, 1.4)] + [(32, 0.6)] * 3
-        self.assertAlmostEqual(0.75, self.utilisation(*rows))
-
-    def test_workers_of_one_speed_all_count(self):
-        self.assertAlmostEqual(0.5, self.utilisation((0, 0.85), (16, 0.85), (32, 0.85)))
-
-
 class TestJobOrder(testtools.TestCase):
     """The order of jobs, with short tasks that arrive behind long ones."""
 
