Measure run times at the worker, by its clock and progress

Cause: the speed of a worker is learned from the time between the order and the moment at which the holder handles the poll that lists the end. The way there and back, and the holder's lateness, weigh most on short tasks, so a fast worker that gets short tasks, or whose holder is late, looks slow; then it gets only short tasks or none, and stays slow.

Workers report the progress of their runs and their clock. From the first status that lists a run to the one that lists its end, the worker's clock says how long the rest of the work took; neither way nor lateness is in it. Once a worker has such runs, only these count for its speed. The tests fail on the code before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -364,9 +364,12 @@
             return
         state = shard.tasks[run.task]
         if state.last_run_number == run.number and state.started_at is not None:
-            run_time = now - state.started_at
-            queue = shard.submission.queue.name
-            self.estimates.record_run(queue, state.step, worker.report, run_time)
+            measured = worker.run_progress.run_time(run)
+            run_time = measured or now - state.started_at
+            queue, is_measured = shard.submission.queue.name, measured is not None
+            self.estimates.record_run(
+                queue, state.step, worker.report, run_time, is_measured
+            )
             shard.record_run_time(run_time * self.estimates.speed(worker.report))
         present_worker = self._workers.get(state.worker_id)
         present_run = runs.Run(run.task, state.last_run_number)
--- a/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/run_time_estimates.py
@@ -87,6 +87,17 @@
         )
 
 
+class _Speed(typing.NamedTuple):
+    """Speed of a worker, and the number of runs that it was learned from.
+
+    ``is_measured`` tells whether these were measured at the worker.
+    """
+
+    value: float = 1.0
+    run_count: int = 0
+    is_measured: bool = False
+
+
 class _QueueEstimates(typing.NamedTuple):
     """Distribution of the log estimates (of milliseconds) of a queue's usual jobs.
 
@@ -173,8 +184,7 @@
 
     def __init__(self) -> None:
         self._estimates: dict[str, _QueueEstimates] = {}
-        # Speed of each worker, and the number of runs that it was learned from.
-        self._speeds: dict[str, tuple[float, int]] = {}
+        self._speeds: dict[str, _Speed] = {}
 
     def estimate(self, queue: str, step: jobs.Step) -> RunTimeEstimate:
         """Estimate the run time of a step's tasks on an average worker."""
@@ -219,7 +229,7 @@
 
     def speed(self, report: runs.WorkerReport) -> float:
         """Return the speed of a worker relative to an average worker, which has 1."""
-        return self._speeds.get(report.worker_id, (1.0, 0))[0]
+        return self._speeds.get(report.worker_id, _Speed()).value
 
     def highest_speed(self, reports: typing.Iterable[runs.WorkerReport]) -> float:
         """Return the speed of the fastest of some workers; 1 without any."""
@@ -231,9 +241,12 @@
         step: jobs.Step,
         report: runs.WorkerReport,
         run_time: datetime.timedelta,
+        is_measured: bool = False,
     ) -> None:
         """Update the speed of a worker with a run that succeeded.
 
+        Runs that were measured at the worker replace all others.
+
         Parameters
         ----------
         queue : str
@@ -243,17 +256,23 @@
         report : runs.WorkerReport
             The worker.
         run_time : datetime.timedelta
-            Measured run time.
+            Run time.
+        is_measured : bool
+            Whether it was measured at the worker; otherwise it includes the way of
+            messages and the lateness of this daemon.
         """
+        known = self._speeds.get(report.worker_id, _Speed())
+        if known.is_measured and not is_measured:
+            return
         run_time_ms = max(MIN_RUN_TIME_MS, clock.to_milliseconds(run_time))
         expected_ms = max(
             MIN_RUN_TIME_MS, clock.to_milliseconds(self.expected(queue, step))
         )
-        speed, count = self._speeds.get(report.worker_id, (1.0, 0))
-        log_error = _clamped(math.log(expected_ms / (run_time_ms * speed)))
+        count = known.run_count if known.is_measured == is_measured else 0
+        log_error = _clamped(math.log(expected_ms / (run_time_ms * known.value)))
         weight = max(SPEED_SMOOTHING, 1.0 / (count + 2))
-        speed *= math.exp(weight * log_error)
-        self._speeds[report.worker_id] = (speed, count + 1)
+        speed = known.value * math.exp(weight * log_error)
+        self._speeds[report.worker_id] = _Speed(speed, count + 1, is_measured)
 
 
 def _clamped(log_error: float) -> float:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from carawaysail_holding import broker, broker_messages
+from carawaysail_holding import broker, broker_messages, run_time_estimates
 from carawaysail_types import clock, jobs, runs
 
 MS = clock.milliseconds
@@ -336,12 +336,36 @@
         self.assert_sent([jobs.Verdict.REFUSED], self.broker.tick(self.now))
 
 
+class TestLateHolder(BrokerCase):
+    """A holder that handles the answers of its workers late."""
+
+    # A late holder took fast workers for slow ones, gave them short tasks or none, and
+    # never learned better.
+    def test_fast_worker_does_not_look_slow(self):
+        worker = make_report()
+        self.hold(worker)
+        for number in range(1, 9):
+            [start] = self.starts(self.submit(self.make(number, run_ms=100)))
+            self.answer(start)
+            for status in (
+                runs.WorkerStatus("1", MS(1000 * number), (start.run,), (), (0.3,)),
+                runs.WorkerStatus(
+                    "1", MS(1000 * number + 49), (),
+                    (runs.FinishedRun(number, start.run, runs.RunResult.DONE),),
+                ),
+            ):  # fmt: skip
+                now = self.now
+                self.clock.advance(MS(200))
+                self.broker.handle_status(worker.worker_id, status, now, self.now)
+        self.assertAlmostEqual(1.43, self.broker.estimates.speed(worker), delta=0.2)
+
+
 class TestWideTasks(BrokerCase):
     """Tasks that need more than half of a worker's processors."""
 
     def record_speeds(self, **speeds):
         self.broker.estimates._speeds.update(
-            {worker_id: (speed, 9) for worker_id, speed in speeds.items()}
+            {x: run_time_estimates._Speed(y, 9) for x, y in speeds.items()}
         )
 
     # Short tasks were spread over all fast workers, by differences of their speeds that
--- a/libs/carawaysail_holding/tests/test_run_progress.py
+++ b/libs/carawaysail_holding/tests/test_run_progress.py
@@ -75,3 +75,36 @@
         self.assertFalse(self.progress.has_progress)
         self.record_status(0.01, wait_ms=10)
         self.assertTrue(self.progress.has_progress)
+
+
+class TestMeasuredRunTime(testtools.TestCase):
+    """Run times by the progress and the clock of the worker."""
+
+    def setUp(self):
+        super().setUp()
+        self.progress = run_progress.RunProgress()
+        self.run = runs.Run(runs.Task("0" * 16, 0, 0, 0), 1)
+
+    def measure(self, first_ms, share, end_ms):
+        """Return the run time in ms of a run listed once before its end."""
+        now = clock.ManualClock().now()
+        running = runs.WorkerStatus("1", MS(first_ms), (self.run,), (), (share,))
+        self.progress.record_status(running, now)
+        finished = runs.FinishedRun(1, self.run, runs.RunResult.DONE)
+        ended = runs.WorkerStatus("1", MS(end_ms), (), (finished,), ())
+        # The daemon handles both answers a second late.
+        self.progress.record_status(ended, now + MS(1000))
+        run_time = self.progress.run_time(self.run)
+        return None if run_time is None else round(clock.to_milliseconds(run_time))
+
+    def test_lateness_of_the_daemon_is_not_in_it(self):
+        self.assertEqual(100, self.measure(5000, 0.4, 5060))
+
+    def test_run_that_was_listed_too_late_is_not_measured(self):
+        self.assertIsNone(self.measure(5000, 0.4, 5010))
+        self.assertIsNone(self.measure(5000, 0.95, 5060))
+
+    def test_run_that_was_not_listed_is_not_measured(self):
+        other = runs.Run(self.run.task, 2)
+        self.measure(5000, 0.4, 5060)
+        self.assertIsNone(self.progress.run_time(other))
