Prefer free slots to places in a queue for similar workers

Cause: tasks that may outlast their client go to the option with the least excess; speeds differ by noise, so a place behind a run of a worker that looks a little faster beat a free slot. The job then counted as one that has to wait, and was refused for the sake of more urgent jobs that might overtake it.

A place in a queue counts as later by as much as slots that are alike differ. The first test fails on the code before, the second holds the limit.

--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -220,9 +220,7 @@
                 _Slots(option, [(None, 1)])
                 for option in self._queue_options(candidates, requirements, unassigned)
             )
-            fallbacks.sort(
-                key=lambda x: self._by_timeout_excess(x.option, requirements)
-            )
+            fallbacks.sort(key=lambda x: self._by_timeout_excess(x, requirements))
             chosen.extend(_take(fallbacks, unassigned))
         tasks_by_data_centre: dict[str, int] = {}
         for option in chosen:
@@ -255,11 +253,19 @@
         )
 
     def _by_timeout_excess(
-        self, option: Option, requirements: Requirements
+        self, slots: _Slots, requirements: Requirements
     ) -> tuple[float, float, int]:
-        """Sort key by the time that the latest finish is after the client timeout."""
-        excess_ms = max(0.0, option.latest_finish_ms - requirements.timeout_ms)
-        return excess_ms, option.finish_ms, self._turn(option.data_centre)
+        """Sort key by the time that the latest finish is after the client timeout.
+
+        A place in a queue counts as later by as much as slots that are alike differ.
+        """
+        option, delay_ms = slots.option, 0.0
+        if slots.free[0][0] is None:
+            delay_ms = max(MIN_ALIKE_MS, self._alike_share * requirements.run_time_ms)
+        latest_finish_ms = option.latest_finish_ms + delay_ms
+        excess_ms = max(0.0, latest_finish_ms - requirements.timeout_ms)
+        turn = self._turn(option.data_centre)
+        return excess_ms, option.finish_ms + delay_ms, turn
 
     def _turn(self, data_centre: str) -> int:
         """Return the place of a data centre in this gateway's order of preference."""
--- a/libs/carawaysail_holding/tests/test_planning.py
+++ b/libs/carawaysail_holding/tests/test_planning.py
@@ -191,6 +191,22 @@
         self.assertEqual(1, plan.queued)
         self.assertAlmostEqual(2000.0 / 1.4, plan.finish_ms)
 
+    # A long job was planned behind a run of a worker that looked hardly faster than the
+    # free ones, counted as one that waits, and was refused.
+    def test_free_slot_is_preferred_to_a_queue_for_a_similar_worker(self):
+        load = make_load([(14, 1.4)] * 2, [(10, 1.5)] * 2, speeds=(1.5, 1.4))
+        view = self.make(home=load)
+        view.record_gateway_count(97)
+        plan = view.plan("search", make_requirements(2, 1500.0))
+        self.assertFalse(plan.has_to_wait)
+
+    def test_queue_for_a_clearly_faster_worker_is_preferred_to_a_free_slot(self):
+        load = make_load([(14, 0.6)] * 2, [(10, 1.5)] * 2, speeds=(1.5, 0.6))
+        view = self.make(home=load)
+        view.record_gateway_count(97)
+        plan = view.plan("search", make_requirements(2, 1500.0))
+        self.assertTrue(plan.has_to_wait)
+
     def test_highest_speed_covers_all_data_centres(self):
         view = self.make(home=make_load(speeds=(1.4,)), away=make_load(speeds=(1.8,)))
         self.assertEqual(1.8, view.highest_speed("search"))
