--- a/libs/carawaysail_holding/src/carawaysail_holding/policies.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/policies.py
@@ -127,15 +127,8 @@
 job_order_policies.register("priority")(_Priority())
 
 
-ALIKE_FACTOR = 1.2
-"""Run times that differ by less are alike: speeds are learned from few runs."""
-
-
 class _Fastest:
-    """The worker with the earliest expected finish; the tightest fit among those alike.
-
-    So whole workers stay free for tasks that need many processors.
-    """
+    """The worker with the earliest expected finish, then the tightest fit."""
 
     def choose(
         self, candidates: list[Candidate], context: PlacementContext
@@ -144,15 +137,7 @@
 
 
 def _fastest(candidates: list[Candidate]) -> Candidate:
-    least_ms = min(x.run_time.expected_ms for x in candidates)
-    alike = [x for x in candidates if x.run_time.expected_ms <= ALIKE_FACTOR * least_ms]
-    return min(alike, key=lambda x: (x.spare_milli, x.run_time.expected_ms))
-
-
-def _slowest(candidates: list[Candidate]) -> Candidate:
-    most_ms = max(x.run_time.expected_ms for x in candidates)
-    alike = [x for x in candidates if x.run_time.expected_ms * ALIKE_FACTOR >= most_ms]
-    return min(alike, key=lambda x: (x.spare_milli, -x.run_time.expected_ms))
+    return min(candidates, key=lambda x: (x.run_time.expected_ms, x.spare_milli))
 
 
 class _FitToTarget:
@@ -187,7 +172,7 @@
         if in_time and context.find_utilisation() < planning.HIGH_UTILISATION:
             return _fastest(in_time)
         if in_time:
-            return _slowest(in_time)
+            return max(in_time, key=lambda x: (x.run_time.expected_ms, -x.spare_milli))
         may_time_out = fastest.run_time.upper_bound_ms > remaining_ms
         if context.is_sooner_after_wait(fastest.run_time, may_time_out):
             return None
