--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -493,10 +493,10 @@
     def _place_shards(
         self, shards: list[shard_state.ShardState], now: datetime.datetime
     ) -> None:
-        """Start waiting tasks of some shards, where no room is left by others.
+        """Start waiting tasks of some shards, in the order of the job policy.
 
-        A new shard takes none from those that wait already: they did not fit, or wait
-        for other workers.
+        A new shard can be placed alone: those that wait already do not fit, or wait for
+        other workers.
         """
         waiting = [shard for shard in shards if shard.waiting_count()]
         least = min((x.least_processor_milli for x in waiting), default=0)
