Admit long jobs to free slots if they may end before their client leaves

The client's limit bounds the expected finish of jobs that have to wait; in free slots the objective does, as before. The test fails on the code before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -361,14 +361,13 @@
         objective_ms = run_time.expected_ms * queue.stretch + clock.to_milliseconds(
             queue.objective
         )
-        timeout_ms = clock.to_milliseconds(submission.deadline - submission.arrived)
         requirements = planning.Requirements(
             sum(step.task_count for step in steps),
             max((step.resources for step in steps), key=lambda x: x.processor_milli),
             run_time.expected_ms,
             run_time.upper_bound_ms,
-            min(objective_ms, timeout_ms),
-            timeout_ms,
+            objective_ms,
+            clock.to_milliseconds(submission.deadline - submission.arrived),
         )
         work = sum(
             self._estimates.expected_ms(queue.name, step)
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_admission.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_admission.py
@@ -49,15 +49,25 @@
 )
 
 
+def _finish_limit_ms(forecast: Forecast) -> float:
+    """Return the latest expected finish of a job that is admitted."""
+    requirements = forecast.requirements
+    if forecast.plan.has_to_wait:
+        return min(requirements.target_finish_ms, requirements.timeout_ms)
+    return requirements.target_finish_ms
+
+
 @admission_policies.register("objective")
 def _meets_objective(forecast: Forecast) -> bool:
-    """Admit jobs that are expected to meet their objective before the client leaves.
+    """Admit jobs that are expected to meet their response-time objective.
 
-    A job that would outlast the client timeout even on an idle site is not.
+    One that has to wait must also be expected to finish before its client leaves. A job
+    with free slots takes room from none, so for it the client timeout counts only if
+    the job would outlast it even on an idle site.
     """
     if forecast.exceeds_client_timeout:
         return False
-    return forecast.plan.finish_ms <= forecast.requirements.target_finish_ms
+    return forecast.plan.finish_ms <= _finish_limit_ms(forecast)
 
 
 @admission_policies.register("yielding")
@@ -66,11 +76,10 @@
 
     More urgent jobs that arrive later are likely to overtake one that has to wait.
     """
-    requirements, plan = forecast.requirements, forecast.plan
+    plan = forecast.plan
     is_overtaken = forecast.is_outranked and plan.has_to_wait
-    if (
-        is_overtaken
-        and plan.finish_ms + OVERTAKING_DELAY_MS > requirements.target_finish_ms
+    if is_overtaken and (
+        plan.finish_ms + OVERTAKING_DELAY_MS > _finish_limit_ms(forecast)
     ):
         return False
     return _meets_objective(forecast)
--- a/libs/carawaysail_holding/src/carawaysail_holding/planning.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/planning.py
@@ -42,8 +42,7 @@
     upper_bound_ms : float
         Run time that nineteen tasks in twenty do not exceed, in milliseconds.
     target_finish_ms : float
-        Latest finish that meets the response-time objective before the client stops
-        waiting, in milliseconds from now.
+        Latest finish that meets the response-time objective, in milliseconds from now.
     timeout_ms : float
         When the client stops waiting, in milliseconds from now.
     """
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -340,6 +340,16 @@
         actions = self.submit_job(2, task_count=2, run_time_ms=2000, priority=2)
         self.assertTrue(self.is_admitted(actions))
 
+    # Jobs expected to end a little after their client's limit, of which a good third
+    # would have ended before it, were refused while there were free slots for them.
+    def test_job_that_may_outlast_its_client_is_admitted_to_free_slots(self):
+        fast = loads.ServiceLoad(
+            "search", (loads.FreeCapacity(28_000, 1.4),), (1.4,), (), 0, 0.0
+        )
+        self.record_load("home", fast)
+        actions = self.submit_job(1, task_count=2, run_time_ms=2150)
+        self.assertTrue(self.is_admitted(actions))
+
     def test_job_that_would_outlast_its_client_is_refused_at_once(self):
         self.fill_slots(600.0)
         actions = self.submit_job(1, task_count=1, run_time_ms=1000)
