--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -19,7 +19,7 @@
 
 MAX_VIEW_AGE = clock.milliseconds(20)
 """How long remaining run times and the utilisation are kept; starts of runs are added
-meanwhile. Short against any run, and many passes over waiting tasks come in it."""
+meanwhile. As long as the interval of a busy holder's timed checks."""
 
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
