--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""All processes are killed at once and start again; clients send their jobs again."""
+"""A machine is cut off, another one's connections are reset: a task is in two zones."""
 
 import asyncio
+import os
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,67 +11,71 @@
 import playground  # noqa: E402
 
 DEADLINE_MS = 1500
-TASK_MS = 1450
-CLAIM_S = 0.91
-"""Time from the kill to the claim that the delays of the restart are chosen around."""
-
-OFFSETS_S = (-0.08, -0.05, -0.02, 0.0, 0.03, 0.06)
-ZONES = ("za", "zb", "zc")
+TASK_MS = 1300
+RESET_S = 0.82
+CUT_S = 4.0
+ROUNDS = 5
+ZONES = {
+    "za": (["a1"], ["wa1", "wa2"]),
+    "zc": (["c1", "c2", "c3"], ["wc1", "wc2"]),
+}
 
 
 async def play(sites):
-    """Play the case; return the overlapping runs."""
-    site = playground.Site(
-        {
-            "za": (["a1", "a2"], ["wa1", "wa2"]),
-            "zb": (["b1"], ["wb1", "wb2"]),
-            "zc": (["c1"], ["wc1", "wc2"]),
-        }
-    )
+    """Play the case; return the overlapping runs, or those of refused jobs."""
+    is_one_zone = bool(os.environ.get("ONE_ZONE"))
+    zones = {"zc": ZONES["zc"]} if is_one_zone else ZONES
+    site = playground.Site(zones, uses_proxy=True)
     sites.append(site)
     await site.start()
     for name in site.daemons:
         await site.submit(site.new_id(), site.job(2, 200), [name], DEADLINE_MS)
-    gateways = ["a1", "b1", "c1"]
-
-    async def be_client(number):
-        names = [gateways[number], gateways[(number + 1) % 3]]
-        await site.submit(site.new_id(), site.job(2, TASK_MS), names, DEADLINE_MS)
-
-    # How long the restart itself takes on this machine, without any job.
-    restart_s = await restart_all(site, 0.0) if playground.is_troubled() else 0.0
-    await asyncio.sleep(4.0)
-    for offset_s in OFFSETS_S:
-        clients = [asyncio.create_task(be_client(x)) for x in range(len(gateways))]
-        await asyncio.sleep(0.05)
-        if playground.is_troubled():
-            await restart_all(site, max(0.02, CLAIM_S + offset_s - restart_s))
-        # A client that finds no process listening has had no answer, and gives up.
-        await asyncio.gather(*clients, return_exceptions=True)
-        await asyncio.sleep(4.0)
+    refused = [await play_round(site) for _ in range(ROUNDS)]
     site.finish_runs()
-    return site.overlaps()
+    if not is_one_zone:
+        return site.overlaps()
+    return [x for x in site.recorder.runs if x[0].partition(".")[0] in refused]
 
 
-async def restart_all(site, delay_s):
-    """Kill all processes, and start them again after a delay.
+async def play_round(site):
+    """Let one of three machines of a zone be cut off while a job runs there.
 
-    Returns the time from the kill until each zone has its new holder.
+    Returns the identifier of the job if it was refused, or None.
     """
-    tokens = {x: site.token(x) for x in ZONES}
-    killed_at = site.recorder.now()
-    for daemon in site.daemons.values():
-        daemon.send_signal(signal.SIGKILL)
-    await asyncio.sleep(delay_s)
-    for daemon in site.daemons.values():
-        await daemon.process.wait()
-        await daemon.start()
-    site.recorder.say(f"all processes start again, {delay_s:.2f} s after the kill")
-    while any(site.token(x) == tokens[x] for x in ZONES):
-        await asyncio.sleep(0.01)
-    took_s = site.recorder.now() - killed_at
-    site.recorder.say(f"each zone has its new holder {took_s:.2f} s after the kill")
-    return took_s
+    holder = site.holder("zc")
+    claimant, gateway = [x for x in ("c1", "c2", "c3") if x != holder]
+    site.recorder.say(f"{holder} gives the orders, the client is at {gateway}")
+    # Sent once only: the client does not come back, whatever the answer.
+    job_id = site.new_id()
+    client = asyncio.create_task(
+        site.submit(job_id, site.job(2, TASK_MS), [gateway], DEADLINE_MS)
+    )
+    await asyncio.sleep(0.03)
+    if playground.is_troubled():
+        site.set_cut(claimant, True)
+    await asyncio.sleep(RESET_S)
+    if playground.is_troubled():
+        reset_connections(site, gateway)
+    status, _ = await client
+    await asyncio.sleep(CUT_S - 1.5)
+    if playground.is_troubled():
+        site.set_cut(claimant, False)
+    await asyncio.sleep(4.5)
+    return job_id if status in (429, 503) else None
+
+
+def reset_connections(site, gateway):
+    """Reset the connections that a machine has opened to others."""
+    source = site.daemons[gateway].peer
+    writers = [
+        writer
+        for daemon in site.daemons.values()
+        for pair in daemon.proxy.pairs(source)
+        for writer in pair
+    ]
+    site.recorder.say(f"{gateway}: {len(writers) // 2} connections reset")
+    for writer in writers:
+        playground.reset(writer)
 
 
 sys.exit(playground.run_case(play, HERE))
--- a/review/standins/playground.py
+++ b/review/standins/playground.py
@@ -467,9 +467,10 @@
 
 
 class Proxy:
-    """Connections from daemons to one daemon, which can be reset.
+    """Connections from daemons to one daemon, which can be reset or cut.
 
     ``replaced`` maps addresses to those that the other side sees, in equal lengths.
+    ``is_cut`` and ``cut_sources`` tell whether all daemons, or which, are cut off.
     """
 
     def __init__(self, target, replaced):
@@ -477,6 +478,8 @@
         self.replaced = replaced
         # By pair of writers: the address of the daemon that has connected.
         self._pairs = {}
+        self.is_cut = False
+        self.cut_sources = set()
         self._server = None
 
     async def listen(self, host, port):
@@ -484,6 +487,14 @@
         self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
 
     async def _serve(self, reader, writer):
+        # The first bytes on a connection name the daemon that has opened it.
+        first = await reader.read(65536)
+        source = next((x for x in self.replaced if x in first), b"")
+        if self.is_cut_from(source):
+            while await reader.read(65536):
+                pass
+            writer.close()
+            return
         host, _, port = self.target.rpartition(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
@@ -491,10 +502,12 @@
             reset(writer)
             return
         pair = (writer, far_writer)
-        self._pairs[pair] = b""
+        self._pairs[pair] = source
         try:
+            far_writer.write(self._replace(first))
             await asyncio.gather(
-                self._pump(reader, far_writer, pair), self._pump(far_reader, writer)
+                self._pump(reader, far_writer, pair),
+                self._pump(far_reader, writer, pair),
             )
         except (OSError, asyncio.CancelledError):
             pass
@@ -503,17 +516,22 @@
             for one in pair:
                 reset(one)
 
-    async def _pump(self, reader, writer, pair=None):
+    async def _pump(self, reader, writer, pair):
         while data := await reader.read(65536):
-            for old, new in self.replaced.items():
-                # The first bytes on a connection name the daemon that has opened it.
-                if pair is not None and not self._pairs[pair] and old in data:
-                    self._pairs[pair] = old
-                data = data.replace(old, new)
-            writer.write(data)
-            await writer.drain()
+            if not self.is_cut_from(self._pairs[pair]):
+                writer.write(self._replace(data))
+                await writer.drain()
         raise ConnectionResetError
 
+    def _replace(self, data):
+        for old, new in self.replaced.items():
+            data = data.replace(old, new)
+        return data
+
+    def is_cut_from(self, source):
+        """Return whether bytes from and to a daemon are dropped."""
+        return self.is_cut or source in self.cut_sources
+
     def pairs(self, source=""):
         """Return the open connections, as pairs of writers, of one daemon or of all."""
         wanted = source.encode()
@@ -806,6 +824,21 @@
             while not all(f"carawaysail/holder/{x}" in self.store.items for x in held):
                 await asyncio.sleep(0.05)
 
+    def set_cut(self, name, is_cut):
+        """Cut a daemon off from all others, or end that."""
+        self.recorder.say(
+            f"{name}: {'cut off from' if is_cut else 'reaches'} the others"
+        )
+        own = self.daemons[name]
+        own.proxy.is_cut = is_cut
+        for daemon in self.daemons.values():
+            change = (
+                daemon.proxy.cut_sources.add
+                if is_cut
+                else (daemon.proxy.cut_sources.discard)
+            )
+            change(own.peer.encode())
+
     def holder(self, zone):
         """Return the name of the daemon that holds a zone's runners."""
         return json.loads(self.store.items[f"carawaysail/holder/{zone}"]["value"])[0]
