--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""A machine is cut off, another one's connections are reset: a task is in two zones."""
+"""A zone is cut off and back, connections are reset: a running job is refused."""
 
 import asyncio
-import os
 import pathlib
 import sys
 
@@ -12,55 +11,58 @@
 
 DEADLINE_MS = 1500
 TASK_MS = 1300
-RESET_S = 0.82
-CUT_S = 4.0
-ROUNDS = 5
-ZONES = {
-    "za": (["a1"], ["wa1", "wa2"]),
-    "zc": (["c1", "c2", "c3"], ["wc1", "wc2"]),
-}
+CUT_S = 5.5
+SENT_BEFORE_S = 0.3
+RESETS = 5
+RESET_INTERVAL_S = 0.12
+ROUNDS = 6
 
 
 async def play(sites):
-    """Play the case; return the overlapping runs, or those of refused jobs."""
-    is_one_zone = bool(os.environ.get("ONE_ZONE"))
-    zones = {"zc": ZONES["zc"]} if is_one_zone else ZONES
-    site = playground.Site(zones, uses_proxy=True)
+    """Play the case; return the runs of refused jobs, and overlapping runs."""
+    site = playground.Site(
+        {
+            "za": (["a1"], ["wa1", "wa2"]),
+            "zb": (["b1", "b2"], ["wb1", "wb2"]),
+        },
+        uses_proxy=True,
+    )
     sites.append(site)
     await site.start()
     for name in site.daemons:
         await site.submit(site.new_id(), site.job(2, 200), [name], DEADLINE_MS)
     refused = [await play_round(site) for _ in range(ROUNDS)]
     site.finish_runs()
-    if not is_one_zone:
-        return site.overlaps()
-    return [x for x in site.recorder.runs if x[0].partition(".")[0] in refused]
+    runs = [x for x in site.recorder.runs if x[0].partition(".")[0] in refused]
+    return [f"refused, but it ran: {x}" for x in runs] + site.overlaps()
 
 
 async def play_round(site):
-    """Let one of three machines of a zone be cut off while a job runs there.
+    """Cut a zone off; shortly before the cut ends a client there sends a job.
 
     Returns the identifier of the job if it was refused, or None.
     """
-    holder = site.holder("zc")
-    claimant, gateway = [x for x in ("c1", "c2", "c3") if x != holder]
-    site.recorder.say(f"{holder} gives the orders, the client is at {gateway}")
-    # Sent once only: the client does not come back, whatever the answer.
+    holder = site.holder("zb")
+    gateway = "b1" if holder == "b2" else "b2"
+    site.recorder.say(f"{holder} gives the orders in zb, the client is at {gateway}")
+    if playground.is_troubled():
+        site.set_zone_cut("zb", True)
+    await asyncio.sleep(CUT_S - SENT_BEFORE_S)
+    site.recorder.say(f"by the store, {site.holder('zb')} gives the orders in zb")
     job_id = site.new_id()
+    # Sent once only.
     client = asyncio.create_task(
         site.submit(job_id, site.job(2, TASK_MS), [gateway], DEADLINE_MS)
     )
-    await asyncio.sleep(0.03)
+    await asyncio.sleep(SENT_BEFORE_S)
     if playground.is_troubled():
-        site.set_cut(claimant, True)
-    await asyncio.sleep(RESET_S)
-    if playground.is_troubled():
-        reset_connections(site, gateway)
+        site.set_zone_cut("zb", False)
+    for _ in range(RESETS):
+        await asyncio.sleep(RESET_INTERVAL_S)
+        if playground.is_troubled():
+            reset_connections(site, gateway)
     status, _ = await client
-    await asyncio.sleep(CUT_S - 1.5)
-    if playground.is_troubled():
-        site.set_cut(claimant, False)
-    await asyncio.sleep(4.5)
+    await asyncio.sleep(5.5)
     return job_id if status in (429, 503) else None
 
 
--- a/review/standins/playground.py
+++ b/review/standins/playground.py
@@ -85,17 +85,23 @@
     """A server that answers each request with what ``answer`` returns."""
 
     def __init__(self):
-        self._server = None
+        self._servers = []
         self._writers = set()
+        # Own addresses at which nothing arrives.
+        self.cut_hosts = set()
 
     async def listen(self, host, port):
-        """Listen on an address."""
-        self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
+        """Listen on an address; may be called for several."""
+        server = await asyncio.start_server(self._serve, host, port, backlog=256)
+        self._servers.append(server)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        host = writer.get_extra_info("sockname")[0]
         try:
             while message := await read_message(reader):
+                if host in self.cut_hosts or self.is_cut(message):
+                    continue
                 start, headers, body = message
                 method, target, _ = start.split(" ", 2)
                 path, _, query = target.partition("?")
@@ -123,10 +129,14 @@
         """Return status and JSON body of the response."""
         raise NotImplementedError
 
+    def is_cut(self, message):
+        """Return whether a message is lost because its sender is cut off."""
+        return False
+
     def close(self):
         """Stop listening and reset all connections."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         for writer in list(self._writers):
             reset(writer)
 
@@ -312,6 +322,8 @@
         self.address, self.cpu = address, cpu
         self.state = "ready"
         self.has_left = False
+        # Calls with other generation numbers are lost; None for no such limit.
+        self.only_token = None
         self.born = round(time.time() * 1000)
         self._recorder = recorder
         self._origin = time.monotonic()
@@ -324,6 +336,12 @@
         self._seq_no = 0
         self._changed = asyncio.Event()
 
+    def is_cut(self, message):
+        """Return whether a call is lost; a holder is known by its number."""
+        if self.only_token is None or not message[2]:
+            return False
+        return json.loads(message[2]).get("fencing_token") != self.only_token
+
     async def start(self):
         """Start to listen."""
         host, _, port = self.address.rpartition(":")
@@ -470,7 +488,7 @@
     """Connections from daemons to one daemon, which can be reset or cut.
 
     ``replaced`` maps addresses to those that the other side sees, in equal lengths.
-    ``is_cut`` and ``cut_sources`` tell whether all daemons, or which, are cut off.
+    ``cut_sources`` are the addresses of those that cannot reach it.
     """
 
     def __init__(self, target, replaced):
@@ -478,7 +496,6 @@
         self.replaced = replaced
         # By pair of writers: the address of the daemon that has connected.
         self._pairs = {}
-        self.is_cut = False
         self.cut_sources = set()
         self._server = None
 
@@ -530,7 +547,7 @@
 
     def is_cut_from(self, source):
         """Return whether bytes from and to a daemon are dropped."""
-        return self.is_cut or source in self.cut_sources
+        return source in self.cut_sources
 
     def pairs(self, source=""):
         """Return the open connections, as pairs of writers, of one daemon or of all."""
@@ -558,6 +575,7 @@
         self.front = f"{self.ip}:8161"
         self.readiness = f"{self.ip}:8167"
         self.peer = f"{self.ip}:7720"
+        self.store_host = f"{site.network}.{number + 140}"
         self.process = None
         self.proxy = None
         self._site = site
@@ -609,7 +627,7 @@
 cross_rack_factor = 1.5
 retransmit_ms = 1300
 [platform]
-address = "{self._site.store_address}"
+address = "{self.store_host}:8169"
 form = "kv"
 writes_per_s = 400
 reads_per_s = 2000
@@ -737,7 +755,6 @@
         self.recorder = Recorder()
         self.zones = zones
         self.network = f"127.{random.randint(20, 219)}.{random.randint(1, 250)}"
-        self.store_address = f"{self.network}.3:8169"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.timeout_ms = timeout_ms
@@ -782,8 +799,8 @@
 
     async def start(self):
         """Start all stand-ins and daemons, and wait until they serve."""
-        host, _, port = self.store_address.rpartition(":")
-        await self.store.listen(host, int(port))
+        for daemon in self.daemons.values():
+            await self.store.listen(daemon.store_host, 8169)
         self._tasks.append(asyncio.create_task(self.store.keep_leases()))
         for number, worker in enumerate(self.workers.values()):
             offset_s = HEARTBEAT_S * number / len(self.workers)
@@ -824,20 +841,25 @@
             while not all(f"carawaysail/holder/{x}" in self.store.items for x in held):
                 await asyncio.sleep(0.05)
 
-    def set_cut(self, name, is_cut):
-        """Cut a daemon off from all others, or end that."""
-        self.recorder.say(
-            f"{name}: {'cut off from' if is_cut else 'reaches'} the others"
-        )
-        own = self.daemons[name]
-        own.proxy.is_cut = is_cut
-        for daemon in self.daemons.values():
-            change = (
-                daemon.proxy.cut_sources.add
-                if is_cut
-                else (daemon.proxy.cut_sources.discard)
-            )
-            change(own.peer.encode())
+    def set_zone_cut(self, zone, is_cut):
+        """Cut a zone off from the others and its machines from the store, or end that.
+
+        Clients reach it, its runners reach the store and the zone's own machines.
+        """
+        self.recorder.say(f"{zone}: {'cut off' if is_cut else 'reaches the others'}")
+        inside = [x for x in self.daemons.values() if x.zone == zone]
+        outside = [x for x in self.daemons.values() if x.zone != zone]
+        for near, far in ((x, y) for x in inside for y in outside):
+            for one, other in ((near, far), (far, near)):
+                sources = one.proxy.cut_sources
+                change = sources.add if is_cut else sources.discard
+                change(other.peer.encode())
+        hosts = {x.store_host for x in inside}
+        self.store.cut_hosts = hosts if is_cut else set()
+        token = self.token(zone) if is_cut else None
+        for worker in self.workers.values():
+            if worker.zone == zone:
+                worker.only_token = token
 
     def holder(self, zone):
         """Return the name of the daemon that holds a zone's runners."""
