Gateways state the shards they wait for; brokers end the others

Callers saw a task run twice: a client whose connection broke sent its job again, while the tasks of its first attempt ran on.

Cause: a withdrawal was sent once. One lost with the connection to the broker was never repeated, as the gateway had forgotten the job; only open shards were submitted again.

Change: each gateway numbers its statements and submissions, and states to a broker which of its shards there it waits for, on each new connection and with each heartbeat, on both connections. A broker ends shards that the newest statement covers and does not list, and refuses such a submission that arrives later.

Both tests of a lost withdrawal in test_two_daemons.py failed before: no stop was ordered.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -357,6 +357,17 @@
             return
         self._links.send(peer, message)
 
+    def send_on_all(
+        self, peer: daemons.Daemon, message: stream_messages.Message
+    ) -> None:
+        """Send a message to another daemon on each connection to it."""
+        self._links.send_on_all(peer, message)
+
+    def restate_shards(self, peer: daemons.Daemon, now: datetime.datetime) -> None:
+        """Submit a daemon's open shards again, and state that it has no others."""
+        self.perform(self.gateway.resend_shards(peer), now)
+        self.perform(self.gateway.state_shards([peer]), now)
+
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
@@ -509,6 +520,7 @@
     def _send_heartbeats(self, now: datetime.datetime) -> None:
         """Send a heartbeat on each connection that needs one."""
         self._next_heartbeat = now + self.election.heartbeat_interval()
+        self.perform(self.gateway.state_shards(), now)
         heartbeat = self._heartbeat(self._is_refresh_due())
         self._heartbeat_count += 1
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -164,7 +164,7 @@
     message: messages.StreamOpened,
     now: datetime.datetime,
 ) -> None:
-    loop.perform(loop.gateway.resend_shards(message.peer), now)
+    loop.restate_shards(message.peer, now)
 
 
 @decision_loop.handlers.register("ConnectionAccepted")
@@ -174,7 +174,7 @@
     now: datetime.datetime,
 ) -> None:
     loop.accept(message.sender, message.connection, now)
-    loop.perform(loop.gateway.resend_shards(message.sender), now)
+    loop.restate_shards(message.sender, now)
 
 
 @decision_loop.handlers.register("ConnectionClosed")
@@ -261,6 +261,7 @@
         message.tasks,
         message.is_resumed,
         message.workers,
+        message.sequence,
     )
     gateway_id = broker_messages.GatewayId(sender.vm, sender.incarnation)
     loop.perform(loop.broker.submit(submission, gateway_id, now), now)
@@ -284,6 +285,15 @@
     loop.perform(loop.broker.withdraw(shard_id, now), now)
 
 
+@decision_loop.handlers.register("WaitingShards")
+def _handle_waiting_shards(
+    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+) -> None:
+    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
+    statement = sent[1].statement
+    loop.perform(loop.broker.handle_statement(gateway_id, statement, now), now)
+
+
 @decision_loop.handlers.register("ShardStarted")
 def _handle_shard_started(
     loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
@@ -446,6 +456,15 @@
     loop.send(action.daemon, stream_messages.Withdraw(action.job_id, action.shard))
 
 
+@decision_loop.action_handlers.register("SendStatement")
+def _perform_send_statement(
+    loop: decision_loop.DecisionLoop,
+    action: gateway.SendStatement,
+    now: datetime.datetime,
+) -> None:
+    loop.send_on_all(action.daemon, stream_messages.WaitingShards(action.statement))
+
+
 @decision_loop.action_handlers.register("Answer")
 def _perform_answer(
     loop: decision_loop.DecisionLoop, action: gateway.Answer, now: datetime.datetime
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
@@ -94,6 +94,21 @@
         accepted_from, connection = self._accepted.get(peer.vm, (None, None))
         return connection if accepted_from == peer else None
 
+    def send_on_all(
+        self, peer: daemons.Daemon, message: stream_messages.Message
+    ) -> None:
+        """Send a message to a daemon on each connection to it.
+
+        One of them may be silent without this daemon having noticed it.
+        """
+        accepted_from, connection = self._accepted.get(peer.vm, (None, None))
+        if connection is not None and accepted_from == peer:
+            connection.send(message)
+        stream = self._streams.get(peer.vm)
+        if stream is not None and stream.peer == peer:
+            self._sent_to.add(peer.vm)
+            stream.send(message)
+
     def broadcast(self, message: stream_messages.Message) -> tuple[int, int]:
         """Send a message to all daemons that there is a connection to.
 
--- /dev/null
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -0,0 +1,198 @@
+"""Two daemons, a gateway and a broker, on a link that loses messages."""
+
+import testtools
+
+from carawaysail_fleet import decision_loop, handlers, messages, ports
+from carawaysail_holding import broker_messages
+from carawaysail_streams import messages as stream_messages
+from carawaysail_types import clock, daemons, jobs, runs
+
+MS = clock.milliseconds
+GATEWAY = daemons.Daemon("vm-0", "home", "vm-0-1", "vm-0:1")
+BROKER = daemons.Daemon("vm-1", "away", "vm-1-1", "vm-1:1")
+HANDLER_MODULES = (handlers,)
+"""Modules whose import fills the registries of the decision loop."""
+
+WORKER = runs.WorkerReport(
+    "w-0", "1", "search", "w-0:1", "away", jobs.Resources(32_000, 64_000, 0)
+)
+QUEUE = jobs.Queue("q", "", "", "search", 0, 2, 1.6, MS(60), MS(1500))
+
+
+class Component:
+    """Records the calls of its methods."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        def call(*args):
+            self.calls.append((name, args))
+            return 0
+
+        return call
+
+    def arguments(self, name):
+        """Return the first argument of each call of a method."""
+        return [args[0] for called, args in self.calls if called == name]
+
+
+class Link:
+    """A connection of a daemon to the other; it drops messages while ``is_lossy``."""
+
+    def __init__(self, site, peer):
+        self.peer = peer
+        self._site = site
+
+    def send(self, message):
+        if not self._site.is_lossy:
+            self._site.under_way.append((self.peer, message))
+
+    def send_shared(self, shared):
+        self.send(shared.message)
+
+    def count_heartbeat(self):
+        return 0
+
+    def restart(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class Inbox:
+    """Inbox of a daemon that puts messages behind those that are under way."""
+
+    def __init__(self, site, me):
+        self._site, self._me = site, me
+
+    def put(self, message):
+        self._site.under_way.append((self._me, message))
+
+
+class TwoDaemonsCase(testtools.TestCase):
+    """Shared fixtures: a gateway, and a broker that holds one worker."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.under_way = []
+        self.is_lossy = False
+        self.workers = {x: Component() for x in (GATEWAY, BROKER)}
+        self.replies = {x: Component() for x in (GATEWAY, BROKER)}
+        self.loops = {x: self.make_loop(x) for x in (GATEWAY, BROKER)}
+        self.open_connections()
+        holder = daemons.Holder("away", BROKER.vm, BROKER.incarnation, 5)
+        for loop in self.loops.values():
+            loop.record_holder(holder, self.now)
+        broker = self.loops[BROKER]
+        broker.handle(messages.ReportsRead((WORKER,), frozenset({"away"}), self.now))
+        self.report_status()
+        self.pass_time(200)
+
+    @property
+    def now(self):
+        return self.clock.now()
+
+    def make_loop(self, me):
+        cfg = ports.Settings(
+            me.vm, me.data_centre, "", "", "", "", ("home", "away"),
+            broker_messages.Terms(), MS(6000),
+        )  # fmt: skip
+        loop = decision_loop.DecisionLoop(
+            cfg, me, Inbox(self, me), self.clock, lambda peer: Link(self, peer)
+        )
+        loop.set_dependencies(
+            decision_loop.Dependencies(
+                self.workers[me], Component(), Component(), self.replies[me],
+                Component(), Component(),
+            )
+        )  # fmt: skip
+        return loop
+
+    def open_connections(self):
+        """Open the connection of each daemon to the other, as after a reset."""
+        for me, peer in ((GATEWAY, BROKER), (BROKER, GATEWAY)):
+            loop = self.loops[me]
+            loop.handle(messages.PeerMessagesReceived(peer, ()))
+            loop.handle(messages.ConnectionAccepted(peer, Link(self, peer)))
+            loop.handle(messages.StreamOpened(peer))
+        self.deliver()
+
+    def deliver(self):
+        """Deliver all messages under way, and those that follow from them."""
+        while self.under_way:
+            receiver, message = self.under_way.pop(0)
+            sender = BROKER if receiver == GATEWAY else GATEWAY
+            if isinstance(message, stream_messages.Message):
+                message = messages.PeerMessagesReceived(sender, (message,))
+            self.loops[receiver].handle(message)
+
+    def pass_time(self, duration_ms):
+        """Let time pass in short ticks."""
+        for _ in range(duration_ms // 20):
+            self.clock.advance(MS(20))
+            for loop in self.loops.values():
+                loop.tick()
+            self.deliver()
+
+    def report_status(self, *running):
+        """Let the worker answer a poll."""
+        status = runs.WorkerStatus("1", MS(10_000), tuple(running), ())
+        self.loops[BROKER].handle(
+            messages.WorkerStatusReceived(WORKER, status, self.now)
+        )
+        self.deliver()
+
+    def post_job(self, reply_id=1):
+        """Post a job with one task; return its run."""
+        step = jobs.Step(1, jobs.Resources(1000, 64, 0), MS(900))
+        req = ports.JobRequest(QUEUE, jobs.Job("a" * 16, "", (step,)), MS(1500))
+        self.loops[GATEWAY].handle(messages.JobPosted(req, reply_id))
+        self.deliver()
+        run = self.orders("start")[-1].run
+        self.loops[BROKER].handle(
+            messages.StartResultReceived(WORKER, run, runs.OrderResult.ACCEPTED)
+        )
+        return run
+
+    def leave(self, reply_id=1):
+        """Let the client of the job disconnect."""
+        self.loops[GATEWAY].handle(messages.ClientLeft("a" * 16, reply_id))
+        self.deliver()
+
+    def orders(self, kind):
+        """Return the orders to the worker: ``start`` or ``stop``."""
+        return self.workers[BROKER].arguments(kind)
+
+
+class TestLostWithdrawals(TwoDaemonsCase):
+    """A withdrawal that is lost on its way to the broker."""
+
+    # The run went on until the job's deadline, beside that of the client's next attempt.
+    def test_withdrawal_lost_with_a_connection_is_made_up_for_by_the_next_one(self):
+        run = self.post_job()
+        self.is_lossy = True
+        self.leave()
+        self.is_lossy = False
+        self.assertEqual([], self.orders("stop"))
+        self.open_connections()
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+    # No connection was opened anew, so nothing made up for it.
+    def test_withdrawal_lost_on_a_connection_that_stays_open(self):
+        run = self.post_job()
+        self.is_lossy = True
+        self.leave()
+        self.is_lossy = False
+        self.pass_time(300)
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+    def test_shard_that_is_waited_for_runs_on(self):
+        run = self.post_job()
+        self.open_connections()
+        for _ in range(3):
+            self.pass_time(200)
+            self.report_status(run)
+        self.assertEqual([], self.orders("stop"))
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -11,6 +11,7 @@
 from carawaysail_holding import (
     actions,
     broker_messages,
+    gateways,
     held_worker,
     job_table,
     loads,
@@ -45,6 +46,7 @@
         self.estimates = run_time_estimates.RunTimeEstimates()
         self._actions = actions.Actions()
         self._workers = worker_table.WorkerTable()
+        self._gateways = gateways.Gateways()
         self._jobs = job_table.JobTable(self._actions, self._workers, self.estimates)
         self._stall_detector = stall_detection.StallDetector(
             self._actions, self._jobs, self.estimates
@@ -414,7 +416,9 @@
             submission.job.job_id, submission.shard, gateway
         )
         outcome = self._jobs.outcomes.outcome(shard_id, now)
-        if self._jobs.get(shard_id) is not None:
+        known = self._jobs.get(shard_id)
+        if known is not None:
+            known.record_resubmission(submission)
             self._actions.log(
                 "joined", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard
             )
@@ -423,6 +427,8 @@
                 "remembered", shard_id.job_id, verdict=outcome.verdict.value
             )
             self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+        elif self._gateways.is_withdrawn(gateway, submission):
+            self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
         else:
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
@@ -444,6 +450,28 @@
             self._jobs.outcomes.record_outcome(shard_id, outcome, now)
         return self._actions.drain()
 
+    def handle_statement(
+        self,
+        gateway: broker_messages.GatewayId,
+        statement: broker_messages.Statement,
+        now: datetime.datetime,
+    ) -> list[broker_messages.Action]:
+        """End the shards that a gateway does not wait for any more."""
+        if not self._gateways.record_statement(gateway, statement, now):
+            return self._actions.drain()
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
+        withdrawn = [
+            shard
+            for shard in self._jobs.all()
+            if shard.shard_id.gateway == gateway
+            and self._gateways.is_withdrawn(gateway, shard.submission)
+        ]
+        for shard in withdrawn:
+            self._jobs.finish(shard, outcome, now)
+        if withdrawn:
+            self._place(now)
+        return self._actions.drain()
+
     def abandon(
         self, shard_id: broker_messages.ShardId, now: datetime.datetime
     ) -> list[broker_messages.Action]:
@@ -594,6 +622,7 @@
                 )
                 self._jobs.stop_run(held, run, now)
         self._jobs.outcomes.prune(now)
+        self._gateways.prune(now)
         self._place(now)
         return self._actions.drain()
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -74,6 +74,8 @@
     workers : tuple of str
         Names of the workers that tasks were started on, as far as the gateway has
         received them; empty unless ``is_resumed``.
+    sequence : int
+        Number of statements that the gateway had made when it sent the submission.
     """
 
     job: jobs.Job
@@ -85,6 +87,23 @@
     tasks: tuple[int, ...] = ()
     is_resumed: bool = False
     workers: tuple[str, ...] = ()
+    sequence: int = 0
+
+
+class Statement(typing.NamedTuple):
+    """Which of its shards at a broker a gateway still waits for.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the statement at its gateway, from 1. It covers the submissions with
+        a lower ``sequence``; those are withdrawn unless they are listed.
+    shards : frozenset of int
+        Numbers of the shards that the gateway waits for.
+    """
+
+    sequence: int
+    shards: frozenset[int]
 
 
 class StartRun(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -6,6 +6,7 @@
 never submitted to the workers of another data centre.
 """
 
+import collections.abc
 import datetime
 import itertools
 import random
@@ -68,6 +69,13 @@
     shard: int
 
 
+class SendStatement(typing.NamedTuple):
+    """State to a broker which shards this gateway waits for."""
+
+    daemon: daemons.Daemon
+    statement: broker_messages.Statement
+
+
 class Answer(typing.NamedTuple):
     """Answer a client's request with the outcome of its job."""
 
@@ -84,7 +92,14 @@
     outcome: jobs.JobOutcome
 
 
-Action = SendShard | SendWithdrawal | Answer | CountJob | broker_messages.LogDecision
+Action = (
+    SendShard
+    | SendWithdrawal
+    | SendStatement
+    | Answer
+    | CountJob
+    | broker_messages.LogDecision
+)
 
 
 class _Shard:
@@ -157,13 +172,15 @@
             for number, shard in self.shards.items()
         }
 
-    def submission_of(self, shard: _Shard) -> broker_messages.Submission:
+    def submission_of(self, shard: _Shard, sequence: int) -> broker_messages.Submission:
+        """Return the submission of a shard after some number of statements."""
         return self.submission._replace(
             shard=shard.number,
             tasks=shard.tasks,
             data_centre=shard.broker.holder.data_centre,
             is_resumed=shard.is_resumed,
             workers=tuple(sorted(shard.workers)) if shard.is_resumed else (),
+            sequence=sequence,
         )
 
 
@@ -191,6 +208,7 @@
         self._random = random.Random(random_state)
         self._jobs: dict[str, _WaitingJob] = {}
         self._shard_numbers = itertools.count()
+        self._statement_count = 0
         self._brokers: dict[str, ReachableBroker] = {}
         self._capacity = planning.CapacityView(me.data_centre, me.vm)
         self._estimates = run_time_estimates.RunTimeEstimates()
@@ -274,19 +292,53 @@
                 _log("resubmitted", job, part=shard.number, to=current.daemon.vm,
                      token=current.holder.token)
             )  # fmt: skip
-            out.append(SendShard(current.daemon, job.submission_of(shard)))
+            out.append(self._send(job, shard))
         elif shard.lost_since is None:
             shard.lost_since = now
 
     def resend_shards(self, daemon: daemons.Daemon) -> list[Action]:
         """Submit a broker's unfinished shards again; messages may have been lost."""
         return [
-            SendShard(daemon, job.submission_of(shard))
+            self._send(job, shard)
             for job in self._jobs.values()
             for shard in job.shards.values()
             if shard.broker.daemon == daemon and not shard.is_done
         ]
 
+    def _send(self, job: _WaitingJob, shard: _Shard) -> SendShard:
+        submission = job.submission_of(shard, self._statement_count)
+        return SendShard(shard.broker.daemon, submission)
+
+    def state_shards(
+        self, receivers: collections.abc.Iterable[daemons.Daemon] | None = None
+    ) -> list[Action]:
+        """State to brokers which of their shards this gateway waits for.
+
+        Parameters
+        ----------
+        receivers : iterable of daemons.Daemon, optional
+            The daemons to state it to; by default all reachable brokers, and all
+            daemons that have a shard.
+        """
+        numbers: dict[daemons.Daemon, list[int]] = {
+            x.daemon: [] for x in self._brokers.values()
+        }
+        for job in self._jobs.values():
+            for shard in job.shards.values():
+                if not shard.is_done:
+                    numbers.setdefault(shard.broker.daemon, []).append(shard.number)
+        self._statement_count += 1
+        return [
+            SendStatement(
+                daemon,
+                broker_messages.Statement(
+                    self._statement_count, frozenset(numbers.get(daemon, ()))
+                ),
+            )
+            for daemon in (numbers if receivers is None else receivers)
+            if daemon != self._me
+        ]
+
     # Jobs
 
     def handle_job(
@@ -437,7 +489,7 @@
         ]
         for shard in shards:
             job.shards[shard.number] = shard
-            out.append(SendShard(shard.broker.daemon, job.submission_of(shard)))
+            out.append(self._send(job, shard))
 
     def _refuse(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -182,6 +182,11 @@
         """Identifier of the job."""
         return self.submission.job.job_id
 
+    def record_resubmission(self, submission: broker_messages.Submission) -> None:
+        """Record that the gateway has submitted the shard again."""
+        sequence = max(self.submission.sequence, submission.sequence)
+        self.submission = self.submission._replace(sequence=sequence)
+
     def record_run_time(self, run_time: datetime.timedelta) -> None:
         """Record the run time of a finished task.
 
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -795,3 +795,47 @@
         self.assertEqual([], self.starts(self.submit(self.make(2))))
         actions = self.finish(started[0], runs.RunResult.STOPPED)
         self.assertEqual(1, len(self.starts(actions)))
+
+
+class TestStatements(BrokerCase):
+    """Statements of gateways: the shards that they still wait for."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold(make_report())
+
+    def state(self, sequence, *shards, gateway=ME):
+        statement = broker_messages.Statement(sequence, frozenset(shards))
+        return self.broker.handle_statement(gateway, statement, self.now)
+
+    def test_shard_that_is_not_listed_is_stopped(self):
+        [started] = self.starts(self.submit(self.make(shard=4)))
+        self.answer(started)
+        self.assertEqual([], self.stops(self.state(1, 4)))
+        self.assertEqual([started.run], [x.run for x in self.stops(self.state(2))])
+
+    def test_statement_of_another_gateway_changes_nothing(self):
+        self.submit(self.make(shard=4))
+        self.assertEqual([], self.stops(self.state(1, gateway=OTHER)))
+
+    # Two connections between the same daemons deliver in any order.
+    def test_submission_that_overtakes_a_statement_runs_on(self):
+        self.submit(self.make(shard=4, sequence=2))
+        self.assertEqual([], self.stops(self.state(2)))
+        self.assertEqual([], self.stops(self.state(3, 4)))
+
+    def test_older_statement_changes_nothing(self):
+        self.state(3, 4)
+        self.submit(self.make(shard=4, sequence=1))
+        self.assertEqual([], self.stops(self.state(2)))
+
+    def test_submission_behind_the_statement_that_withdraws_it_starts_nothing(self):
+        self.state(3, 5)
+        self.assertEqual([], self.submit(self.make(shard=4, sequence=2))[1:])
+        self.assertEqual(1, len(self.starts(self.submit(self.make(shard=5)))))
+
+    def test_shard_that_is_submitted_again_counts_as_submitted_then(self):
+        submission = self.make(shard=4, sequence=1)
+        self.submit(submission)
+        self.submit(submission._replace(sequence=3))
+        self.assertEqual([], self.stops(self.state(2)))
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -427,3 +427,33 @@
         actions = self.gateway.tick(self.now)
         self.assert_answers([jobs.Verdict.UNKNOWN], actions)
         self.assertEqual(1, len(self.withdrawn(actions)))
+
+
+class TestStatements(GatewayCase):
+    """Statements to brokers: the shards that the gateway waits for."""
+
+    def stated(self):
+        """Return the shards that the remote broker gets stated now."""
+        [sent] = self.gateway.state_shards()
+        self.assertEqual(REMOTE, sent.daemon)
+        return sent.statement
+
+    def remote(self, actions):
+        [sent] = [x for x in self.sent(actions) if x.daemon == REMOTE]
+        return sent
+
+    def test_open_shards_are_listed_until_the_client_leaves(self):
+        shard = self.remote(self.submit_job()).submission.shard
+        self.assertEqual({shard}, self.stated().shards)
+        self.gateway.handle_client_left(f"{1:016x}", 1)
+        self.assertEqual(set(), self.stated().shards)
+
+    def test_finished_shard_is_not_listed(self):
+        self.handle_outcome(self.remote(self.submit_job()), DONE)
+        self.assertEqual(set(), self.stated().shards)
+
+    def test_submission_after_a_statement_is_not_covered_by_it(self):
+        statement = self.stated()
+        submission = self.remote(self.submit_job()).submission
+        self.assertGreaterEqual(submission.sequence, statement.sequence)
+        self.assertLess(submission.sequence, self.stated().sequence)
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -73,6 +73,8 @@
     workers : tuple of str
         Names of the workers that tasks of the shard were started on, as far as the
         sender knows; empty unless ``is_resumed``.
+    sequence : int
+        Number of statements of the sender before this message.
     """
 
     job: jobs.Job
@@ -84,6 +86,23 @@
     tasks: tuple[int, ...]
     is_resumed: bool
     workers: tuple[str, ...] = ()
+    sequence: int = 0
+
+
+@kinds.register("waiting")
+class WaitingShards(typing.NamedTuple):
+    """Statement of a gateway to a broker: the shards there that it still waits for.
+
+    Repeated with the heartbeats and on each new connection, so that a lost ``Withdraw``
+    is made up for.
+
+    Parameters
+    ----------
+    statement : broker_messages.Statement
+        The statement.
+    """
+
+    statement: broker_messages.Statement
 
 
 @kinds.register("begun")
@@ -140,7 +159,7 @@
     outcome: jobs.JobOutcome
 
 
-Message = Heartbeat | Loads | Submit | ShardStarted | Withdraw | Outcome
+Message = Heartbeat | Loads | Submit | WaitingShards | ShardStarted | Withdraw | Outcome
 
 _names_by_type = {kind: name for name, kind in kinds.items()}
 _decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
@@ -222,4 +241,5 @@
         submission.tasks,
         submission.is_resumed,
         submission.workers,
+        submission.sequence,
     )
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -9,7 +9,7 @@
 import msgspec
 import testtools
 
-from carawaysail_holding import loads
+from carawaysail_holding import broker_messages, loads
 from carawaysail_streams import errors, messages, transport
 from carawaysail_types import clock, daemons, jobs
 
@@ -47,11 +47,12 @@
             messages.Loads((("home", (load,)),)),
             make_submit(),
             messages.ShardStarted("a" * 16, 7, ("w-1", "w-2")),
+            messages.WaitingShards(broker_messages.Statement(3, frozenset((7, 9)))),
             messages.Withdraw("a" * 16, 7),
             messages.Outcome("a" * 16, 7, jobs.JobOutcome(jobs.Verdict.COMPLETED)),
         ]
         self.assertEqual(set(messages.kinds.names()), {
-            "heartbeat", "loads", "submit", "begun", "withdraw", "outcome"
+            "heartbeat", "loads", "submit", "waiting", "begun", "withdraw", "outcome"
         })  # fmt: skip
         self.assertEqual(sent, messages.decode(messages.encode(sent)))
 
