A broker without the token refuses a shard only if it never ran

A client got 503 for a job whose tasks ran.

Cause: a former holder forgot the shards of the data centre that it had left. The gateway, which could not reach the newer holder yet, submitted a shard there again on a new connection, as a new one, and took the refusal (no_workers) for the truth.

Change: submissions name the holder's token. A broker keeps which shards with runs it has left, and answers not_holder for them and for resumed ones; the gateway then waits for a newer holder. Submissions older than the cache of outcomes count as ones that may have run. A resumed shard for a token that is not known to be held yet waits for it instead of being dropped.

Both tests of TestFormerHolder failed before (a refusal, and a start in the other data centre), as did TestTokens.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -262,6 +262,7 @@
         message.is_resumed,
         message.workers,
         message.sequence,
+        message.token,
     )
     gateway_id = broker_messages.GatewayId(sender.vm, sender.incarnation)
     loop.perform(loop.broker.submit(submission, gateway_id, now), now)
@@ -310,7 +311,7 @@
 ) -> None:
     message = sent[1]
     actions = loop.gateway.handle_outcome(
-        sent[0], message.job_id, message.shard, message.outcome
+        sent[0], message.job_id, message.shard, message.outcome, now
     )
     loop.perform(actions, now)
 
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -137,11 +137,18 @@
                 loop.tick()
             self.deliver()
 
-    def report_status(self, *running):
-        """Let the worker answer a poll."""
+    def read_reports(self, daemon, *workers):
+        """Let a daemon read the reports of workers, which answer its first poll."""
+        data_centres = frozenset(x.data_centre for x in workers)
+        self.loops[daemon].handle(messages.ReportsRead(workers, data_centres, self.now))
+        for worker in workers:
+            self.report_status(daemon=daemon, worker=worker)
+
+    def report_status(self, *running, daemon=BROKER, worker=WORKER):
+        """Let a worker answer a poll."""
         status = runs.WorkerStatus("1", MS(10_000), tuple(running), ())
-        self.loops[BROKER].handle(
-            messages.WorkerStatusReceived(WORKER, status, self.now)
+        self.loops[daemon].handle(
+            messages.WorkerStatusReceived(worker, status, self.now)
         )
         self.deliver()
 
@@ -162,15 +169,19 @@
         self.loops[GATEWAY].handle(messages.ClientLeft("a" * 16, reply_id))
         self.deliver()
 
-    def orders(self, kind):
-        """Return the orders to the worker: ``start`` or ``stop``."""
-        return self.workers[BROKER].arguments(kind)
+    def orders(self, kind, daemon=BROKER):
+        """Return a daemon's orders to workers: ``start`` or ``stop``."""
+        return self.workers[daemon].arguments(kind)
+
+    def answers(self):
+        """Return the outcomes that clients got."""
+        return [x[1][1] for x in self.replies[GATEWAY].calls if x[0] == "put"]
 
 
 class TestLostWithdrawals(TwoDaemonsCase):
     """A withdrawal that is lost on its way to the broker."""
 
-    # The run went on until the job's deadline, beside that of the client's next attempt.
+    # The run went on until the job's deadline, beside that of the next attempt.
     def test_withdrawal_lost_with_a_connection_is_made_up_for_by_the_next_one(self):
         run = self.post_job()
         self.is_lossy = True
@@ -196,3 +207,32 @@
             self.pass_time(200)
             self.report_status(run)
         self.assertEqual([], self.orders("stop"))
+
+
+class TestFormerHolder(TwoDaemonsCase):
+    """A broker that another holder has replaced, which the gateway cannot reach yet."""
+
+    def replace_holder(self):
+        newer = daemons.Holder("away", "vm-2", "vm-2-1", 6)
+        self.loops[BROKER].record_holder(newer, self.now)
+        self.open_connections()
+
+    # The client got 503, which says that nothing ran, while the task ran.
+    def test_job_with_a_run_is_not_refused(self):
+        self.post_job()
+        self.replace_holder()
+        self.assertEqual([], self.answers())
+        self.pass_time(1000)
+        unknown = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.BROKER_LOST)
+        self.assertEqual([unknown], self.answers())
+
+    # The task was started a second time, in the gateway's own data centre.
+    def test_job_with_a_run_is_not_started_in_another_data_centre(self):
+        self.post_job()
+        own = daemons.Holder("home", GATEWAY.vm, GATEWAY.incarnation, 3)
+        self.loops[GATEWAY].record_holder(own, self.now)
+        worker = WORKER._replace(worker_id="w-1", data_centre="home")
+        self.read_reports(GATEWAY, worker)
+        self.replace_holder()
+        self.pass_time(1000)
+        self.assertEqual([], self.orders("start", GATEWAY))
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -11,10 +11,12 @@
 from carawaysail_holding import (
     actions,
     broker_messages,
+    early_submissions,
     gateways,
     held_worker,
     job_table,
     loads,
+    outcome_cache,
     placer,
     policies,
     run_time_estimates,
@@ -47,6 +49,7 @@
         self._actions = actions.Actions()
         self._workers = worker_table.WorkerTable()
         self._gateways = gateways.Gateways()
+        self._early = early_submissions.EarlySubmissions()
         self._jobs = job_table.JobTable(self._actions, self._workers, self.estimates)
         self._stall_detector = stall_detection.StallDetector(
             self._actions, self._jobs, self.estimates
@@ -76,6 +79,8 @@
         self._stop_holding(data_centre)
         self._workers.start_holding(data_centre, token, now)
         self._hold_reported_workers(now)
+        for submission, gateway in self._early.pop(data_centre, token):
+            self._submit(submission, gateway, now)
         return self._actions.drain()
 
     def stop_holding(self, data_centre: str) -> list[broker_messages.Action]:
@@ -84,11 +89,14 @@
         return self._actions.drain()
 
     def _stop_holding(self, data_centre: str) -> None:
+        """Drop a data centre; keep which of its shards may have runs."""
         for worker_id in self._workers.stop_holding(data_centre):
             self._jobs.inherited.drop_worker(worker_id)
         for shard in self._jobs.all():
             if shard.submission.data_centre == data_centre:
                 self._jobs.remove(shard)
+                if shard.has_ordered_runs:
+                    self._jobs.outcomes.record_moved(shard.shard_id)
                 self._actions.log("moved", shard.job_id, begun=shard.has_ordered_runs)
 
     # Workers
@@ -410,11 +418,25 @@
         """Admit or refuse a shard.
 
         A shard that is in the table already stays as it is. For one whose outcome is
-        cached, the outcome is sent again.
+        cached, the outcome is sent again. A resumed one that is for a later token waits
+        until that is held, since a gateway may learn of a holder before the holder
+        does. Without the token a shard is refused only if it certainly never ran.
         """
+        self._submit(submission, gateway, now)
+        return self._actions.drain()
+
+    def _submit(
+        self,
+        submission: broker_messages.Submission,
+        gateway: broker_messages.GatewayId,
+        now: datetime.datetime,
+    ) -> None:
         shard_id = broker_messages.ShardId(
             submission.job.job_id, submission.shard, gateway
         )
+        if now - submission.arrived >= outcome_cache.RETENTION:
+            # What became of it may have been forgotten.
+            submission = submission._replace(is_resumed=True)
         outcome = self._jobs.outcomes.outcome(shard_id, now)
         known = self._jobs.get(shard_id)
         if known is not None:
@@ -429,12 +451,33 @@
             self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
         elif self._gateways.is_withdrawn(gateway, submission):
             self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
+        elif submission.is_resumed and self._workers.is_future(
+            submission.data_centre, submission.token
+        ):
+            self._early.add(submission, gateway)
+        elif self._may_have_moved(shard_id, submission, now):
+            self._actions.log(
+                "not_holder", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard,
+                token=submission.token,
+            )  # fmt: skip
+            outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.NOT_HOLDER)
+            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
         else:
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
             if shard is not None:
                 self._place_shards([shard], now)
-        return self._actions.drain()
+
+    def _may_have_moved(
+        self,
+        shard_id: broker_messages.ShardId,
+        submission: broker_messages.Submission,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether a shard may have runs that only another holder knows of."""
+        if self._workers.is_held(submission.data_centre, submission.token):
+            return False
+        return submission.is_resumed or self._jobs.outcomes.has_moved(shard_id)
 
     def withdraw(
         self, shard_id: broker_messages.ShardId, now: datetime.datetime
@@ -622,6 +665,7 @@
                 )
                 self._jobs.stop_run(held, run, now)
         self._jobs.outcomes.prune(now)
+        self._early.prune(now)
         self._gateways.prune(now)
         self._place(now)
         return self._actions.drain()
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -76,6 +76,8 @@
         received them; empty unless ``is_resumed``.
     sequence : int
         Number of statements that the gateway had made when it sent the submission.
+    token : int
+        Fencing token under which the receiver is to run it, as the gateway knows.
     """
 
     job: jobs.Job
@@ -88,6 +90,7 @@
     is_resumed: bool = False
     workers: tuple[str, ...] = ()
     sequence: int = 0
+    token: int = 0
 
 
 class Statement(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -108,7 +108,8 @@
     ``tasks`` is empty for all tasks of the job; ``is_resumed`` is true if an earlier
     broker may have started some of them. ``workers`` are those that its runs were
     ordered on, as far as reported; ``lost_since`` is when the broker became
-    unreachable, ``None`` while it is reachable.
+    unreachable or said that it is no longer the holder, ``None`` before;
+    ``has_moved`` is true in the second case.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self.is_done = False
         self.workers: set[str] = set()
         self.lost_since: datetime.datetime | None = None
+        self.has_moved = False
 
 
 class _WaitingJob:
@@ -181,6 +183,7 @@
             is_resumed=shard.is_resumed,
             workers=tuple(sorted(shard.workers)) if shard.is_resumed else (),
             sequence=sequence,
+            token=shard.broker.holder.token,
         )
 
 
@@ -282,11 +285,12 @@
     ) -> None:
         """Resubmit a shard to a newer holder; record since when there is no broker."""
         current = self._brokers.get(shard.broker.holder.data_centre)
-        if current == shard.broker:
+        if current == shard.broker and not shard.has_moved:
             shard.lost_since = None
         elif current is not None and current.holder.token > shard.broker.holder.token:
             shard.broker = current
             shard.lost_since = None
+            shard.has_moved = False
             shard.is_resumed = True
             out.append(
                 _log("resubmitted", job, part=shard.number, to=current.daemon.vm,
@@ -302,7 +306,9 @@
             self._send(job, shard)
             for job in self._jobs.values()
             for shard in job.shards.values()
-            if shard.broker.daemon == daemon and not shard.is_done
+            if shard.broker.daemon == daemon
+            and not shard.is_done
+            and not shard.has_moved
         ]
 
     def _send(self, job: _WaitingJob, shard: _Shard) -> SendShard:
@@ -534,7 +540,12 @@
             shard.workers.update(workers)
 
     def handle_outcome(
-        self, daemon: daemons.Daemon, job_id: str, number: int, outcome: jobs.JobOutcome
+        self,
+        daemon: daemons.Daemon,
+        job_id: str,
+        number: int,
+        outcome: jobs.JobOutcome,
+        now: datetime.datetime,
     ) -> list[Action]:
         """Process a broker's outcome of a shard; an outdated one is ignored.
 
@@ -548,6 +559,8 @@
             Number of the shard.
         outcome : jobs.JobOutcome
             Outcome of the shard.
+        now : datetime.datetime
+            Present instant.
         """
         job = self._jobs.get(job_id)
         shard = job.shards.get(number) if job is not None else None
@@ -560,8 +573,25 @@
             return self._answer(job, outcome) if job.is_complete() else []
         if outcome.verdict is jobs.Verdict.REFUSED:
             return self._handle_refused_shard(job, shard, outcome)
+        if outcome.reason is jobs.Reason.NOT_HOLDER:
+            return self._handle_moved_shard(job, shard, now)
         return self._finish(job, outcome, shard)
 
+    def _handle_moved_shard(
+        self, job: _WaitingJob, shard: _Shard, now: datetime.datetime
+    ) -> list[Action]:
+        """Let a shard wait for a newer holder; its tasks may have runs.
+
+        It counts from the first time at which its broker was missed.
+        """
+        if shard.has_moved:
+            return []
+        shard.has_moved = shard.is_resumed = True
+        if shard.lost_since is None:
+            shard.lost_since = now
+        self._record_due(job)
+        return [_log("awaits_holder", job, part=shard.number)]
+
     def _handle_refused_shard(
         self, job: _WaitingJob, shard: _Shard, outcome: jobs.JobOutcome
     ) -> list[Action]:
@@ -572,8 +602,9 @@
         """
         data_centre = shard.broker.holder.data_centre
         is_only_shard = len(job.shards) == 1
-        if shard.is_resumed or outcome.reason is not jobs.Reason.NO_WORKERS:
-            if not is_only_shard or shard.is_resumed:
+        may_have_run = shard.is_resumed or bool(shard.workers)
+        if may_have_run or outcome.reason is not jobs.Reason.NO_WORKERS:
+            if not is_only_shard or may_have_run:
                 outcome = outcome._replace(verdict=jobs.Verdict.UNKNOWN)
             return self._finish(job, outcome, shard)
         job.avoided_data_centres.add(data_centre)
--- a/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
@@ -20,6 +20,8 @@
         ] = {}
         self._run_numbers: dict[runs.Task, tuple[int, datetime.datetime]] = {}
         self._done: dict[runs.Task, datetime.datetime] = {}
+        # ``None`` until the next ``prune``.
+        self._moved: dict[broker_messages.ShardId, datetime.datetime | None] = {}
         self._pruned_at: datetime.datetime | None = None
 
     def record_outcome(
@@ -38,6 +40,14 @@
         entry = self._outcomes.get(shard_id)
         return entry[0] if entry is not None and now - entry[1] < RETENTION else None
 
+    def record_moved(self, shard_id: broker_messages.ShardId) -> None:
+        """Record that a shard with runs was left to the next holder."""
+        self._moved[shard_id] = None
+
+    def has_moved(self, shard_id: broker_messages.ShardId) -> bool:
+        """Return whether a shard with runs was left to the next holder."""
+        return shard_id in self._moved
+
     def record_run_number(
         self, task: runs.Task, number: int, now: datetime.datetime
     ) -> None:
@@ -67,3 +77,5 @@
             k: v for k, v in self._run_numbers.items() if v[1] > oldest
         }
         self._done = {k: v for k, v in self._done.items() if v > oldest}
+        moved = {k: v or now for k, v in self._moved.items()}
+        self._moved = {k: v for k, v in moved.items() if v > oldest}
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -12,6 +12,8 @@
 
     def __init__(self) -> None:
         self.tokens: dict[str, int] = {}
+        # Highest token ever held, by data centre.
+        self._newest_tokens: dict[str, int] = {}
         self._reports: dict[str, runs.WorkerReport] = {}
         self._workers: dict[str, held_worker.HeldWorker] = {}
         # Orders to an earlier incarnation of a worker that may have reached the next.
@@ -29,8 +31,17 @@
     ) -> None:
         """Record the token of a data centre that this daemon holds from now on."""
         self.tokens[data_centre] = token
+        self._newest_tokens[data_centre] = token
         self._awaiting_reports[data_centre] = now
 
+    def is_held(self, data_centre: str, token: int) -> bool:
+        """Return whether a data centre is held under a token."""
+        return self.tokens.get(data_centre) == token
+
+    def is_future(self, data_centre: str, token: int) -> bool:
+        """Return whether a token is higher than any that was held here."""
+        return token > self._newest_tokens.get(data_centre, 0)
+
     def stop_holding(self, data_centre: str) -> list[str]:
         """Remove the workers of a data centre and return their names."""
         self.tokens.pop(data_centre, None)
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -62,6 +62,9 @@
         return self.broker.handle_status(report.worker_id, status, sent_at, self.now)
 
     def submit(self, submission, gateway=ME):
+        if not submission.token:
+            token = self.broker.tokens().get(submission.data_centre, 0)
+            submission = submission._replace(token=token)
         return self.broker.submit(submission, gateway, self.now)
 
     def make(self, *args, **fields):
@@ -839,3 +842,60 @@
         self.submit(submission)
         self.submit(submission._replace(sequence=3))
         self.assertEqual([], self.stops(self.state(2)))
+
+
+class TestTokens(BrokerCase):
+    """Submissions for another token than the one that is held."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold(make_report())
+
+    def reasons(self, actions):
+        return [
+            x.outcome.reason
+            for x in actions
+            if isinstance(x, broker_messages.SendOutcome)
+        ]
+
+    def test_shard_with_a_run_is_not_refused_after_the_data_centre_is_left(self):
+        submission = self.make(token=7)
+        self.assertEqual(1, len(self.starts(self.submit(submission))))
+        self.broker.stop_holding(HOME)
+        actions = self.submit(submission)
+        self.assertEqual([jobs.Reason.NOT_HOLDER], self.reasons(actions))
+
+    def test_shard_that_never_ran_here_is_refused_at_once(self):
+        self.broker.stop_holding(HOME)
+        actions = self.submit(self.make(token=7))
+        self.assertEqual([jobs.Reason.NO_WORKERS], self.reasons(actions))
+
+    def test_resumed_shard_is_not_refused_by_a_daemon_that_holds_nothing(self):
+        self.broker.stop_holding(HOME)
+        actions = self.submit(self.make(token=7, is_resumed=True))
+        self.assertEqual([jobs.Reason.NOT_HOLDER], self.reasons(actions))
+
+    # It was forgotten as the data centre was taken.
+    def test_resumed_shard_that_comes_before_the_claim_is_known_starts_after_it(self):
+        self.broker.stop_holding(HOME)
+        self.assertEqual([], self.submit(self.make(token=9, is_resumed=True)))
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports([make_report()], self.now)
+        self.assertEqual(1, len(self.starts(self.poll(make_report()))))
+
+    def test_shard_that_is_resumed_under_the_next_token_starts(self):
+        submission = self.make(token=7)
+        self.submit(submission)
+        self.broker.stop_holding(HOME)
+        self.hold(make_report(), token=9)
+        resumed = submission._replace(token=9, is_resumed=True)
+        self.assertEqual(1, len(self.starts(self.submit(resumed))))
+
+    # Its outcome is no longer cached, so it looked like one that had never run.
+    def test_old_submission_counts_as_one_that_may_have_run(self):
+        deadline = self.now + MS(30_000)
+        submission = self.make(token=7, deadline=deadline)
+        self.broker.stop_holding(HOME)
+        self.clock.advance(MS(11_000))
+        actions = self.submit(submission)
+        self.assertEqual([jobs.Reason.NOT_HOLDER], self.reasons(actions))
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -66,7 +66,7 @@
     def handle_outcome(self, sent, outcome):
         submission = sent.submission
         return self.gateway.handle_outcome(
-            sent.daemon, submission.job.job_id, submission.shard, outcome
+            sent.daemon, submission.job.job_id, submission.shard, outcome, self.now
         )
 
     @staticmethod
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -75,6 +75,8 @@
         sender knows; empty unless ``is_resumed``.
     sequence : int
         Number of statements of the sender before this message.
+    token : int
+        Fencing token of the receiver as holder of the data centre.
     """
 
     job: jobs.Job
@@ -87,6 +89,7 @@
     is_resumed: bool
     workers: tuple[str, ...] = ()
     sequence: int = 0
+    token: int = 0
 
 
 @kinds.register("waiting")
@@ -242,4 +245,5 @@
         submission.is_resumed,
         submission.workers,
         submission.sequence,
+        submission.token,
     )
--- a/libs/carawaysail_types/src/carawaysail_types/jobs.py
+++ b/libs/carawaysail_types/src/carawaysail_types/jobs.py
@@ -217,8 +217,9 @@
     ``TOO_LATE`` that a job which has waited can no longer finish before its deadline,
     ``SUPERSEDED`` that another submission of the same tasks has replaced it,
     ``INTERNAL_ERROR`` that a daemon has failed to handle it, ``IDENTIFIER_IN_USE`` that
-    a different job with its identifier is under way, and ``LEAVING`` that the daemon
-    stops before it could be served.
+    a different job with its identifier is under way, ``LEAVING`` that the daemon stops
+    before it could be served, and ``NOT_HOLDER`` that the broker no longer holds the
+    workers on which tasks may run.
     """
 
     NONE = "none"
@@ -238,6 +239,7 @@
     INTERNAL_ERROR = "internal_error"
     IDENTIFIER_IN_USE = "identifier_in_use"
     LEAVING = "leaving"
+    NOT_HOLDER = "not_holder"
 
 
 class JobOutcome(typing.NamedTuple):
