Of two copies of a job the later sent one is kept

Cause: the broker took the copy that arrived last for the valid one. A copy that was held up at a frozen gateway arrives after the one that its client sent later.

Change: arrivals at the gateways are compared; the earlier sent copy ends as superseded and starts nothing.

The new test failed before: the run of the later copy was stopped.

--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -66,7 +66,8 @@
     ) -> None:
         """Add a shard to the table, or refuse it.
 
-        A shard whose tasks are all done already is finished at once.
+        A shard whose tasks are all done already is finished at once. Of two copies of
+        a job, sent by its client one after the other, the later sent one is kept.
 
         Parameters
         ----------
@@ -83,6 +84,12 @@
         fastest = self._estimates.highest_speed(x.report for x in usable)
         schedule = policies.make_schedule(self._estimates, submission, fastest)
         shard = shard_state.ShardState(shard_id, submission, schedule)
+        if self._is_superseded(shard):
+            outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.SUPERSEDED)
+            self._actions.log("superseded", shard_id.job_id, waiter=shard_id.gateway.vm)
+            self.outcomes.record_outcome(shard_id, outcome, now)
+            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+            return
         self._supersede(shard, now)
         self._shards[shard_id] = shard
         for task in shard.tasks:
@@ -109,6 +116,15 @@
         if shard.is_done():
             self.finish(shard, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
 
+    def _is_superseded(self, shard: shard_state.ShardState) -> bool:
+        """Return whether a later sent copy has some of the same tasks.
+
+        An earlier copy comes last if its gateway, or a message, was held up.
+        """
+        arrived = shard.submission.arrived
+        others = (self._shard_by_task.get(task) for task in shard.tasks)
+        return any(x is not None and x.submission.arrived > arrived for x in others)
+
     def _supersede(self, shard: shard_state.ShardState, now: datetime.datetime) -> None:
         """Finish an earlier submission of the same tasks, abandoned by its client."""
         for task in shard.tasks:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -487,6 +487,19 @@
         again = self.starts(self.finish(started, runs.RunResult.STOPPED))
         self.assertEqual([2], [x.run.number for x in again])
 
+    # The good copy was ended, and its client got 504.
+    def test_copy_that_was_sent_before_does_not_replace_a_later_one(self):
+        self.hold(make_report())
+        later = self.make()
+        [started] = self.starts(self.submit(later))
+        self.answer(started)
+        earlier = later._replace(arrived=later.arrived - MS(2800))
+        actions = self.submit(earlier, OTHER)
+        self.assertEqual([], self.stops(actions))
+        self.assert_sent([jobs.Verdict.UNKNOWN], actions)
+        self.clock.advance(MS(5))
+        self.assert_sent([jobs.Verdict.COMPLETED], self.finish(started))
+
 
 class TestLateEnds(BrokerCase):
     """Ends of runs that were given up before, while a later run is under way."""
