A broker acts on a gateway's word only as long as that may still hold

Cause: submissions count their age from sending, and what waits in the socket of a frozen daemon looks as young as it was then. Any message of a gateway kept its shards, whether or not it said that clients wait.

Change: messages carry the earliest instant at which they can have been sent. A shard ends four heartbeats after its gateway last stated or submitted it. An older submission starts nothing, and is sent again by its gateway. Shards of the own gateway start only if its clients' disconnects have been read.

The test of a late holder gets the instant at which its message was read, since the average of the loop's delay is not used any more.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -140,7 +140,12 @@
         )
         self._replies = replies.Replies()
         self._decision_loop = decision_loop.DecisionLoop(
-            cfg, self._me, self._inbox, self._clock, self._open_stream
+            cfg,
+            self._me,
+            self._inbox,
+            self._clock,
+            self._open_stream,
+            observer=self._observer,
         )
         loop_inbox, seed = self._inbox, secrets.randbits(32)
         context = store_thread.Context(
@@ -173,7 +178,7 @@
         self._link = transport.Link(
             stream_messages.encode_introduction(self._me),
             stream_messages.encode,
-            peer_links.PeerReceiver(loop_inbox),
+            peer_links.PeerReceiver(loop_inbox, self._observer),
         )
         self._peer_server = transport.Server(self._link)
         self._servers = self._make_servers()
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -24,8 +24,15 @@
     store_tasks,
     worker_links,
 )
-from carawaysail_holding import broker, contacts, gateway, holder_election, loads
-from carawaysail_runtime import inbox, logs
+from carawaysail_holding import (
+    broker,
+    broker_messages,
+    contacts,
+    gateway,
+    holder_election,
+    loads,
+)
+from carawaysail_runtime import inbox, logs, turns
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, daemons, jobs, registry
 
@@ -114,6 +121,8 @@
         Opens a stream to another daemon.
     random_state : int, optional
         Seed of the gateway's random numbers; ``None`` for an arbitrary one.
+    observer : turns.Observer, optional
+        Observer of the event loop; by default one that is never late.
 
     Attributes
     ----------
@@ -133,8 +142,11 @@
         source: clock.Clock,
         open_stream: peer_links.OpenStream,
         random_state: int | None = None,
+        observer: turns.Observer | None = None,
     ) -> None:
         now = source.now()
+        self._observer = observer or turns.Immediate(source)
+        self._own_id = broker_messages.GatewayId(me.vm, me.incarnation)
         self.cfg = cfg
         self.me = me
         self.inbox = own_inbox
@@ -142,6 +154,7 @@
         self.broker = broker.Broker(cfg.terms, cfg.policy_names)
         self.gateway = gateway.Gateway(me, cfg.admission, random_state)
         self.election = holder_election.HolderElection(me, cfg.data_centres, now)
+        self.broker.gateway_timeout = self.election.suspect_after()
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
         self.has_ended = asyncio.Event()
@@ -187,10 +200,6 @@
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
 
-    def delay(self) -> datetime.timedelta:
-        """Return by how much the loop is late with its work, on average."""
-        return clock.milliseconds(self._delay_ms)
-
     def _is_tick_due(self, now: datetime.datetime) -> bool:
         return now >= self._next_tick()
 
@@ -272,6 +281,10 @@
         late_ms = max(0.0, clock.to_milliseconds(now - self._next_tick()))
         self._delay_ms += DELAY_WEIGHT * (late_ms - self._delay_ms)
         self._last_tick = now
+        # Disconnects of clients that came before have been read and handled.
+        self.broker.record_own_gateway(
+            self._own_id, self._observer.arrived(turns.MAX_TURNS)
+        )
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
             self._next_slow_tick = now + self._slow_tick_interval()
@@ -353,7 +366,8 @@
         shards again when a stream opens.
         """
         if peer == self.me:
-            self.inbox.put(messages.PeerMessagesReceived(self.me, (message,)))
+            sent_at = self.clock.now()
+            self.inbox.put(messages.PeerMessagesReceived(self.me, (message,), sent_at))
             return
         self._links.send(peer, message)
 
@@ -371,6 +385,7 @@
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
+        self.broker.gateway_timeout = self.election.suspect_after()
         self.gateway.record_gateway_count(self.election.fleet_size())
 
     def accept(
@@ -410,6 +425,8 @@
             self.election.record_message(sender, None, now)
             if not was_responsive:
                 self._update_brokers(now)
+                # One that stood still does not act on what it was sent meanwhile.
+                self.restate_shards(sender, now)
             return
         lost = self.broker.handle_gateway_lost(sender.vm, now, sender.incarnation)
         self.perform(lost, now)
@@ -433,14 +450,13 @@
             self.gateway.record_load(sender, data_centre, service_loads, load.delay_ms)
 
     def _drop_silent_peers(self, now: datetime.datetime) -> None:
-        """Withdraw shards of daemons that have sent nothing for too long."""
+        """Forget daemons that have sent nothing for too long."""
         suspect_after = self.election.suspect_after()
         for vm, at in list(self._last_received.items()):
             if now - at < suspect_after:
                 continue
             del self._last_received[vm]
             logs.log_event("peers", "Daemon unreachable.", vm=vm)
-            self.perform(self.broker.handle_gateway_lost(vm, now), now)
 
     def record_holder(self, holder: daemons.Holder, now: datetime.datetime) -> None:
         """Record a holder; hold or release the data centre's workers accordingly.
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -8,13 +8,12 @@
 
 import collections.abc
 import datetime
-import typing
 
 from carawaysail_fleet import decision_loop, messages
 from carawaysail_holding import broker_messages, gateway
 from carawaysail_runtime import logs
 from carawaysail_streams import messages as stream_messages
-from carawaysail_types import clock, daemons, jobs, runs
+from carawaysail_types import clock, jobs, runs
 
 # Messages of this daemon's own tasks and threads
 
@@ -204,7 +203,8 @@
 ) -> None:
     loop.record_sender(message.sender, now)
     for item in message.messages:
-        loop.dispatch(type(item).__name__, (message.sender, item), now)
+        sent = messages.PeerMessage(message.sender, item, message.sent_at)
+        loop.dispatch(type(item).__name__, sent, now)
 
 
 @decision_loop.handlers.register("SettingsReloaded")
@@ -227,37 +227,36 @@
 
 # Messages of other daemons
 
-_PeerMessage = tuple[daemons.Daemon, typing.Any]
-"""Sending daemon and message; the argument of handlers of other daemons' messages."""
+
+def _gateway_id(sent: messages.PeerMessage) -> broker_messages.GatewayId:
+    return broker_messages.GatewayId(sent.sender.vm, sent.sender.incarnation)
 
 
 @decision_loop.handlers.register("Heartbeat")
 def _handle_heartbeat(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    loop.handle_heartbeat(sent[0], sent[1], now)
+    loop.handle_heartbeat(sent.sender, sent.content, now)
 
 
 @decision_loop.handlers.register("Loads")
 def _handle_loads(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    loop.handle_loads(sent[0], sent[1])
+    loop.handle_loads(sent.sender, sent.content)
 
 
 @decision_loop.handlers.register("Submit")
 def _handle_submit(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    sender, message = sent
-    # A message waits as long as the loop is late; its client does not wait longer.
-    arrived = now - loop.delay()
+    message, sent_at = sent.content, sent.sent_at
     submission = broker_messages.Submission(
         message.job,
         message.queue,
         message.data_centre,
-        arrived - clock.milliseconds(message.age_ms),
-        arrived + clock.milliseconds(message.remaining_ms),
+        sent_at - clock.milliseconds(message.age_ms),
+        sent_at + clock.milliseconds(message.remaining_ms),
         message.shard,
         message.tasks,
         message.is_resumed,
@@ -265,54 +264,59 @@
         message.sequence,
         message.token,
     )
-    gateway_id = broker_messages.GatewayId(sender.vm, sender.incarnation)
-    loop.perform(loop.broker.submit(submission, gateway_id, now), now)
+    gateway_id = _gateway_id(sent)
+    loop.perform(loop.broker.submit(submission, gateway_id, now, sent_at), now)
 
 
 @decision_loop.failure_handlers.register("Submit")
 def _abandon_shard(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
-    shard_id = broker_messages.ShardId(sent[1].job.job_id, sent[1].shard, gateway_id)
+    gateway_id = _gateway_id(sent)
+    shard_id = broker_messages.ShardId(
+        sent.content.job.job_id, sent.content.shard, gateway_id
+    )
     loop.perform(loop.broker.abandon(shard_id, now), now)
 
 
 @decision_loop.handlers.register("Withdraw")
 def _handle_withdraw(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
-    shard_id = broker_messages.ShardId(sent[1].job_id, sent[1].shard, gateway_id)
+    gateway_id = _gateway_id(sent)
+    shard_id = broker_messages.ShardId(
+        sent.content.job_id, sent.content.shard, gateway_id
+    )
     loop.perform(loop.broker.withdraw(shard_id, now), now)
 
 
 @decision_loop.handlers.register("WaitingShards")
 def _handle_waiting_shards(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    gateway_id = broker_messages.GatewayId(sent[0].vm, sent[0].incarnation)
-    statement = sent[1].statement
-    loop.perform(loop.broker.handle_statement(gateway_id, statement, now), now)
+    actions = loop.broker.handle_statement(
+        _gateway_id(sent), sent.content.statement, now, sent.sent_at
+    )
+    loop.perform(actions, now)
 
 
 @decision_loop.handlers.register("ShardStarted")
 def _handle_shard_started(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    message = sent[1]
+    message = sent.content
     loop.gateway.record_started_workers(
-        sent[0], message.job_id, message.shard, message.workers
+        sent.sender, message.job_id, message.shard, message.workers
     )
 
 
 @decision_loop.handlers.register("Outcome")
 def _handle_outcome(
-    loop: decision_loop.DecisionLoop, sent: _PeerMessage, now: datetime.datetime
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
-    message = sent[1]
+    message = sent.content
     actions = loop.gateway.handle_outcome(
-        sent[0], message.job_id, message.shard, message.outcome, now
+        sent.sender, message.job_id, message.shard, message.outcome, now
     )
     loop.perform(actions, now)
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -204,10 +204,32 @@
         The daemon that sent them; may be this one.
     messages : tuple
         Messages of ``carawaysail_streams.messages``, in the order of sending.
+    sent_at : datetime.datetime
+        Earliest instant at which they can have been sent: they may have waited while
+        this daemon stood still.
     """
 
     sender: daemons.Daemon
     messages: tuple[typing.Any, ...]
+    sent_at: datetime.datetime
+
+
+class PeerMessage(typing.NamedTuple):
+    """One message of a daemon; the argument of its handler.
+
+    Parameters
+    ----------
+    sender : daemons.Daemon
+        The daemon that sent it; may be this one.
+    content : object
+        The message, of ``carawaysail_streams.messages``.
+    sent_at : datetime.datetime
+        Earliest instant at which it can have been sent.
+    """
+
+    sender: daemons.Daemon
+    content: typing.Any
+    sent_at: datetime.datetime
 
 
 class SettingsReloaded(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/peer_links.py
@@ -8,7 +8,7 @@
 
 from carawaysail_fleet import messages
 from carawaysail_holding import contacts
-from carawaysail_runtime import inbox, logs
+from carawaysail_runtime import inbox, logs, turns
 from carawaysail_streams import errors, transport
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import daemons
@@ -163,6 +163,13 @@
             connection.close()
 
 
+class _Sender(typing.NamedTuple):
+    """Who is at the other end of a connection, and when what it sends arrives."""
+
+    daemon: daemons.Daemon
+    arrivals: turns.Arrivals
+
+
 class PeerReceiver:
     """Decodes frames of other daemons and passes the messages to the decision loop.
 
@@ -170,11 +177,16 @@
     ----------
     loop_inbox : inbox.Inbox
         Inbox of the decision loop.
+    observer : turns.Observer
+        Observer of the event loop.
     """
 
-    def __init__(self, loop_inbox: "inbox.Inbox[messages.Message]") -> None:
+    def __init__(
+        self, loop_inbox: "inbox.Inbox[messages.Message]", observer: turns.Observer
+    ) -> None:
         self._loop_inbox = loop_inbox
-        self._senders: dict[transport.Connection, daemons.Daemon] = {}
+        self._observer = observer
+        self._senders: dict[transport.Connection, _Sender] = {}
 
     def on_introduction(self, connection: transport.Connection, data: bytes) -> None:
         """Record who is at the other end; close a connection to somebody else.
@@ -188,16 +200,18 @@
             connection.close()
             return
         wanted = connection.peer
+        arrivals = turns.Arrivals(self._observer)
         if wanted is None:
-            self._senders[connection] = sender
+            self._senders[connection] = _Sender(sender, arrivals)
             self._loop_inbox.put(messages.ConnectionAccepted(sender, connection))
         elif (sender.vm, sender.incarnation) == (wanted.vm, wanted.incarnation):
-            self._senders[connection] = wanted
+            self._senders[connection] = _Sender(wanted, arrivals)
             self._loop_inbox.put(messages.StreamOpened(wanted))
         else:
             connection.close()
             self._loop_inbox.put(messages.ConnectionRefused(wanted))
-            self._loop_inbox.put(messages.PeerMessagesReceived(sender, ()))
+            sent_at = arrivals.earliest()
+            self._loop_inbox.put(messages.PeerMessagesReceived(sender, (), sent_at))
 
     def on_frame(self, connection: transport.Connection, data: bytes) -> None:
         """Decode a frame; log and discard one that cannot be decoded."""
@@ -209,10 +223,14 @@
         except errors.BadFrameError as exc:
             logs.log_error("peers", "Bad frame.", exc)
             return
-        self._loop_inbox.put(messages.PeerMessagesReceived(sender, tuple(received)))
+        self._loop_inbox.put(
+            messages.PeerMessagesReceived(
+                sender.daemon, tuple(received), sender.arrivals.earliest()
+            )
+        )
 
     def on_closed(self, connection: transport.Connection) -> None:
         """Pass on that a connection has ended."""
         sender = self._senders.pop(connection, None)
         if sender is not None and connection.peer is None:
-            self._loop_inbox.put(messages.ConnectionClosed(sender, connection))
+            self._loop_inbox.put(messages.ConnectionClosed(sender.daemon, connection))
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -120,7 +120,9 @@
 
     def receive(self, message, sender=REMOTE):
         """Pass the loop a message of another daemon."""
-        self.loop.handle(messages.PeerMessagesReceived(sender, (message,)))
+        self.loop.handle(
+            messages.PeerMessagesReceived(sender, (message,), self.clock.now())
+        )
 
     def sent_outcomes(self):
         """Return the outcomes that other daemons were sent."""
@@ -158,7 +160,9 @@
             jobs.Job("a" * 16, "", (step,)), queue, "home", 0.0, 900.0, 1, (), False
         )
         withdraw = stream_messages.Withdraw("b" * 16, 2)
-        self.loop.handle(messages.PeerMessagesReceived(REMOTE, (submit, withdraw)))
+        self.loop.handle(
+            messages.PeerMessagesReceived(REMOTE, (submit, withdraw), self.clock.now())
+        )
         self.assertEqual(1, len(calls))
         self.assertEqual(["Submit"], self.failures())
 
@@ -392,12 +396,14 @@
         sent = [name for name, _ in stream.calls if name == "send_shared"]
         self.assertGreaterEqual(len(sent), 1000 // 150)
 
-    # A holder that was a second late started tasks of clients that had left.
+    # A holder that was late started tasks of clients that had left.
     def test_shard_of_a_client_that_has_left_meanwhile_is_refused(self):
         self.receive(make_heartbeat())
         self.hold_worker()
-        self.run_with_messages(10, 160)
-        self.receive(make_submit(remaining_ms=40.0))
+        read_at = self.clock.now()
+        self.run_with_messages(3, 160)
+        submit = make_submit(remaining_ms=40.0)
+        self.loop.handle(messages.PeerMessagesReceived(REMOTE, (submit,), read_at))
         self.assertEqual(
             [jobs.Verdict.REFUSED], [x.outcome.verdict for x in self.sent_outcomes()]
         )
@@ -475,5 +481,7 @@
         )  # fmt: skip
         heartbeat = stream_messages.Heartbeat(False, (holder,))
         load = stream_messages.Loads((("away", ()),))
-        self.loop.handle(messages.PeerMessagesReceived(REMOTE, (heartbeat, load)))
+        self.loop.handle(
+            messages.PeerMessagesReceived(REMOTE, (heartbeat, load), self.clock.now())
+        )
         self.assertEqual([(REMOTE, {"away"})], seen)
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -79,6 +79,8 @@
         self.clock = clock.ManualClock()
         self.under_way = []
         self.is_lossy = False
+        # Daemons that stand still, each with when it was stopped.
+        self.frozen = {}
         self.workers = {x: Component() for x in (GATEWAY, BROKER)}
         self.replies = {x: Component() for x in (GATEWAY, BROKER)}
         self.loops = {x: self.make_loop(x) for x in (GATEWAY, BROKER)}
@@ -115,26 +117,54 @@
         """Open the connection of each daemon to the other, as after a reset."""
         for me, peer in ((GATEWAY, BROKER), (BROKER, GATEWAY)):
             loop = self.loops[me]
-            loop.handle(messages.PeerMessagesReceived(peer, ()))
+            loop.handle(messages.PeerMessagesReceived(peer, (), self.now))
             loop.handle(messages.ConnectionAccepted(peer, Link(self, peer)))
             loop.handle(messages.StreamOpened(peer))
         self.deliver()
 
     def deliver(self):
-        """Deliver all messages under way, and those that follow from them."""
+        """Deliver all messages under way, and those that follow from them.
+
+        Those to a daemon that stands still wait.
+        """
+        waiting = []
         while self.under_way:
             receiver, message = self.under_way.pop(0)
-            sender = BROKER if receiver == GATEWAY else GATEWAY
-            if isinstance(message, stream_messages.Message):
-                message = messages.PeerMessagesReceived(sender, (message,))
-            self.loops[receiver].handle(message)
+            if receiver in self.frozen:
+                waiting.append((receiver, message))
+            else:
+                self.pass_message(receiver, message, self.now)
+        self.under_way = waiting
+
+    def pass_message(self, receiver, message, sent_at):
+        """Pass a daemon a message that can have been sent at an instant."""
+        sender = BROKER if receiver == GATEWAY else GATEWAY
+        if isinstance(message, stream_messages.Message):
+            message = messages.PeerMessagesReceived(sender, (message,), sent_at)
+        self.loops[receiver].handle(message)
+
+    def freeze(self, daemon, duration_ms):
+        """Let a daemon stand still for some time, then read what has come."""
+        self.frozen[daemon] = self.now
+        self.pass_time(duration_ms)
+        self.thaw(daemon)
+
+    def thaw(self, daemon):
+        """Let a daemon go on that stood still."""
+        stopped_at = self.frozen.pop(daemon)
+        waiting, self.under_way = self.under_way, []
+        self.loops[daemon].tick()
+        for receiver, message in waiting:
+            self.pass_message(receiver, message, stopped_at)
+        self.deliver()
 
     def pass_time(self, duration_ms):
         """Let time pass in short ticks."""
         for _ in range(duration_ms // 20):
             self.clock.advance(MS(20))
-            for loop in self.loops.values():
-                loop.tick()
+            for daemon, loop in self.loops.items():
+                if daemon not in self.frozen:
+                    loop.tick()
             self.deliver()
 
     def read_reports(self, daemon, *workers):
@@ -152,12 +182,16 @@
         )
         self.deliver()
 
-    def post_job(self, reply_id=1):
-        """Post a job with one task; return its run."""
+    def post(self, reply_id=1, timeout_ms=1500):
+        """Post a job with one task."""
         step = jobs.Step(1, jobs.Resources(1000, 64, 0), MS(900))
-        req = ports.JobRequest(QUEUE, jobs.Job("a" * 16, "", (step,)), MS(1500))
+        req = ports.JobRequest(QUEUE, jobs.Job("a" * 16, "", (step,)), MS(timeout_ms))
         self.loops[GATEWAY].handle(messages.JobPosted(req, reply_id, self.now))
         self.deliver()
+
+    def post_job(self):
+        """Post a job with one task, which starts; return its run."""
+        self.post()
         run = self.orders("start")[-1].run
         self.loops[BROKER].handle(
             messages.StartResultReceived(WORKER, run, runs.OrderResult.ACCEPTED)
@@ -236,3 +270,54 @@
         self.replace_holder()
         self.pass_time(1000)
         self.assertEqual([], self.orders("start", GATEWAY))
+
+
+class TestFrozenBroker(TwoDaemonsCase):
+    """A broker that stands still while shards are submitted and withdrawn."""
+
+    # The run started, beside that of the client's next attempt, until the withdrawal
+    # behind the submission was read.
+    def test_shard_that_was_withdrawn_meanwhile_starts_nothing(self):
+        self.frozen[BROKER] = self.now
+        self.post(timeout_ms=9000)
+        self.pass_time(100)
+        self.leave()
+        self.pass_time(1400)
+        self.thaw(BROKER)
+        self.pass_time(500)
+        self.assertEqual([], self.orders("start"))
+
+    def test_shard_whose_client_still_waits_starts_afterwards(self):
+        self.frozen[BROKER] = self.now
+        self.post(timeout_ms=9000)
+        self.pass_time(900)
+        self.thaw(BROKER)
+        self.pass_time(200)
+        self.assertEqual(1, len(self.orders("start")))
+
+    def test_short_pause_changes_nothing(self):
+        self.frozen[BROKER] = self.now
+        self.post()
+        self.pass_time(300)
+        self.thaw(BROKER)
+        self.assertEqual(1, len(self.orders("start")))
+
+
+class TestLostGateway(TwoDaemonsCase):
+    """A gateway of which the broker hears nothing any more."""
+
+    def test_its_runs_are_stopped(self):
+        run = self.post_job()
+        self.frozen[GATEWAY] = self.now
+        self.pass_time(640)
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+    # What else arrives of it does not say that its clients wait.
+    def test_its_runs_are_stopped_if_it_states_nothing(self):
+        run = self.post_job()
+        self.frozen[GATEWAY] = self.now
+        for _ in range(7):
+            self.pass_time(100)
+            message = stream_messages.Heartbeat(False, ())
+            self.pass_message(BROKER, message, self.now)
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -36,6 +36,12 @@
         Longest lease and cross-rack factor of the deployment.
     names : policies.PolicyNames
         Names of the policies in use.
+
+    Attributes
+    ----------
+    gateway_timeout : datetime.timedelta or None
+        Time after which shards are ended whose gateway has not said that it still waits
+        for them; ``None`` for no limit.
     """
 
     def __init__(
@@ -43,6 +49,7 @@
         terms: broker_messages.Terms,
         names: policies.PolicyNames = policies.PolicyNames(),
     ) -> None:
+        self.gateway_timeout: datetime.timedelta | None = None
         self._terms = terms
         self._job_order = policies.job_order_policies.get(names.order)
         self.estimates = run_time_estimates.RunTimeEstimates()
@@ -79,8 +86,8 @@
         self._stop_holding(data_centre)
         self._workers.start_holding(data_centre, token, now)
         self._hold_reported_workers(now)
-        for submission, gateway in self._early.pop(data_centre, token):
-            self._submit(submission, gateway, now)
+        for early in self._early.pop(data_centre, token):
+            self._submit(early.submission, early.gateway, now, early.sent_at)
         return self._actions.drain()
 
     def stop_holding(self, data_centre: str) -> list[broker_messages.Action]:
@@ -414,6 +421,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
+        sent_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """Admit or refuse a shard.
 
@@ -421,8 +429,21 @@
         cached, the outcome is sent again. A resumed one that is for a later token waits
         until that is held, since a gateway may learn of a holder before the holder
         does. Without the token a shard is refused only if it certainly never ran.
+
+        Parameters
+        ----------
+        submission : broker_messages.Submission
+            The shard.
+        gateway : broker_messages.GatewayId
+            The gateway that submits it.
+        now : datetime.datetime
+            Present instant.
+        sent_at : datetime.datetime, optional
+            Earliest instant at which it can have been sent; ``now`` by default. An old
+            submission starts nothing: the gateway sends its shards again when it hears
+            from this daemon.
         """
-        self._submit(submission, gateway, now)
+        self._submit(submission, gateway, now, sent_at or now)
         return self._actions.drain()
 
     def _submit(
@@ -430,6 +451,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
+        sent_at: datetime.datetime,
     ) -> None:
         shard_id = broker_messages.ShardId(
             submission.job.job_id, submission.shard, gateway
@@ -440,7 +462,7 @@
         outcome = self._jobs.outcomes.outcome(shard_id, now)
         known = self._jobs.get(shard_id)
         if known is not None:
-            known.record_resubmission(submission)
+            known.record_submission(submission, sent_at)
             self._actions.log(
                 "joined", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard
             )
@@ -451,10 +473,17 @@
             self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
         elif self._gateways.is_withdrawn(gateway, submission):
             self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
+        elif self._is_overdue(sent_at, now) and not self._gateways.is_own(gateway):
+            self._actions.log(
+                "old_submission", shard_id.job_id, waiter=gateway.vm,
+                part=shard_id.shard, age_ms=round(clock.to_milliseconds(now - sent_at)),
+            )  # fmt: skip
         elif submission.is_resumed and self._workers.is_future(
             submission.data_centre, submission.token
         ):
-            self._early.add(submission, gateway)
+            self._early.add(
+                early_submissions.EarlySubmission(submission, gateway, sent_at)
+            )
         elif self._may_have_moved(shard_id, submission, now):
             self._actions.log(
                 "not_holder", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard,
@@ -466,8 +495,36 @@
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
             if shard is not None:
+                shard.record_submission(submission, sent_at)
                 self._place_shards([shard], now)
 
+    def _is_overdue(self, known_at: datetime.datetime, now: datetime.datetime) -> bool:
+        """Return whether what was known of a gateway at an instant is too old."""
+        timeout = self.gateway_timeout
+        return timeout is not None and now - known_at > timeout
+
+    def _is_unconfirmed(
+        self, shard: shard_state.ShardState, now: datetime.datetime
+    ) -> bool:
+        """Return whether the gateway of a shard may not wait for it any more."""
+        return self._is_overdue(shard.submitted_at, now) and self._is_overdue(
+            self._waits_until(shard), now
+        )
+
+    def _waits_until(self, shard: shard_state.ShardState) -> datetime.datetime:
+        """Return until when the gateway of a shard is known to have waited for it."""
+        return self._gateways.waits_until(shard.shard_id.gateway, shard.submitted_at)
+
+    def record_own_gateway(
+        self, gateway: broker_messages.GatewayId, known_at: datetime.datetime
+    ) -> None:
+        """Record up to which instant the own gateway knows of its clients' disconnects.
+
+        Its shards are not ended by ``gateway_timeout``, but nothing of them is started
+        while that instant is too long ago.
+        """
+        self._gateways.record_own(gateway, known_at)
+
     def _may_have_moved(
         self,
         shard_id: broker_messages.ShardId,
@@ -498,9 +555,22 @@
         gateway: broker_messages.GatewayId,
         statement: broker_messages.Statement,
         now: datetime.datetime,
+        sent_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
-        """End the shards that a gateway does not wait for any more."""
-        if not self._gateways.record_statement(gateway, statement, now):
+        """End the shards that a gateway does not wait for any more.
+
+        Parameters
+        ----------
+        gateway : broker_messages.GatewayId
+            The gateway.
+        statement : broker_messages.Statement
+            Its statement.
+        now : datetime.datetime
+            Present instant.
+        sent_at : datetime.datetime, optional
+            Earliest instant at which it can have been sent; ``now`` by default.
+        """
+        if not self._gateways.record_statement(gateway, statement, sent_at or now):
             return self._actions.drain()
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
         withdrawn = [
@@ -531,7 +601,7 @@
     def handle_gateway_lost(
         self, vm: str, now: datetime.datetime, successor: str = ""
     ) -> list[broker_messages.Action]:
-        """Withdraw the shards of a daemon that has ended or fallen silent.
+        """Withdraw the shards of a daemon that has ended.
 
         Parameters
         ----------
@@ -580,7 +650,7 @@
             if key not in usable:
                 usable[key] = self._workers.usable(submission, now)
                 roomy[key] = _with_room(usable[key], least)
-            if not roomy[key]:
+            if not roomy[key] or self._is_unconfirmed(shard, now):
                 continue
             if submission.is_resumed and self._workers.may_miss_runs(submission):
                 continue
@@ -653,6 +723,7 @@
 
     def tick(self, now: datetime.datetime) -> list[broker_messages.Action]:
         """Act on deadlines, expired leases, and orders that got no answer."""
+        self._end_unconfirmed_shards(now)
         for shard in self._jobs.all():
             self._jobs.check_deadline(shard, now)
         for worker in self._workers.all():
@@ -670,6 +741,20 @@
         self._place(now)
         return self._actions.drain()
 
+    def _end_unconfirmed_shards(self, now: datetime.datetime) -> None:
+        """End the shards whose gateway may have ended, or may be cut off."""
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
+        for shard in self._jobs.all():
+            gateway = shard.shard_id.gateway
+            if self._is_unconfirmed(shard, now) and not self._gateways.is_own(gateway):
+                silent = now - self._waits_until(shard)
+                self._actions.log(
+                    "gateway_silent", shard.job_id, waiter=gateway.vm,
+                    part=shard.shard_id.shard,
+                    silent_ms=round(clock.to_milliseconds(silent)),
+                )  # fmt: skip
+                self._jobs.finish(shard, outcome, now)
+
     def _check_worker(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
     ) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/early_submissions.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/early_submissions.py
@@ -1,39 +1,56 @@
 """Submissions that reach a daemon before it knows that it is the holder."""
 
 import datetime
+import typing
 
 from carawaysail_holding import broker_messages
 
-_Early = tuple[broker_messages.Submission, broker_messages.GatewayId]
+
+class EarlySubmission(typing.NamedTuple):
+    """A submission for a token that is not held yet.
+
+    Parameters
+    ----------
+    submission : broker_messages.Submission
+        The submission.
+    gateway : broker_messages.GatewayId
+        The gateway that submits it.
+    sent_at : datetime.datetime
+        Earliest instant at which it can have been sent.
+    """
+
+    submission: broker_messages.Submission
+    gateway: broker_messages.GatewayId
+    sent_at: datetime.datetime
 
 
 class EarlySubmissions:
     """Submissions for tokens that are not held yet, in order of arrival."""
 
     def __init__(self) -> None:
-        self._waiting: list[_Early] = []
+        self._waiting: list[EarlySubmission] = []
 
-    def add(
-        self, submission: broker_messages.Submission, gateway: broker_messages.GatewayId
-    ) -> None:
-        """Add a submission of a gateway."""
-        self._waiting.append((submission, gateway))
+    def add(self, early: EarlySubmission) -> None:
+        """Add a submission."""
+        self._waiting.append(early)
 
-    def pop(self, data_centre: str, token: int) -> list[_Early]:
+    def pop(self, data_centre: str, token: int) -> list[EarlySubmission]:
         """Remove all submissions for a data centre; return those for a token.
 
         Those for a lower token are dropped: their gateways submit them again. Those for
         a higher one stay.
         """
-        of_data_centre = [x for x in self._waiting if x[0].data_centre == data_centre]
-        self._waiting = [
-            x
-            for x in self._waiting
-            if x[0].data_centre != data_centre or x[0].token > token
-        ]
-        return [x for x in of_data_centre if x[0].token == token]
+        due, kept = [], []
+        for early in self._waiting:
+            submission = early.submission
+            if submission.data_centre != data_centre or submission.token > token:
+                kept.append(early)
+            elif submission.token == token:
+                due.append(early)
+        self._waiting = kept
+        return due
 
     def prune(self, now: datetime.datetime) -> None:
         """Drop submissions whose deadline has passed; their gateways answer those."""
         if self._waiting:
-            self._waiting = [x for x in self._waiting if x[0].deadline > now]
+            self._waiting = [x for x in self._waiting if x.submission.deadline > now]
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -150,6 +150,13 @@
         The job, and which of its tasks belong to the shard.
     schedule : Schedule
         Expected run time and target times of the job.
+
+    Attributes
+    ----------
+    has_ordered_runs : bool
+        Whether a run of one of its tasks may have been ordered.
+    submitted_at : datetime.datetime
+        Earliest instant at which its gateway can have submitted it last.
     """
 
     def __init__(
@@ -162,6 +169,7 @@
         self.submission = submission
         self.schedule = schedule
         self.has_ordered_runs = False
+        self.submitted_at = submission.arrived
         self.tasks: dict[runs.Task, TaskState] = {}
         # Least requirement of a task; without so much free nothing can be placed.
         self.least_processor_milli = min(
@@ -182,8 +190,14 @@
         """Identifier of the job."""
         return self.submission.job.job_id
 
-    def record_resubmission(self, submission: broker_messages.Submission) -> None:
-        """Record that the gateway has submitted the shard again."""
+    def record_submission(
+        self, submission: broker_messages.Submission, sent_at: datetime.datetime
+    ) -> None:
+        """Record that the gateway has submitted the shard, perhaps again.
+
+        ``sent_at`` is the earliest instant at which it can have done so.
+        """
+        self.submitted_at = max(self.submitted_at, sent_at)
         sequence = max(self.submission.sequence, submission.sequence)
         self.submission = self.submission._replace(sequence=sequence)
 
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -250,7 +250,8 @@
         if self._connected.get(sender.vm) != sender:
             self._connected[sender.vm] = sender
             self.put(messages.ConnectionAccepted(sender, _PeerStream(self, sender)))
-        self.put(messages.PeerMessagesReceived(sender, (message,)))
+        now = self._engine.now()
+        self.put(messages.PeerMessagesReceived(sender, (message,), now))
 
     # Workers
 
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -261,6 +261,8 @@
             real(self, job, outcome, now)
 
         self.replace(job_table.JobTable, "finish", finish)
+        # Otherwise the gateway knows of the runs, and does not believe the refusal.
+        self.replace(gateway.Gateway, "record_started_workers", lambda *args: None)
         simulation = run_fault("workers_slow", seed=5, rate=1.0)
         self.assert_violated("true refusals", simulation)
 
