The daemon's clock counts the time in which its VM is suspended

A gateway on such a VM took requests of four seconds ago for new ones, whatever it knew of its turns.

Cause: the system clock followed CLOCK_MONOTONIC, which does not count that time.

Change: it follows CLOCK_BOOTTIME where there is one. Waits of the event loop still follow the monotonic clock; they are late by at most the wait that was under way.

Evidence: the new test fails before. Not shown on real processes: a suspension of a whole VM cannot be played here.

--- a/libs/carawaysail_types/src/carawaysail_types/clock.py
+++ b/libs/carawaysail_types/src/carawaysail_types/clock.py
@@ -1,8 +1,8 @@
 """The clock interface, the system clock, and a manual clock for tests.
 
 Instants are timezone-aware ``datetime.datetime`` values in UTC. The system clock reads
-the wall clock once and then follows the monotonic clock, so a jump of the wall clock
-never shortens or lengthens a timeout.
+the wall clock once and then follows the time since the boot of the VM, so a jump of the
+wall clock never shortens or lengthens a timeout.
 """
 
 import datetime
@@ -17,21 +17,25 @@
         """Return the present instant, timezone-aware, in UTC."""
 
 
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""A clock that never jumps back. Where there is one that does, it counts the time in
+which the VM is suspended as well: deadlines and leases of others go on meanwhile."""
+
+
 class SystemClock:
-    """Monotonic clock of the process; its origin is the wall clock at its creation."""
+    """Steady clock of the process; its origin is the wall clock at its creation."""
 
     def __init__(self) -> None:
         self._created_at = datetime.datetime.now(datetime.UTC)
-        self._created_s = time.monotonic()
+        self._created_s = time.clock_gettime(_STEADY_CLOCK)
 
     def now(self) -> datetime.datetime:
         """Return the present instant, timezone-aware, in UTC."""
-        elapsed = datetime.timedelta(seconds=time.monotonic() - self._created_s)
-        return self._created_at + elapsed
+        return self._created_at + datetime.timedelta(seconds=self.seconds())
 
     def seconds(self) -> float:
         """Return the seconds since the clock was created."""
-        return time.monotonic() - self._created_s
+        return time.clock_gettime(_STEADY_CLOCK) - self._created_s
 
     def sleep(self, duration: datetime.timedelta) -> None:
         """Block the calling thread for a duration.
--- a/libs/carawaysail_types/tests/test_types.py
+++ b/libs/carawaysail_types/tests/test_types.py
@@ -1,5 +1,8 @@
 """Identifiers, registries, outcomes and clocks."""
 
+import time
+import unittest.mock
+
 import hypothesis
 import hypothesis.strategies
 import testtools
@@ -146,6 +149,20 @@
         self.assertIsNotNone(first.tzinfo)
         self.assertGreaterEqual(source.now(), first)
 
+    # Deadlines and leases were too late by the time in which the VM had been suspended.
+    def test_system_clock_counts_the_time_in_which_the_vm_is_suspended(self):
+        source = clock.SystemClock()
+        before = source.now()
+        real = time.clock_gettime
+
+        def resumed(number):
+            is_boot_time = number == time.CLOCK_BOOTTIME
+            return real(number) + (4.0 if is_boot_time else 0.0)
+
+        with unittest.mock.patch.object(time, "clock_gettime", resumed):
+            elapsed = source.now() - before
+        self.assertGreaterEqual(elapsed, clock.milliseconds(4000))
+
     def test_manual_clock_moves_by_advance(self):
         source = clock.ManualClock()
         before = source.now()
