No lease is extended for runs that no gateway has asked for

Callers saw a task run twice after all daemons had been killed and started again.

Cause: a new holder extended the leases of the runs that it found while it waited 400 ms for gateways to ask for them, so runs of clients that had gone lasted until 1.4 s after the kill, and their clients send again after 1.3 s.

Change: polls extend no lease of a worker with a run that no shard has asked for, and no task starts there. Gateways state their shards, and the tokens that they know, to a new holder right after submitting them; once all live ones have, it stops the other runs at once. The lease is extended within a tick of the last run having been asked for.

Six new tests of TestTakeover fail before.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -498,6 +498,12 @@
                 and self.election.is_responsive(holder.vm, holder.incarnation, now)
             ):
                 reachable[holder.data_centre] = gateway.ReachableBroker(holder, daemon)
+        self.broker.record_live_gateways(
+            frozenset(
+                broker_messages.GatewayId(x.vm, x.incarnation)
+                for x in self.election.live_peers(now)
+            )
+        )
         self.perform(self.gateway.update_brokers(reachable, now), now)
 
     def _send_due_messages(self, now: datetime.datetime) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -572,6 +572,7 @@
         """
         if not self._gateways.record_statement(gateway, statement, sent_at or now):
             return self._actions.drain()
+        self._stop_unclaimed_runs(now)
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
         withdrawn = [
             shard
@@ -728,18 +729,50 @@
             self._jobs.check_deadline(shard, now)
         for worker in self._workers.all():
             self._check_worker(worker, now)
-        for run, worker_id in self._jobs.inherited.pop_unmatched(now):
+        self._stop_unclaimed_runs(now)
+        self._jobs.outcomes.prune(now)
+        self._early.prune(now)
+        self._gateways.prune(now)
+        self._place(now)
+        return self._actions.drain()
+
+    def record_live_gateways(self, live: frozenset[broker_messages.GatewayId]) -> None:
+        """Record the gateways of the other daemons that may be alive."""
+        self._gateways.live = live
+
+    def _stop_unclaimed_runs(self, now: datetime.datetime) -> None:
+        """Stop the runs of earlier holders that no gateway asks for."""
+        worker_ids = self._jobs.inherited.worker_ids()
+        if not worker_ids:
+            return
+        workers = [x for x in map(self._workers.get, worker_ids) if x is not None]
+        tokens = {x.ledger.token for x in workers}
+        complete = {x for x in tokens if self._has_all_shards(x)}
+        unwanted_on = {
+            x.report.worker_id for x in workers if x.ledger.token in complete
+        }
+        for run, worker_id in self._jobs.inherited.pop_unmatched(now, unwanted_on):
             held = self._workers.get(worker_id)
             if held is not None:
                 self._actions.log(
                     "stop_unclaimed", run.task.job_id, run=actions.label(run)
                 )
                 self._jobs.stop_run(held, run, now)
-        self._jobs.outcomes.prune(now)
-        self._early.prune(now)
-        self._gateways.prune(now)
-        self._place(now)
-        return self._actions.drain()
+
+    def _has_all_shards(self, token: int) -> bool:
+        """Return whether all gateways have submitted their shards under a token.
+
+        A statement may overtake submissions on another connection.
+        """
+        statements = self._gateways.statements_under(token)
+        if statements is None:
+            return False
+        known = self._jobs.known_shards()
+        return all(
+            (gateway, number) in known
+            for gateway, statement in statements.items()
+            for number in statement.shards
+        )
 
     def _end_unconfirmed_shards(self, now: datetime.datetime) -> None:
         """End the shards whose gateway may have ended, or may be cut off."""
@@ -766,6 +799,8 @@
         if worker.is_poll_overdue(now):
             self._mark_silent(worker, runs.OrderResult.NO_ANSWER)
             self._actions.add(worker.next_poll(self._terms, now))
+        elif worker.is_extension_due():
+            self._actions.add(worker.next_poll(self._terms, now))
         if worker.health.is_silent and worker.is_lease_expired(self._terms, now):
             for run in worker.ledger.drop_expired():
                 self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -103,10 +103,14 @@
         a lower ``sequence``; those are withdrawn unless they are listed.
     shards : frozenset of int
         Numbers of the shards that the gateway waits for.
+    tokens : frozenset of int
+        Tokens under which the receiver is a holder, as the gateway knows. All its
+        shards there have been submitted under these.
     """
 
     sequence: int
     shards: frozenset[int]
+    tokens: frozenset[int] = frozenset()
 
 
 class StartRun(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -270,6 +270,7 @@
         """
         if brokers == self._brokers:
             return []
+        new = [x.daemon for k, x in brokers.items() if x != self._brokers.get(k)]
         self._brokers = dict(brokers)
         self._capacity.retain(self._brokers)
         out: list[Action] = []
@@ -278,6 +279,8 @@
                 if not shard.is_done:
                     self._update_shard_broker(job, shard, now, out)
             self._record_due(job)
+        # A new holder waits for the statements before it stops runs of earlier ones.
+        out.extend(self.state_shards(dict.fromkeys(new)))
         return out
 
     def _update_shard_broker(
@@ -333,12 +336,17 @@
             for shard in job.shards.values():
                 if not shard.is_done:
                     numbers.setdefault(shard.broker.daemon, []).append(shard.number)
+        tokens: dict[daemons.Daemon, set[int]] = {}
+        for broker in self._brokers.values():
+            tokens.setdefault(broker.daemon, set()).add(broker.holder.token)
         self._statement_count += 1
         return [
             SendStatement(
                 daemon,
                 broker_messages.Statement(
-                    self._statement_count, frozenset(numbers.get(daemon, ()))
+                    self._statement_count,
+                    frozenset(numbers.get(daemon, ())),
+                    frozenset(tokens.get(daemon, ())),
                 ),
             )
             for daemon in (numbers if receivers is None else receivers)
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
@@ -18,11 +18,18 @@
 
 
 class Gateways:
-    """The newest statement of each gateway, and what the gateway beside it knows."""
+    """The newest statement of each gateway, and what the own gateway knows.
+
+    Attributes
+    ----------
+    live : frozenset of broker_messages.GatewayId
+        Gateways of the other daemons that may be alive.
+    """
 
     def __init__(self) -> None:
         self._entries: dict[broker_messages.GatewayId, _Entry] = {}
         self._own: tuple[broker_messages.GatewayId, datetime.datetime] | None = None
+        self.live: frozenset[broker_messages.GatewayId] = frozenset()
 
     def record_own(
         self, gateway: broker_messages.GatewayId, known_at: datetime.datetime
@@ -87,6 +94,22 @@
             and submission.shard not in entry.statement.shards
         )
 
+    def statements_under(
+        self, token: int
+    ) -> dict[broker_messages.GatewayId, broker_messages.Statement] | None:
+        """Return the newest statements of all live gateways.
+
+        ``None`` if one of them has made no statement since it knows of a holder's
+        token.
+        """
+        statements = {}
+        for gateway in self.live:
+            entry = self._entries.get(gateway)
+            if entry is None or token not in entry.statement.tokens:
+                return None
+            statements[gateway] = entry.statement
+        return statements
+
     def prune(self, now: datetime.datetime) -> None:
         """Forget gateways that have made no statement for ``RETENTION``."""
         oldest = now - RETENTION
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -59,6 +59,7 @@
         self._sent_sequence = 0
         self._polled_at = now
         self._poll_wait = clock.milliseconds(0)
+        self._awaits_extension = False
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
         self._extended_at = now
 
@@ -73,6 +74,7 @@
             self.ledger.has_status
             and not self.is_draining
             and self.missing_since is None
+            and not self.ledger.has_unclaimed()
             and self.health.accepts(now, self.ledger.run_count())
         )
 
@@ -142,16 +144,28 @@
         """Return whether the newest poll has had no result for too long."""
         return now - self._polled_at > self._poll_wait + POLL_TIMEOUT
 
+    def is_extension_due(self) -> bool:
+        """Return whether a lease that was not extended can be extended now."""
+        return (
+            self._awaits_extension
+            and not self.health.is_silent
+            and not self.ledger.has_unclaimed()
+        )
+
     def next_poll(
         self, terms: broker_messages.Terms, now: datetime.datetime
     ) -> broker_messages.PollWorker:
         """Return the next poll of the worker.
 
         The poll of a silent worker does not extend the lease: that would keep its
-        runs alive while their state is unknown.
+        runs alive while their state is unknown. Nor does that of a worker with runs of
+        an earlier holder that no shard has asked for: nobody may want them any more.
         """
         is_busy = bool(self.ledger.run_count())
         lease_end = None if self.health.is_silent else self.lease_end(terms, now)
+        self._awaits_extension = self.ledger.has_unclaimed()
+        if self._awaits_extension:
+            lease_end = None
         if lease_end is not None:
             self.record_lease_extension(now)
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -211,6 +211,14 @@
             if peer.is_registered or self._has_sent_message(peer)
         )
 
+    def live_peers(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
+        """Return the other daemons that are neither suspected nor have ended."""
+        return tuple(
+            peer.daemon
+            for peer in self._peers.values()
+            if self._is_presumed_alive(peer, now)
+        )
+
     def _has_sent_message(self, peer: _Peer) -> bool:
         return peer.last_received_at is not None
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/inherited_runs.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/inherited_runs.py
@@ -1,12 +1,13 @@
 """Runs that an earlier holder ordered and whose job is not known here yet."""
 
+import collections.abc
 import datetime
 
 from carawaysail_types import clock, runs
 
 MATCH_TIMEOUT = clock.milliseconds(400)
-"""Time after which an inherited run without a shard is stopped; gateways resubmit
-their shards to a new holder within two heartbeats."""
+"""Time after which an inherited run without a shard is stopped, if not all gateways
+have stated their shards before; they resubmit them within two heartbeats."""
 
 
 class InheritedRuns:
@@ -34,12 +35,32 @@
             k: v for k, v in self._recorded_at.items() if k[1] != worker_id
         }
 
-    def pop_unmatched(self, now: datetime.datetime) -> list[tuple[runs.Run, str]]:
+    def worker_ids(self) -> set[str]:
+        """Return the names of the workers that have such runs."""
+        return {worker_id for _, worker_id in self._recorded_at}
+
+    def pop_unmatched(
+        self, now: datetime.datetime, unwanted_on: collections.abc.Container[str] = ()
+    ) -> list[tuple[runs.Run, str]]:
         """Remove and return the runs that no shard has matched in time.
 
-        Each comes with the name of its worker.
+        Parameters
+        ----------
+        now : datetime.datetime
+            Present instant.
+        unwanted_on : container of str
+            Names of workers whose runs no gateway will ask for any more.
+
+        Returns
+        -------
+        list of (runs.Run, str)
+            The runs, each with the name of its worker.
         """
-        expired = [k for k, v in self._recorded_at.items() if now - v > MATCH_TIMEOUT]
+        expired = [
+            k
+            for k, v in self._recorded_at.items()
+            if k[1] in unwanted_on or now - v > MATCH_TIMEOUT
+        ]
         for key in expired:
             del self._recorded_at[key]
         return expired
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -54,6 +54,11 @@
         """Return all shards, as a new list."""
         return list(self._shards.values())
 
+    def known_shards(self) -> set[tuple[broker_messages.GatewayId, int]]:
+        """Return gateway and number of the shards that were submitted, open or not."""
+        shard_ids = (*self._shards, *self.outcomes.shard_ids())
+        return {(x.gateway, x.shard) for x in shard_ids}
+
     def count(self) -> int:
         """Return the number of shards."""
         return len(self._shards)
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -145,6 +145,10 @@
             if not self._task_counts[run.task]:
                 del self._task_counts[run.task]
 
+    def has_unclaimed(self) -> bool:
+        """Return whether a run counts here that no shard of this holder asked for."""
+        return any(x.resources is None for x in self._entries.values())
+
     def has_run_of(self, task: runs.Task) -> bool:
         """Return whether a run of a task counts here."""
         return task in self._task_counts
--- a/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
@@ -40,6 +40,10 @@
         entry = self._outcomes.get(shard_id)
         return entry[0] if entry is not None and now - entry[1] < RETENTION else None
 
+    def shard_ids(self) -> list[broker_messages.ShardId]:
+        """Return the shards whose outcomes are stored."""
+        return list(self._outcomes)
+
     def record_moved(self, shard_id: broker_messages.ShardId) -> None:
         """Record that a shard with runs was left to the next holder."""
         self._moved[shard_id] = None
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -693,6 +693,73 @@
         stopped = self.stops(self.broker.tick(self.now))
         self.assertEqual(["w-0", "w-1"], sorted(x.worker.worker_id for x in stopped))
 
+    @staticmethod
+    def leases(actions):
+        """Return the ends of the leases that polls ask for."""
+        return [
+            x.lease_end for x in actions if isinstance(x, broker_messages.PollWorker)
+        ]
+
+    # After a restart of all daemons the runs of clients that had gone outlived the
+    # pause after which these send their jobs again.
+    def test_lease_is_not_extended_for_a_run_that_no_shard_has_asked_for(self):
+        report, run = self.hold_with_inherited_run()
+        self.assertEqual([None], self.leases(self.poll(report, running=[run])))
+        self.clock.advance(MS(250))
+        self.assertEqual([None], self.leases(self.poll(report, running=[run])))
+
+    def test_lease_is_extended_as_soon_as_all_runs_are_asked_for(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.record_live_gateways(frozenset([OTHER]))
+        other = runs.Run(runs.Task(f"{2:016x}", 0, 0, 0), 1)
+        self.poll(report, running=[run, other])
+        self.submit(self.make(1, is_resumed=True))
+        self.assertEqual([], self.leases(self.broker.tick(self.now)))
+        self.submit(self.make(2, is_resumed=True))
+        [lease_end] = self.leases(self.broker.tick(self.now))
+        self.assertIsNotNone(lease_end)
+        self.assertEqual([], self.leases(self.broker.tick(self.now)))
+
+    def test_lease_is_not_extended_before_an_unwanted_run_has_ended(self):
+        report, run = self.hold_with_inherited_run()
+        self.poll(report, running=[run])
+        self.clock.advance(MS(500))
+        self.assertEqual(1, len(self.stops(self.broker.tick(self.now))))
+        self.broker.handle_stop_result(
+            report.worker_id, "1", run, runs.OrderResult.ACCEPTED, self.now
+        )
+        self.assertEqual([None], self.leases(self.poll(report, running=[run])))
+        ended = runs.FinishedRun(1, run, runs.RunResult.STOPPED)
+        [lease_end] = self.leases(self.poll(report, finished=[ended]))
+        self.assertIsNotNone(lease_end)
+
+    def state(self, gateway, *shards, tokens=(9,)):
+        statement = broker_messages.Statement(1, frozenset(shards), frozenset(tokens))
+        return self.broker.handle_statement(gateway, statement, self.now)
+
+    def test_run_is_stopped_once_no_gateway_has_asked_for_it(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.record_live_gateways(frozenset([OTHER, ME]))
+        self.poll(report, running=[run])
+        self.assertEqual([], self.stops(self.broker.tick(self.now)))
+        self.assertEqual([], self.stops(self.state(OTHER)))
+        self.assertEqual([run], [x.run for x in self.stops(self.state(ME))])
+
+    def test_statement_of_a_gateway_that_does_not_know_the_holder_does_not_count(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.record_live_gateways(frozenset([OTHER]))
+        self.poll(report, running=[run])
+        self.assertEqual([], self.stops(self.state(OTHER, tokens=(8,))))
+        self.assertEqual([], self.stops(self.broker.tick(self.now)))
+
+    def test_run_is_kept_while_a_stated_shard_is_on_its_way(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.record_live_gateways(frozenset([OTHER]))
+        self.poll(report, running=[run])
+        self.assertEqual([], self.stops(self.state(OTHER, 5)))
+        self.submit(self.make(is_resumed=True, shard=5), OTHER)
+        self.assertEqual([], self.stops(self.broker.tick(self.now)))
+
     def test_fenced_holder_releases_the_data_centre(self):
         report = make_report()
         self.hold(report)
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -448,6 +448,19 @@
         self.gateway.handle_client_left(f"{1:016x}", 1)
         self.assertEqual(set(), self.stated().shards)
 
+    # A new holder waits for it before it stops runs of the one before.
+    def test_new_holder_gets_a_statement_after_the_resubmitted_shards(self):
+        self.submit_job()
+        self.brokers["away"] = make_broker(REMOTE, 9)
+        actions = self.gateway.update_brokers(self.brokers, self.now)
+        [shard, statement] = [
+            x for x in actions
+            if isinstance(x, gateway.SendShard | gateway.SendStatement)
+        ]  # fmt: skip
+        self.assertEqual({shard.submission.shard}, statement.statement.shards)
+        self.assertEqual({9}, statement.statement.tokens)
+        self.assertLess(shard.submission.sequence, statement.statement.sequence)
+
     def test_finished_shard_is_not_listed(self):
         self.handle_outcome(self.remote(self.submit_job()), DONE)
         self.assertEqual(set(), self.stated().shards)
