No lease outlasts the last word of the gateways whose runs it covers

Cause: an extension covered all runs of a worker for a whole lease, whenever their gateways had last said that they wait. The pause of clients was read nowhere.

No poll and no start extends a lease beyond the pause, less a stop, the drift of the worker's clock and the way there, after the last word of the gateways concerned. A run that is being stopped counts until its end is listed.

The model's ledger without stops takes the further argument.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -41,7 +41,7 @@
     ----------
     gateway_timeout : datetime.timedelta or None
         Time after which shards are ended whose gateway has not said that it still waits
-        for them; ``None`` for no limit.
+        for them, if clients do not send jobs again sooner; ``None`` for no limit.
     """
 
     def __init__(
@@ -57,7 +57,9 @@
         self._workers = worker_table.WorkerTable()
         self._gateways = gateways.Gateways()
         self._early = early_submissions.EarlySubmissions()
-        self._jobs = job_table.JobTable(self._actions, self._workers, self.estimates)
+        self._jobs = job_table.JobTable(
+            self._actions, self._workers, self.estimates, self._gateways
+        )
         self._stall_detector = stall_detection.StallDetector(
             self._actions, self._jobs, self.estimates
         )
@@ -146,7 +148,7 @@
 
     def _hold_reported_workers(self, now: datetime.datetime) -> None:
         for worker in self._workers.hold_reported(now):
-            self._actions.add(worker.next_poll(self._terms, now))
+            self._poll(worker, now)
 
     def _handle_restart(self, worker_id: str) -> None:
         """Drop an incarnation; orders in flight may have reached the next one."""
@@ -210,6 +212,34 @@
         self._poll_again(worker, requested_at, now)
         return self._actions.drain()
 
+    def _poll(self, worker: held_worker.HeldWorker, now: datetime.datetime) -> None:
+        latest = self._latest_lease_end(worker)
+        self._actions.add(worker.next_poll(self._terms, now, latest))
+
+    def _latest_lease_end(
+        self, worker: held_worker.HeldWorker
+    ) -> datetime.datetime | None:
+        """Return when a worker's lease has to end at the latest; ``None`` without runs.
+
+        It covers all runs there, so it must not outlast what their gateways have last
+        said of their clients; one that no gateway has asked for gets no extension.
+        """
+        wanted_until = [
+            self._jobs.wanted_until(run, entry) for run, entry in worker.ledger.items()
+        ]
+        if not wanted_until:
+            return None
+        oldest = min(wanted_until)
+        if oldest == held_worker.NEVER:
+            return oldest
+        return oldest + held_worker.longest_unconfirmed(self._terms)
+
+    def _can_extend_lease(
+        self, worker: held_worker.HeldWorker, now: datetime.datetime
+    ) -> bool:
+        latest = self._latest_lease_end(worker)
+        return latest is None or latest > now
+
     def _poll_again(
         self,
         worker: held_worker.HeldWorker,
@@ -218,7 +248,7 @@
     ) -> None:
         """Poll a worker after the result of a poll, unless a later one is under way."""
         if worker.is_newest_poll(requested_at):
-            self._actions.add(worker.next_poll(self._terms, now))
+            self._poll(worker, now)
 
     def handle_poll_failure(
         self,
@@ -500,21 +530,19 @@
 
     def _is_overdue(self, known_at: datetime.datetime, now: datetime.datetime) -> bool:
         """Return whether what was known of a gateway at an instant is too old."""
-        timeout = self.gateway_timeout
-        return timeout is not None and now - known_at > timeout
+        if self.gateway_timeout is None:
+            return False
+        longest = held_worker.longest_unconfirmed(self._terms)
+        return now - known_at > min(self.gateway_timeout, longest)
 
     def _is_unconfirmed(
         self, shard: shard_state.ShardState, now: datetime.datetime
     ) -> bool:
         """Return whether the gateway of a shard may not wait for it any more."""
         return self._is_overdue(shard.submitted_at, now) and self._is_overdue(
-            self._waits_until(shard), now
+            self._jobs.waits_until(shard), now
         )
 
-    def _waits_until(self, shard: shard_state.ShardState) -> datetime.datetime:
-        """Return until when the gateway of a shard is known to have waited for it."""
-        return self._gateways.waits_until(shard.shard_id.gateway, shard.submitted_at)
-
     def record_own_gateway(
         self, gateway: broker_messages.GatewayId, known_at: datetime.datetime
     ) -> None:
@@ -681,8 +709,9 @@
             )
             if chosen is None:
                 queued += 1
-            elif not self._workers.is_on_any_worker(state.task):
-                self._order_start(shard, state, chosen, now)
+            elif not self._workers.is_on_any_worker(state.task) and self._order_start(
+                shard, state, chosen, now
+            ):
                 candidates_of.record_start(state, chosen)
                 started_on.add(chosen.worker.report.worker_id)
         if started_on:
@@ -699,11 +728,21 @@
         state: shard_state.TaskState,
         chosen: policies.Candidate,
         now: datetime.datetime,
-    ) -> None:
+    ) -> bool:
+        """Order a task to start; return whether the worker's lease allows it.
+
+        A start extends the lease of all runs on the worker.
+        """
         worker = chosen.worker
-        lease_end = worker.lease_end(self._terms, now)
+        latest = self._jobs.waits_until(shard) + held_worker.longest_unconfirmed(
+            self._terms
+        )
+        of_others = self._latest_lease_end(worker)
+        if of_others is not None:
+            latest = min(latest, of_others)
+        lease_end = worker.lease_end(self._terms, now, latest)
         if lease_end is None:
-            return
+            return False
         run = state.next_run()
         worker.ledger.record_order(run, state.step.resources, now)
         worker.record_lease_extension(now)
@@ -721,6 +760,7 @@
         self._actions.add(
             broker_messages.StartRun(worker.report, run, spec, lease_end, token)
         )
+        return True
 
     def tick(self, now: datetime.datetime) -> list[broker_messages.Action]:
         """Act on deadlines, expired leases, and orders that got no answer."""
@@ -780,7 +820,7 @@
         for shard in self._jobs.all():
             gateway = shard.shard_id.gateway
             if self._is_unconfirmed(shard, now) and not self._gateways.is_own(gateway):
-                silent = now - self._waits_until(shard)
+                silent = now - self._jobs.waits_until(shard)
                 self._actions.log(
                     "gateway_silent", shard.job_id, waiter=gateway.vm,
                     part=shard.shard_id.shard,
@@ -798,9 +838,9 @@
         worker_id = worker.report.worker_id
         if worker.is_poll_overdue(now):
             self._mark_silent(worker, runs.OrderResult.NO_ANSWER)
-            self._actions.add(worker.next_poll(self._terms, now))
-        elif worker.is_extension_due():
-            self._actions.add(worker.next_poll(self._terms, now))
+            self._poll(worker, now)
+        elif worker.is_extension_due() and self._can_extend_lease(worker, now):
+            self._poll(worker, now)
         if worker.health.is_silent and worker.is_lease_expired(self._terms, now):
             for run in worker.ledger.drop_expired():
                 self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -15,10 +15,17 @@
         Longest lease that a worker grants to its holder.
     cross_rack_factor : float
         Factor on the run time of a task that is not in the rack of its data.
+    retransmit : datetime.timedelta
+        Time after which a client whose attempt has ended without an answer, or as
+        unknown, sends its job again; by then no run of the attempt may be left.
+    stop : datetime.timedelta
+        Longest time that a worker takes to stop a run.
     """
 
     lease: datetime.timedelta = datetime.timedelta(seconds=1)
     cross_rack_factor: float = 1.5
+    retransmit: datetime.timedelta = datetime.timedelta(milliseconds=1300)
+    stop: datetime.timedelta = datetime.timedelta(milliseconds=50)
 
 
 class GatewayId(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/contacts.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/contacts.py
@@ -17,8 +17,8 @@
 
 SMALL_FLEET_HEARTBEAT_INTERVAL = clock.milliseconds(150)
 HEARTBEAT_INTERVAL = clock.milliseconds(240)
-"""Clients send a job again 1.3 s after its gateway was lost; by then a broker has to
-have missed the gateway's heartbeats and stopped its runs."""
+"""A broker stops the runs of a gateway whose heartbeats it has missed before clients
+send their jobs again; see docs/design/resends.md."""
 
 HEARTBEATS_MISSED = 4
 """Intervals without a message after which a daemon is suspected."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -25,6 +25,19 @@
 POLL_TIMEOUT = clock.milliseconds(1200)
 """A poll without any result for so long, beyond its wait, was never sent."""
 
+NEVER = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+"""An instant that has certainly passed."""
+
+
+def longest_unconfirmed(terms: broker_messages.Terms) -> datetime.timedelta:
+    """Return for how long a run may last after its client was last known to wait.
+
+    The client may have left just then, and sends its job again after
+    ``terms.retransmit``. The worker's clock may be slower than this daemon's, and needs
+    ``terms.stop`` to end a run.
+    """
+    return (terms.retransmit - terms.stop) / CLOCK_DRIFT_FACTOR - LEASE_MARGIN
+
 
 class HeldWorker:
     """One incarnation of a worker that this daemon holds.
@@ -113,16 +126,35 @@
         return self.ledger.apply_status(status, requested_at)
 
     def lease_end(
-        self, terms: broker_messages.Terms, now: datetime.datetime
+        self,
+        terms: broker_messages.Terms,
+        now: datetime.datetime,
+        latest: datetime.datetime | None,
     ) -> datetime.timedelta | None:
         """Return the end of a lease granted now, on the worker's monotonic clock.
 
-        ``None`` until the worker's clock is known from a status.
+        Parameters
+        ----------
+        terms : broker_messages.Terms
+            Parameters of the deployment.
+        now : datetime.datetime
+            Present instant.
+        latest : datetime.datetime or None
+            Instant at which the lease has to end at the latest; ``None`` for no limit.
+
+        Returns
+        -------
+        datetime.timedelta or None
+            ``None`` if the lease would be over by now, or until the worker's clock is
+            known from a status.
         """
         if self._clock_reading is None:
             return None
         worker_clock, read_at = self._clock_reading
-        return worker_clock + (now - read_at) + terms.lease
+        end = now + terms.lease
+        if latest is not None:
+            end = min(end, latest)
+        return worker_clock + (end - read_at) if end > now else None
 
     def record_lease_extension(self, now: datetime.datetime) -> None:
         """Record that an order which extends the lease is sent."""
@@ -145,27 +177,34 @@
         return now - self._polled_at > self._poll_wait + POLL_TIMEOUT
 
     def is_extension_due(self) -> bool:
-        """Return whether a lease that was not extended can be extended now."""
-        return (
-            self._awaits_extension
-            and not self.health.is_silent
-            and not self.ledger.has_unclaimed()
-        )
+        """Return whether the newest poll could not extend the lease of the worker."""
+        return self._awaits_extension and not self.health.is_silent
 
     def next_poll(
-        self, terms: broker_messages.Terms, now: datetime.datetime
+        self,
+        terms: broker_messages.Terms,
+        now: datetime.datetime,
+        latest: datetime.datetime | None = None,
     ) -> broker_messages.PollWorker:
         """Return the next poll of the worker.
 
         The poll of a silent worker does not extend the lease: that would keep its
-        runs alive while their state is unknown. Nor does that of a worker with runs of
-        an earlier holder that no shard has asked for: nobody may want them any more.
+        runs alive while their state is unknown.
+
+        Parameters
+        ----------
+        terms : broker_messages.Terms
+            Parameters of the deployment.
+        now : datetime.datetime
+            Present instant.
+        latest : datetime.datetime, optional
+            Instant at which the lease has to end at the latest.
         """
         is_busy = bool(self.ledger.run_count())
-        lease_end = None if self.health.is_silent else self.lease_end(terms, now)
-        self._awaits_extension = self.ledger.has_unclaimed()
-        if self._awaits_extension:
-            lease_end = None
+        lease_end = None
+        if not self.health.is_silent:
+            lease_end = self.lease_end(terms, now, latest)
+        self._awaits_extension = latest is not None and lease_end is None
         if lease_end is not None:
             self.record_lease_extension(now)
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -5,8 +5,10 @@
 from carawaysail_holding import (
     actions,
     broker_messages,
+    gateways,
     held_worker,
     inherited_runs,
+    ledger,
     outcome_cache,
     policies,
     run_time_estimates,
@@ -30,6 +32,8 @@
         The held workers.
     estimates : run_time_estimates.RunTimeEstimates
         Run-time estimates of the queues.
+    known_gateways : gateways.Gateways
+        What is known of the gateways that submit shards.
     """
 
     def __init__(
@@ -37,12 +41,14 @@
         sink: actions.Actions,
         workers: worker_table.WorkerTable,
         estimates: run_time_estimates.RunTimeEstimates,
+        known_gateways: gateways.Gateways,
     ) -> None:
         self.outcomes = outcome_cache.OutcomeCache()
         self.inherited = inherited_runs.InheritedRuns()
         self._actions = sink
         self._workers = workers
         self._estimates = estimates
+        self._gateways = known_gateways
         self._shards: dict[broker_messages.ShardId, shard_state.ShardState] = {}
         self._shard_by_task: dict[runs.Task, shard_state.ShardState] = {}
 
@@ -54,6 +60,25 @@
         """Return all shards, as a new list."""
         return list(self._shards.values())
 
+    def waits_until(self, shard: shard_state.ShardState) -> datetime.datetime:
+        """Return until when the gateway of a shard is known to have waited for it."""
+        return self._gateways.waits_until(shard.shard_id.gateway, shard.submitted_at)
+
+    def wanted_until(self, run: runs.Run, entry: ledger.Entry) -> datetime.datetime:
+        """Return until when the client of a run is known to have waited.
+
+        Parameters
+        ----------
+        run : runs.Run
+            The run.
+        entry : ledger.Entry
+            What the ledger of its worker has of it.
+        """
+        shard = self._shard_by_task.get(run.task)
+        if shard is not None and entry.resources is not None:
+            return self.waits_until(shard)
+        return entry.wanted_until or held_worker.NEVER
+
     def known_shards(self) -> set[tuple[broker_messages.GatewayId, int]]:
         """Return gateway and number of the shards that were submitted, open or not."""
         shard_ids = (*self._shards, *self.outcomes.shard_ids())
@@ -212,12 +237,14 @@
     ) -> None:
         """Remove a shard, stop its runs and send its outcome to the gateway."""
         self.remove(shard)
+        wanted_until = self.waits_until(shard)
         for state in shard.tasks.values():
             if state.last_run_number:
                 self.outcomes.record_run_number(state.task, state.last_run_number, now)
             worker = self._workers.get(state.worker_id)
             if state.phase is shard_state.Phase.PLACED and worker is not None:
-                self.stop_run(worker, runs.Run(state.task, state.last_run_number), now)
+                run = runs.Run(state.task, state.last_run_number)
+                self.stop_run(worker, run, now, wanted_until)
         self.outcomes.record_outcome(shard.shard_id, outcome, now)
         self._actions.log(
             "finished", shard.job_id, verdict=outcome.verdict.value,
@@ -266,10 +293,30 @@
         self._actions.log("claimed", run.task.job_id, run=actions.label(run))
 
     def stop_run(
-        self, worker: held_worker.HeldWorker, run: runs.Run, now: datetime.datetime
+        self,
+        worker: held_worker.HeldWorker,
+        run: runs.Run,
+        now: datetime.datetime,
+        wanted_until: datetime.datetime | None = None,
     ) -> None:
-        """Order a run to stop, or never to start if its order is still in flight."""
-        worker.ledger.record_stop_order(run, now)
+        """Order a run to stop, or never to start if its order is still in flight.
+
+        Parameters
+        ----------
+        worker : held_worker.HeldWorker
+            Its worker.
+        run : runs.Run
+            The run.
+        now : datetime.datetime
+            Present instant.
+        wanted_until : datetime.datetime, optional
+            Until when its client is known to have waited; by default what is known of
+            its shard.
+        """
+        shard = self._shard_by_task.get(run.task)
+        if wanted_until is None and shard is not None:
+            wanted_until = self.waits_until(shard)
+        worker.ledger.record_stop_order(run, now, wanted_until)
         self._actions.add(
             broker_messages.StopRun(worker.report, run, worker.ledger.token)
         )
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import datetime
 import enum
 import typing
@@ -41,11 +42,15 @@
         here.
     since : datetime.datetime
         When it entered this state.
+    wanted_until : datetime.datetime or None
+        Until when its client is known to have waited, if it is ordered to stop;
+        ``None`` otherwise, or if that is not known.
     """
 
     state: RunState
     resources: jobs.Resources | None
     since: datetime.datetime
+    wanted_until: datetime.datetime | None = None
 
 
 class StatusChanges(typing.NamedTuple):
@@ -101,6 +106,10 @@
         """Return a copy of the runs that count against the worker's resources."""
         return dict(self._entries)
 
+    def items(self) -> collections.abc.ItemsView[runs.Run, Entry]:
+        """Return a view of the runs that count against the worker's resources."""
+        return self._entries.items()
+
     def run_count(self) -> int:
         """Return the number of runs that count against the worker's resources."""
         return len(self._entries)
@@ -180,17 +189,34 @@
             return
         if result is runs.OrderResult.ACCEPTED:
             if entry.state is RunState.ORDERED:
-                self._set(run, Entry(RunState.RUNNING, entry.resources, now))
+                self._set(run, entry._replace(state=RunState.RUNNING, since=now))
         elif result is runs.OrderResult.NO_ANSWER:
-            self._set(run, Entry(RunState.UNCERTAIN, entry.resources, now))
+            self._set(run, entry._replace(state=RunState.UNCERTAIN, since=now))
         else:
             self._remove(run)
 
-    def record_stop_order(self, run: runs.Run, now: datetime.datetime) -> None:
-        """Record that a run is ordered to stop."""
+    def record_stop_order(
+        self,
+        run: runs.Run,
+        now: datetime.datetime,
+        wanted_until: datetime.datetime | None = None,
+    ) -> None:
+        """Record that a run is ordered to stop.
+
+        Parameters
+        ----------
+        run : runs.Run
+            The run.
+        now : datetime.datetime
+            Present instant.
+        wanted_until : datetime.datetime, optional
+            Until when its client is known to have waited; if it is not known now, what
+            was recorded before is kept.
+        """
         entry = self._entries.get(run)
         if entry is not None:
-            self._set(run, Entry(RunState.STOPPING, entry.resources, now))
+            wanted_until = wanted_until or entry.wanted_until
+            self._set(run, Entry(RunState.STOPPING, entry.resources, now, wanted_until))
 
     def handle_stop_result(
         self, run: runs.Run, is_accepted: bool, now: datetime.datetime
@@ -203,7 +229,7 @@
         if entry is None or entry.state is RunState.STOPPED:
             return
         state = RunState.STOPPED if is_accepted else RunState.UNCERTAIN
-        self._set(run, Entry(state, entry.resources, now))
+        self._set(run, entry._replace(state=state, since=now))
 
     def apply_status(
         self, status: runs.WorkerStatus, requested_at: datetime.datetime
@@ -233,7 +259,9 @@
                 continue
             self._reported.add(run)
             if entry.state is RunState.UNCERTAIN:
-                self._set(run, Entry(RunState.RUNNING, entry.resources, requested_at))
+                self._set(
+                    run, entry._replace(state=RunState.RUNNING, since=requested_at)
+                )
         vanished = [
             run
             for run, entry in self._entries.items()
@@ -267,10 +295,13 @@
         return {k: v for k, v in self._entries.items() if k not in self._reported}
 
     def record_carried_over(
-        self, run: runs.Run, resources: jobs.Resources | None, now: datetime.datetime
+        self, run: runs.Run, entry: Entry, now: datetime.datetime
     ) -> None:
-        """Reserve resources for an order sent to an earlier incarnation."""
-        self._set(run, Entry(RunState.UNCERTAIN, resources, now))
+        """Reserve resources for an order that was sent to an earlier incarnation.
+
+        ``entry`` is what the ledger of that incarnation has of it.
+        """
+        self._set(run, entry._replace(state=RunState.UNCERTAIN, since=now))
 
     def drop_expired(self) -> tuple[runs.Run, ...]:
         """Remove and return the runs that have ended with the worker's lease.
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -88,7 +88,7 @@
             worker = held_worker.HeldWorker(report, token, now)
             self._workers[worker_id] = worker
             for run, entry in self._carried_over.pop(worker_id, {}).items():
-                worker.ledger.record_carried_over(run, entry.resources, now)
+                worker.ledger.record_carried_over(run, entry, now)
             added.append(worker)
         return added
 
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -89,6 +89,13 @@
     def stops(actions):
         return [x for x in actions if isinstance(x, broker_messages.StopRun)]
 
+    @staticmethod
+    def leases(actions):
+        """Return the ends of the leases that polls ask for."""
+        return [
+            x.lease_end for x in actions if isinstance(x, broker_messages.PollWorker)
+        ]
+
     def assert_sent(self, expected, actions):
         verdicts = [
             x.outcome.verdict
@@ -693,13 +700,6 @@
         stopped = self.stops(self.broker.tick(self.now))
         self.assertEqual(["w-0", "w-1"], sorted(x.worker.worker_id for x in stopped))
 
-    @staticmethod
-    def leases(actions):
-        """Return the ends of the leases that polls ask for."""
-        return [
-            x.lease_end for x in actions if isinstance(x, broker_messages.PollWorker)
-        ]
-
     # After a restart of all daemons the runs of clients that had gone outlived the
     # pause after which these send their jobs again.
     def test_lease_is_not_extended_for_a_run_that_no_shard_has_asked_for(self):
@@ -979,3 +979,70 @@
         self.clock.advance(MS(11_000))
         actions = self.submit(submission)
         self.assertEqual([jobs.Reason.NOT_HOLDER], self.reasons(actions))
+
+
+class TestLeases(BrokerCase):
+    """Leases end before clients of the runs under them can have sent jobs again."""
+
+    LONGEST_MS = 1250 / 1.02 - 60
+    """Of the pause of 1,300 ms, with 50 ms for a stop, on a clock that is 2% slow."""
+
+    def setUp(self):
+        super().setUp()
+        self.report = make_report()
+        self.hold(self.report)
+        [self.start] = self.starts(self.submit(self.make(shard=4), OTHER))
+        self.answer(self.start)
+        self.submitted_at = self.now
+
+    def state(self, sequence, *shards):
+        statement = broker_messages.Statement(sequence, frozenset(shards))
+        return self.broker.handle_statement(OTHER, statement, self.now)
+
+    def poll_lease_ms(self):
+        """Return how long the lease that the next poll asks for lasts from now."""
+        [lease_end] = self.leases(self.poll(self.report, running=[self.start.run]))
+        # The worker's clock shows 10 s in each status.
+        return lease_end and clock.to_milliseconds(lease_end - MS(10_000))
+
+    def test_lease_of_a_client_that_has_just_waited_is_the_longest(self):
+        self.assertEqual(1000.0, self.poll_lease_ms())
+
+    # Broker and gateway lost one after the other: the lease outlasted the pause after
+    # which the client sends its job again.
+    def test_lease_ends_in_time_after_the_last_word_of_the_gateway(self):
+        self.clock.advance(MS(500))
+        lease_ms = self.poll_lease_ms()
+        since_ms = clock.to_milliseconds(self.now - self.submitted_at)
+        self.assertAlmostEqual(self.LONGEST_MS, since_ms + lease_ms, 2)
+
+    def test_statement_renews_it(self):
+        self.clock.advance(MS(500))
+        self.state(1, 4)
+        self.assertEqual(1000.0, self.poll_lease_ms())
+
+    # A stop that never reached the worker, while polls did, let the run go on.
+    def test_lease_is_not_extended_while_a_stop_is_not_confirmed(self):
+        self.state(1)
+        for _ in range(4):
+            self.broker.handle_stop_result(
+                "w-0", "1", self.start.run, runs.OrderResult.NO_ANSWER, self.now
+            )
+            self.clock.advance(MS(300))
+            lease_ms = self.poll_lease_ms()
+            self.broker.tick(self.now)
+        self.assertIsNone(lease_ms)
+
+    def test_start_does_not_extend_the_lease_of_other_runs_beyond_their_end(self):
+        self.clock.advance(MS(500))
+        [start] = self.starts(self.submit(self.make(2)))
+        lease_ms = clock.to_milliseconds(start.lease_end - MS(10_000))
+        longest_ms = self.LONGEST_MS + 1
+        # The clock was read 500 ms ago.
+        self.assertLessEqual(lease_ms, longest_ms)
+
+    def test_shorter_pause_of_clients_ends_shards_earlier(self):
+        self.broker.set_terms(broker_messages.Terms(retransmit=MS(600)))
+        self.broker.gateway_timeout = MS(600)
+        self.clock.advance(MS(500))
+        self.assertEqual(1, len(self.stops(self.broker.tick(self.now))))
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -197,7 +197,7 @@
         self.assert_violated("capacity", run_fault("none"))
 
     def test_ledger_that_drops_runs_being_stopped(self):
-        def stop(self, run, now):
+        def stop(self, run, now, wanted_until):
             self._remove(run)
 
         self.replace(ledger.Ledger, "record_stop_order", stop)
