A submission that was held up on its way starts nothing

Cause: a submission carries its age at sending, and nothing tells how long it has been on its way since. A shard of 3.4 s ago started as new, and ended the copy that its client had sent later. The network may hold bytes up, and so does the VM of a gateway that is suspended behind them.

Change: heartbeats and load reports carry a reading of their sender's clock, and submissions return the newest one that the gateway has. A submission that may be older than the clients' pause allows starts nothing; the gateway sends its open shards again when it hears from the broker.

The new test of a held up shard failed before.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -162,6 +162,9 @@
         self._dependencies: Dependencies | None = None
         self._links = peer_links.PeerLinks(open_stream)
         self._last_received: dict[str, datetime.datetime] = {}
+        self._started_at = now
+        # Newest readings of the clocks of other daemons.
+        self._peer_clocks_ms: dict[daemons.Daemon, float] = {}
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._sent_holders: tuple[daemons.Holder, ...] = ()
         self._last_tick = self._next_slow_tick = now
@@ -398,10 +401,14 @@
         self.record_sender(sender, now)
         self._links.accept(sender, connection)
         connection.send(
-            stream_messages.Heartbeat(self.is_leaving, self.election.holders())
+            stream_messages.Heartbeat(
+                self.is_leaving, self.election.holders(), self._clock_ms(now)
+            )
         )
         if self._sent_loads:
-            load = stream_messages.Loads(self._sent_loads, round(self._delay_ms))
+            load = stream_messages.Loads(
+                self._sent_loads, round(self._delay_ms), self._clock_ms(now)
+            )
             connection.send(load)
 
     def forget(self, sender: daemons.Daemon, connection: peer_links.Connection) -> None:
@@ -433,6 +440,26 @@
         self.election.record_message(sender, None, now)
         self.update_streams(now)
 
+    def _clock_ms(self, now: datetime.datetime) -> float:
+        """Return the reading of this daemon's clock that it sends to others."""
+        return round(clock.to_milliseconds(now - self._started_at), 3)
+
+    def clock_instant(self, clock_ms: float | None) -> datetime.datetime | None:
+        """Return the instant of a reading of this daemon's clock, ``None`` for none."""
+        if clock_ms is None:
+            return None
+        return self._started_at + clock.milliseconds(clock_ms)
+
+    def peer_clock_ms(self, peer: daemons.Daemon) -> float | None:
+        """Return the newest reading of a daemon's clock, ``None`` without any."""
+        if peer == self.me:
+            return self._clock_ms(self.clock.now())
+        return self._peer_clocks_ms.get(peer)
+
+    def _record_peer_clock(self, peer: daemons.Daemon, clock_ms: float) -> None:
+        known_ms = self._peer_clocks_ms.get(peer, 0.0)
+        self._peer_clocks_ms[peer] = max(known_ms, clock_ms)
+
     def handle_heartbeat(
         self,
         sender: daemons.Daemon,
@@ -440,12 +467,14 @@
         now: datetime.datetime,
     ) -> None:
         """Record a daemon's heartbeat: its state and the holders that it knows."""
+        self._record_peer_clock(sender, heartbeat.clock_ms)
         self.election.record_message(sender, heartbeat.is_leaving, now)
         for holder in heartbeat.holders:
             self.record_holder(holder, now)
 
     def handle_loads(self, sender: daemons.Daemon, load: stream_messages.Loads) -> None:
         """Record the load of the workers that a daemon holds."""
+        self._record_peer_clock(sender, load.clock_ms)
         for data_centre, service_loads in load.loads:
             self.gateway.record_load(sender, data_centre, service_loads, load.delay_ms)
 
@@ -457,6 +486,9 @@
                 continue
             del self._last_received[vm]
             logs.log_event("peers", "Daemon unreachable.", vm=vm)
+        self._peer_clocks_ms = {
+            k: v for k, v in self._peer_clocks_ms.items() if k.vm in self._last_received
+        }
 
     def record_holder(self, holder: daemons.Holder, now: datetime.datetime) -> None:
         """Record a holder; hold or release the data centre's workers accordingly.
@@ -530,7 +562,7 @@
             return
         self._sent_loads = held
         listeners, size_bytes = self._links.broadcast(
-            stream_messages.Loads(held, delay_ms)
+            stream_messages.Loads(held, delay_ms, self._clock_ms(now))
         )
         self._next_loads = now + contacts.loads_interval(
             listeners, size_bytes, self.cfg.limits
@@ -543,7 +575,7 @@
         """Send a heartbeat on each connection that needs one."""
         self._next_heartbeat = now + self.election.heartbeat_interval()
         self.perform(self.gateway.state_shards(), now)
-        heartbeat = self._heartbeat(self._is_refresh_due())
+        heartbeat = self._heartbeat(self._is_refresh_due(), now)
         self._heartbeat_count += 1
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
         self._links.send_heartbeat(heartbeat, has_news)
@@ -555,14 +587,16 @@
             }
         )
 
-    def _heartbeat(self, with_holders: bool) -> stream_messages.Heartbeat:
+    def _heartbeat(
+        self, with_holders: bool, now: datetime.datetime
+    ) -> stream_messages.Heartbeat:
         """Return a heartbeat; with the holders if asked for, or if they changed."""
         holders = self.election.holders()
         if holders == self._sent_holders and not with_holders:
             holders = ()
         else:
             self._sent_holders = holders
-        return stream_messages.Heartbeat(self.is_leaving, holders)
+        return stream_messages.Heartbeat(self.is_leaving, holders, self._clock_ms(now))
 
     # Shutdown
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -264,8 +264,9 @@
         message.sequence,
         message.token,
     )
-    gateway_id = _gateway_id(sent)
-    loop.perform(loop.broker.submit(submission, gateway_id, now, sent_at), now)
+    echoed_at = loop.clock_instant(message.echo_ms)
+    actions = loop.broker.submit(submission, _gateway_id(sent), now, sent_at, echoed_at)
+    loop.perform(actions, now)
 
 
 @decision_loop.failure_handlers.register("Submit")
@@ -450,7 +451,9 @@
     submission = action.submission
     age_ms = clock.to_milliseconds(now - submission.arrived)
     remaining_ms = clock.to_milliseconds(submission.deadline - now)
-    loop.send(action.daemon, stream_messages.submit(submission, age_ms, remaining_ms))
+    echo_ms = loop.peer_clock_ms(action.daemon)
+    message = stream_messages.submit(submission, age_ms, remaining_ms, echo_ms)
+    loop.send(action.daemon, message)
 
 
 @decision_loop.action_handlers.register("SendWithdrawal")
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -45,7 +45,9 @@
         self._site = site
 
     def send(self, message):
-        if not self._site.is_lossy:
+        if self._site.held_up is not None and self.peer == BROKER:
+            self._site.held_up.append((self.peer, message))
+        elif not self._site.is_lossy:
             self._site.under_way.append((self.peer, message))
 
     def send_shared(self, shared):
@@ -81,6 +83,8 @@
         self.is_lossy = False
         # Daemons that stand still, each with when it was stopped.
         self.frozen = {}
+        # What the network holds up on the way to the broker; None if it does not.
+        self.held_up = None
         self.workers = {x: Component() for x in (GATEWAY, BROKER)}
         self.replies = {x: Component() for x in (GATEWAY, BROKER)}
         self.loops = {x: self.make_loop(x) for x in (GATEWAY, BROKER)}
@@ -321,3 +325,32 @@
             message = stream_messages.Heartbeat(False, ())
             self.pass_message(BROKER, message, self.now)
         self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+
+class TestHeldUpLink(TwoDaemonsCase):
+    """A network that delivers what a gateway has sent much later, with no sign of it.
+
+    The same shows if the VM of the gateway is suspended with bytes in its sockets.
+    """
+
+    def hold_up(self, duration_ms):
+        """Hold up all to the broker for some time."""
+        self.pass_time(duration_ms)
+        self.under_way, self.held_up = self.held_up, None
+        self.deliver()
+
+    # The submission looked new: its task started, and ended the client's next attempt.
+    def test_shard_that_was_withdrawn_meanwhile_starts_nothing(self):
+        self.held_up = []
+        self.post(timeout_ms=9000)
+        self.pass_time(100)
+        self.leave()
+        self.hold_up(1400)
+        self.pass_time(300)
+        self.assertEqual([], self.orders("start"))
+
+    def test_shard_that_is_held_up_shortly_starts(self):
+        self.held_up = []
+        self.post()
+        self.hold_up(400)
+        self.assertEqual(1, len(self.orders("start")))
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -452,6 +452,7 @@
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
         sent_at: datetime.datetime | None = None,
+        echoed_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """Admit or refuse a shard.
 
@@ -469,10 +470,16 @@
         now : datetime.datetime
             Present instant.
         sent_at : datetime.datetime, optional
-            Earliest instant at which it can have been sent; ``now`` by default. An old
-            submission starts nothing: the gateway sends its shards again when it hears
-            from this daemon.
+            Earliest instant at which it can have been sent if the network did not hold
+            it up; ``now`` by default. An old submission starts nothing: the gateway
+            sends its shards again when it hears from this daemon.
+        echoed_at : datetime.datetime, optional
+            Instant on this daemon's clock of which the gateway knew when it sent it;
+            ``now`` by default. It is no older than that, whatever the network did.
         """
+        longest = held_worker.longest_unconfirmed(self._terms)
+        if echoed_at is not None and now - echoed_at > longest:
+            sent_at = min(echoed_at, sent_at or now)
         self._submit(submission, gateway, now, sent_at or now)
         return self._actions.drain()
 
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -27,10 +27,13 @@
     holders : tuple of daemons.Holder
         Newest holder of each data centre that the daemon knows; empty in most
         heartbeats between which it has not changed.
+    clock_ms : float
+        Reading of the sender's clock, which ``Submit`` returns; ms since its start.
     """
 
     is_leaving: bool
     holders: tuple[daemons.Holder, ...]
+    clock_ms: float = 0.0
 
 
 @kinds.register("loads")
@@ -43,10 +46,13 @@
         Load by data centre and service.
     delay_ms : int
         By how much the daemon is late with its work, in milliseconds.
+    clock_ms : float
+        Reading of the sender's clock, which ``Submit`` returns; ms since its start.
     """
 
     loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...]
     delay_ms: int = 0
+    clock_ms: float = 0.0
 
 
 @kinds.register("submit")
@@ -77,6 +83,9 @@
         Number of statements of the sender before this message.
     token : int
         Fencing token of the receiver as holder of the data centre.
+    echo_ms : float or None
+        Newest reading of the receiver's clock that the sender has got; ``None`` if it
+        has got none. The message was sent after it, however long it takes to arrive.
     """
 
     job: jobs.Job
@@ -90,6 +99,7 @@
     workers: tuple[str, ...] = ()
     sequence: int = 0
     token: int = 0
+    echo_ms: float | None = None
 
 
 @kinds.register("waiting")
@@ -231,9 +241,22 @@
 
 
 def submit(
-    submission: broker_messages.Submission, age_ms: float, remaining_ms: float
+    submission: broker_messages.Submission,
+    age_ms: float,
+    remaining_ms: float,
+    echo_ms: float | None,
 ) -> Submit:
-    """Return the message that sends a submission, with its age and time left in ms."""
+    """Return the message that sends a submission.
+
+    Parameters
+    ----------
+    submission : broker_messages.Submission
+        The submission.
+    age_ms, remaining_ms : float
+        Its age, and the time until its client stops waiting, in ms.
+    echo_ms : float or None
+        Newest reading of the receiver's clock, in ms.
+    """
     return Submit(
         submission.job,
         submission.queue,
@@ -246,4 +269,5 @@
         submission.workers,
         submission.sequence,
         submission.token,
+        echo_ms,
     )
