--- a/libs/carawaysail_soak/src/carawaysail_soak/faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/faults.py
@@ -122,6 +122,36 @@
             await asyncio.sleep(step.for_s / len(vms))
 
 
+# Faults that strike together
+
+
+@kind("restart_all", plan.COINCIDENCES, ("all",), restart_s=(0.02, 0.7))
+async def _restart_all(where: site.Site, step: plan.Step) -> None:
+    """Kill all, and start them again before the leases of their runs have ended."""
+    await _kill(where, step)
+
+
+@kind("restart", plan.COINCIDENCES, ("vm", "holder"), restart_s=(0.02, 1.5))
+async def _restart(where: site.Site, step: plan.Step) -> None:
+    """Kill one, and start it again soon."""
+    await _kill(where, step)
+
+
+@kind("stand_still", plan.COINCIDENCES, ("vm", "holder"), (0.6, 4.5))
+async def _stand_still(where: site.Site, step: plan.Step) -> None:
+    """Stop one while its clients give up and send their jobs again elsewhere."""
+    await _freeze(where, step)
+
+
+@kind("reset_vm", plan.COINCIDENCES, ("vm", "holder"))
+async def _reset_vm(where: site.Site, step: plan.Step) -> None:
+    """Reset the connections of VMs to others and to their clients in one instant."""
+    names = set(targets.vms(where, step.target))
+    where.proxy.reset(
+        [x for x in where.proxy.links() if x.source in names or x.target in names]
+    )
+
+
 # Links
 
 
--- a/libs/carawaysail_soak/src/carawaysail_soak/plan.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/plan.py
@@ -16,9 +16,15 @@
 from carawaysail_types import errors, registry
 
 ROOT_SEED = "carawaysail-soak"
+COINCIDENCES = "coincidences"
+"""Layer of the faults that strike together."""
+
 SERIES_GAP_S = 0.6
 """Mean time between two steps of one series, in seconds."""
 
+COINCIDENCE_GAP_S = 0.25
+"""Mean time between two faults that strike together, in seconds."""
+
 FAULT_MARGIN_S = 2.0
 """Time by which a fault may outlast the time in which faults begin, in seconds."""
 
@@ -38,6 +44,8 @@
         Time without faults at the end of the traffic, in seconds.
     series : int
         Number of series of faults.
+    coincidences : int
+        Number of times at which faults of the layer ``coincidences`` strike together.
     """
 
     data_centres: int
@@ -48,6 +56,7 @@
     fault_s: float
     calm_s: float
     series: int
+    coincidences: int = 0
 
 
 class Step(typing.NamedTuple):
@@ -98,7 +107,8 @@
     play : callable
         Injects the fault into a site and returns when it has ended.
     layer : str
-        ``links``, ``processes``, ``workers``, ``store`` or ``config``.
+        ``links``, ``processes``, ``workers``, ``store`` or ``config``; ``coincidences``
+        for one that is drawn only beside others of that layer.
     targets : tuple of str
         Registered names of the targets that a plan chooses from.
     for_s : tuple of (float, float)
@@ -220,7 +230,7 @@
     layers: dict[str, list[str]] = {}
     for name in kinds.names():
         layers.setdefault(kinds.get(name).layer, []).append(name)
-    steps = []
+    steps = _draw_coincidences(seed, size, layers.pop(COINCIDENCES))
     for _ in range(size.series):
         at_s = rng.uniform(0.0, size.fault_s)
         for _ in range(rng.randint(1, 4)):
@@ -230,6 +240,22 @@
     return Plan(seed, size, tuple(sorted(steps, key=lambda x: x.at_s)))
 
 
+def _draw_coincidences(seed: int, size: Size, names: list[str]) -> list[Step]:
+    """Draw faults that strike one to three at a time.
+
+    They have random numbers of their own, so that the series of a seed stay the same.
+    """
+    rng = random.Random(f"{ROOT_SEED}:{COINCIDENCES}:{seed}")
+    steps = []
+    for number in range(size.coincidences):
+        at_s = size.fault_s * (number + rng.random()) / size.coincidences
+        for _ in range(rng.randint(1, 3)):
+            name = rng.choice(names)
+            steps.append(_draw_step(rng, size, name, min(at_s, size.fault_s)))
+            at_s += rng.expovariate(1.0 / COINCIDENCE_GAP_S)
+    return steps
+
+
 def _draw_step(rng: random.Random, size: Size, name: str, at_s: float) -> Step:
     kind = kinds.get(name)
     target = targets.get(rng.choice(kind.targets))(rng, size)
--- a/libs/carawaysail_soak/tests/test_plan.py
+++ b/libs/carawaysail_soak/tests/test_plan.py
@@ -22,12 +22,24 @@
         )
 
     def test_all_kinds_are_drawn_within_the_time_of_faults(self):
+        drawn = set()
+        for size in (SIZES["usual"], SIZES["resends"]):
+            steps = [x for seed in range(100) for x in plan.draw(seed, size).steps]
+            drawn.update(x.kind for x in steps)
+            for step in steps:
+                self.assertLessEqual(step.at_s, size.fault_s)
+                self.assertLessEqual(step.at_s + step.for_s, size.fault_s + size.calm_s)
+        self.assertEqual(set(plan.kinds.names()), drawn)
+
+    # Seeds of the pages name the plans that they named before.
+    def test_faults_that_strike_together_leave_the_series_as_they_are(self):
         size = SIZES["usual"]
-        steps = [x for seed in range(100) for x in plan.draw(seed, size).steps]
-        self.assertEqual(set(plan.kinds.names()), {x.kind for x in steps})
-        for step in steps:
-            self.assertLessEqual(step.at_s, size.fault_s)
-            self.assertLessEqual(step.at_s + step.for_s, size.fault_s + size.calm_s)
+        series = plan.draw(7, size).steps
+        both = plan.draw(7, size._replace(coincidences=3)).steps
+        layer = plan.COINCIDENCES
+        apart = [x for x in both if plan.kinds.get(x.kind).layer != layer]
+        self.assertEqual(list(series), apart)
+        self.assertGreater(len(both), len(series))
 
     def test_faults_of_different_layers_overlap(self):
         steps = plan.draw(1, SIZES["usual"]).steps
