--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -317,7 +317,7 @@
 ) -> None:
     message = sent.content
     actions = loop.gateway.handle_outcome(
-        sent.sender, message.job_id, message.shard, message.outcome, now
+        sent.sender, message.job_id, message.shard, message.outcome, now, message.token
     )
     loop.perform(actions, now)
 
@@ -387,7 +387,9 @@
     now: datetime.datetime,
 ) -> None:
     shard_id = action.shard_id
-    message = stream_messages.Outcome(shard_id.job_id, shard_id.shard, action.outcome)
+    message = stream_messages.Outcome(
+        shard_id.job_id, shard_id.shard, action.outcome, action.token
+    )
     _send_to_gateway(loop, shard_id.gateway, message)
 
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -521,13 +521,14 @@
             self._early.add(
                 early_submissions.EarlySubmission(submission, gateway, sent_at)
             )
-        elif self._may_have_moved(shard_id, submission, now):
+        elif self._may_have_moved(shard_id, submission):
             self._actions.log(
                 "not_holder", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard,
                 token=submission.token,
             )  # fmt: skip
             outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.NOT_HOLDER)
-            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+            token = submission.token
+            self._actions.add(broker_messages.SendOutcome(shard_id, outcome, token))
         else:
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
@@ -561,10 +562,7 @@
         self._gateways.record_own(gateway, known_at)
 
     def _may_have_moved(
-        self,
-        shard_id: broker_messages.ShardId,
-        submission: broker_messages.Submission,
-        now: datetime.datetime,
+        self, shard_id: broker_messages.ShardId, submission: broker_messages.Submission
     ) -> bool:
         """Return whether a shard may have runs that only another holder knows of."""
         if self._workers.is_held(submission.data_centre, submission.token):
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -177,10 +177,21 @@
 
 
 class SendOutcome(typing.NamedTuple):
-    """Send the outcome of a shard to its gateway."""
+    """Send the outcome of a shard to its gateway.
+
+    Parameters
+    ----------
+    shard_id : ShardId
+        The shard.
+    outcome : jobs.JobOutcome
+        Its outcome.
+    token : int
+        Token of the submission that a ``NOT_HOLDER`` answers; 0 for other outcomes.
+    """
 
     shard_id: ShardId
     outcome: jobs.JobOutcome
+    token: int = 0
 
 
 class SendShardStarted(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -558,6 +558,7 @@
         number: int,
         outcome: jobs.JobOutcome,
         now: datetime.datetime,
+        token: int = 0,
     ) -> list[Action]:
         """Process a broker's outcome of a shard; an outdated one is ignored.
 
@@ -573,6 +574,8 @@
             Outcome of the shard.
         now : datetime.datetime
             Present instant.
+        token : int
+            Token of the submission that a ``NOT_HOLDER`` answers.
         """
         job = self._jobs.get(job_id)
         shard = job.shards.get(number) if job is not None else None
@@ -586,7 +589,8 @@
         if outcome.verdict is jobs.Verdict.REFUSED:
             return self._handle_refused_shard(job, shard, outcome)
         if outcome.reason is jobs.Reason.NOT_HOLDER:
-            return self._handle_moved_shard(job, shard, now)
+            is_current = token == shard.broker.holder.token
+            return self._handle_moved_shard(job, shard, now) if is_current else []
         return self._finish(job, outcome, shard)
 
     def _handle_moved_shard(
--- a/libs/carawaysail_holding/tests/test_gateway.py
+++ b/libs/carawaysail_holding/tests/test_gateway.py
@@ -470,3 +470,43 @@
         submission = self.remote(self.submit_job()).submission
         self.assertGreaterEqual(submission.sequence, statement.sequence)
         self.assertLess(submission.sequence, self.stated().sequence)
+
+
+class TestMovedShards(GatewayCase):
+    """Shards whose broker says that it is no longer the holder."""
+
+    def setUp(self):
+        super().setUp()
+        self.record_free_cores(home=0, away=56)
+        [self.sent_shard] = self.sent(self.submit_job())
+
+    def answer_not_holder(self, token):
+        submission = self.sent_shard.submission
+        outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.NOT_HOLDER)
+        return self.gateway.handle_outcome(
+            REMOTE, submission.job.job_id, submission.shard, outcome, self.now, token
+        )
+
+    def replace_holder(self, token):
+        self.brokers["away"] = make_broker(REMOTE, token)
+        return self.sent(self.gateway.update_brokers(self.brokers, self.now))
+
+    def test_shard_waits_for_the_next_holder_and_is_resumed_there(self):
+        self.assert_answers([], self.answer_not_holder(4))
+        self.assertEqual([], self.sent(self.gateway.resend_shards(REMOTE)))
+        [resumed] = self.replace_holder(9)
+        self.assertTrue(resumed.submission.is_resumed)
+        self.assertEqual(9, resumed.submission.token)
+
+    def test_client_is_answered_if_there_is_no_next_holder(self):
+        self.answer_not_holder(4)
+        self.gateway.update_brokers({"home": self.brokers["home"]}, self.now)
+        self.clock.advance(gateway.SUCCESSION_TIMEOUT)
+        self.assert_answers([jobs.Verdict.UNKNOWN], self.gateway.tick(self.now))
+
+    # The daemon may have become the holder again; the shard has been resumed there.
+    def test_answer_to_an_earlier_submission_is_ignored(self):
+        self.replace_holder(9)
+        self.answer_not_holder(4)
+        self.clock.advance(gateway.SUCCESSION_TIMEOUT)
+        self.assert_answers([], self.gateway.tick(self.now))
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -165,11 +165,14 @@
         Number of the shard at the receiver.
     outcome : jobs.JobOutcome
         The outcome.
+    token : int
+        Token of the submission that a ``NOT_HOLDER`` answers; 0 for other outcomes.
     """
 
     job_id: str
     shard: int
     outcome: jobs.JobOutcome
+    token: int = 0
 
 
 Message = Heartbeat | Loads | Submit | WaitingShards | ShardStarted | Withdraw | Outcome
