--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -496,38 +496,22 @@
         if now - submission.arrived >= outcome_cache.RETENTION:
             # What became of it may have been forgotten.
             submission = submission._replace(is_resumed=True)
-        outcome = self._jobs.outcomes.outcome(shard_id, now)
-        known = self._jobs.get(shard_id)
-        if known is not None:
-            known.record_submission(submission, sent_at)
-            self._actions.log(
-                "joined", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard
-            )
-        elif outcome is not None:
-            self._actions.log(
-                "remembered", shard_id.job_id, verdict=outcome.verdict.value
-            )
-            self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
-        elif self._gateways.is_withdrawn(gateway, submission):
-            self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
-        elif self._is_overdue(sent_at, now) and not self._gateways.is_own(gateway):
-            self._actions.log(
-                "old_submission", shard_id.job_id, waiter=gateway.vm,
-                part=shard_id.shard, age_ms=round(clock.to_milliseconds(now - sent_at)),
-            )  # fmt: skip
-        elif submission.is_resumed and self._workers.is_future(
+        if self._repeat_answer(shard_id, submission, now, sent_at):
+            return
+        if self._starts_nothing(shard_id, submission, now, sent_at):
+            return
+        if submission.is_resumed and self._workers.is_future(
             submission.data_centre, submission.token
         ):
-            self._early.add(
-                early_submissions.EarlySubmission(submission, gateway, sent_at)
-            )
+            early = early_submissions.EarlySubmission(submission, gateway, sent_at)
+            self._early.add(early)
         elif self._may_have_moved(shard_id, submission):
+            token = submission.token
             self._actions.log(
                 "not_holder", shard_id.job_id, waiter=gateway.vm, part=shard_id.shard,
-                token=submission.token,
+                token=token,
             )  # fmt: skip
             outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.NOT_HOLDER)
-            token = submission.token
             self._actions.add(broker_messages.SendOutcome(shard_id, outcome, token))
         else:
             self._jobs.admit(shard_id, submission, now)
@@ -536,6 +520,49 @@
                 shard.record_submission(submission, sent_at)
                 self._place_shards([shard], now)
 
+    def _repeat_answer(
+        self,
+        shard_id: broker_messages.ShardId,
+        submission: broker_messages.Submission,
+        now: datetime.datetime,
+        sent_at: datetime.datetime,
+    ) -> bool:
+        """Return whether a shard is in the table, or its outcome was sent again."""
+        known = self._jobs.get(shard_id)
+        if known is not None:
+            known.record_submission(submission, sent_at)
+            self._actions.log(
+                "joined", shard_id.job_id, waiter=shard_id.gateway.vm,
+                part=shard_id.shard,
+            )  # fmt: skip
+            return True
+        outcome = self._jobs.outcomes.outcome(shard_id, now)
+        if outcome is None:
+            return False
+        self._actions.log("remembered", shard_id.job_id, verdict=outcome.verdict.value)
+        self._actions.add(broker_messages.SendOutcome(shard_id, outcome))
+        return True
+
+    def _starts_nothing(
+        self,
+        shard_id: broker_messages.ShardId,
+        submission: broker_messages.Submission,
+        now: datetime.datetime,
+        sent_at: datetime.datetime,
+    ) -> bool:
+        """Return whether a submission was, or may have been, withdrawn before."""
+        gateway = shard_id.gateway
+        if self._gateways.is_withdrawn(gateway, submission):
+            self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
+            return True
+        is_old = self._is_overdue(sent_at, now) and not self._gateways.is_own(gateway)
+        if is_old:
+            self._actions.log(
+                "old_submission", shard_id.job_id, waiter=gateway.vm,
+                part=shard_id.shard, age_ms=round(clock.to_milliseconds(now - sent_at)),
+            )  # fmt: skip
+        return is_old
+
     def _is_overdue(self, known_at: datetime.datetime, now: datetime.datetime) -> bool:
         """Return whether what was known of a gateway at an instant is too old."""
         if self.gateway_timeout is None:
