Metrics: events are counted without encoding their labels

Every decision is counted, every call timed.

Change: counts are added up by the values of their labels and passed on when the metrics are rendered; histograms keep their samples by the same values; sizes are kept until then.

The new test of encodings fails before.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
@@ -55,23 +55,26 @@
 
     def __init__(self, vm: str, data_centre: str) -> None:
         registry = self._registry = metrics.Registry(vm, data_centre)
-        self._decisions = registry.counter(
-            "carawaysail_decisions_total", "Decisions by name and outcome."
-        )
-        self._jobs = registry.counter(
+        self._decisions = registry.counts(
+            "carawaysail_decisions_total", "Decisions by name and outcome.",
+            "name", "outcome",
+        )  # fmt: skip
+        self._jobs = registry.counts(
             "carawaysail_jobs_total",
             "Jobs that have ended by queue, size class and outcome.",
-        )
-        self._responses = registry.counter(
-            "carawaysail_answers_total", "Answers to clients by status and reason."
-        )
-        self._response_ms = registry.histogram(
+            "queue", "size", "outcome",
+        )  # fmt: skip
+        self._responses = registry.counts(
+            "carawaysail_answers_total", "Answers to clients by status and reason.",
+            "queue", "status",
+        )  # fmt: skip
+        self._response_ms = registry.observations(
             "carawaysail_response_ms", "Response time in milliseconds by queue.",
-            BUCKETS_MS,
+            BUCKETS_MS, "queue",
         )  # fmt: skip
-        self._calls_ms = registry.histogram(
+        self._calls_ms = registry.observations(
             "carawaysail_call_ms", "Calls to outside services in milliseconds.",
-            BUCKETS_MS,
+            BUCKETS_MS, "service", "outcome",
         )  # fmt: skip
         self._sizes = registry.gauge(
             "carawaysail_size", "Sizes of the daemon's state by name."
@@ -84,16 +87,17 @@
             "Time since the store's last answer in milliseconds by task.",
         )
         self._answered_at: dict[str, datetime.datetime] = {}
+        self._newest_sizes: dict[str, int] = {}
 
     def count_decision(self, name: str, outcome: str) -> None:
         """Count a decision by its name and outcome; an outcome may be empty."""
         with self._registry.lock:
-            self._decisions.inc({"name": name, "outcome": outcome})
+            self._decisions.add(name, outcome)
 
     def count_job(self, queue: str, size_class: str, outcome: str) -> None:
         """Count a job that has ended by its queue, size class and outcome."""
         with self._registry.lock:
-            self._jobs.inc({"queue": queue, "size": size_class, "outcome": outcome})
+            self._jobs.add(queue, size_class, outcome)
 
     def record_response(
         self, queue: str, status: int, duration: datetime.timedelta
@@ -110,8 +114,8 @@
             Time from the request to the response.
         """
         with self._registry.lock:
-            self._responses.inc({"queue": queue, "status": str(status)})
-            self._response_ms.observe({"queue": queue}, clock.to_milliseconds(duration))
+            self._responses.add(queue, str(status))
+            self._response_ms.observe(clock.to_milliseconds(duration), queue)
 
     def record_call(
         self, service: str, outcome: str, duration: datetime.timedelta
@@ -129,15 +133,12 @@
         """
         with self._registry.lock:
             self._calls_ms.observe(
-                {"service": service, "outcome": outcome},
-                clock.to_milliseconds(duration),
+                clock.to_milliseconds(duration), service, outcome
             )
 
     def set_sizes(self, sizes: dict[str, int]) -> None:
         """Set the sizes of the daemon's state, by name."""
-        with self._registry.lock:
-            for name, value in sizes.items():
-                self._sizes.set({"name": name}, value)
+        self._newest_sizes = sizes
 
     def set_configuration_version(self, version: int) -> None:
         """Set the version of the configuration in force."""
@@ -158,6 +159,8 @@
             Present instant, at which ages are given.
         """
         with self._registry.lock:
+            for name, value in self._newest_sizes.items():
+                self._sizes.set({"name": name}, value)
             for task, at in self._answered_at.items():
                 age_ms = round(clock.to_milliseconds(now - at))
                 self._answer_age_ms.set({"task": task}, age_ms)
--- a/libs/carawaysail_runtime/tests/test_runtime.py
+++ b/libs/carawaysail_runtime/tests/test_runtime.py
@@ -5,6 +5,7 @@
 import json
 import threading
 import time
+import unittest.mock
 
 import testtools
 
@@ -171,3 +172,43 @@
             [line] = [x for x in lines if x.startswith(f"{name}{{")]
             self.assertIn('vm="vm-1"', line)
             self.assertEqual(value, float(line.rsplit(" ", 1)[1]))
+
+    def samples(self, registry, name):
+        body, _ = registry.render()
+        lines = [x for x in body.decode().splitlines() if x.startswith(f"{name}{{")]
+        return {x.rsplit(" ", 1)[0]: float(x.rsplit(" ", 1)[1]) for x in lines}
+
+    def test_counts_are_complete_at_each_rendering(self):
+        registry = metrics.Registry("vm-1", "dc-1")
+        counts = registry.counts("decisions_total", "Decisions.", "name", "outcome")
+        for total in (1, 2):
+            counts.add("placed", "")
+            counts.add("answered", "none")
+            samples = self.samples(registry, "decisions_total")
+            self.assertEqual(2, len(samples))
+            self.assertEqual({float(total)}, set(samples.values()))
+            self.assertTrue(any('outcome="none"' in x for x in samples))
+
+    def test_observations_of_known_labels_are_added_to_their_sample(self):
+        registry = metrics.Registry("vm-1", "dc-1")
+        times = registry.observations("took_ms", "Time.", [1.0, 10.0], "service")
+        for value in (0.5, 5.0, 50.0):
+            times.observe(value, "store")
+        times.observe(5.0, "worker")
+        counts = self.samples(registry, "took_ms_count")
+        self.assertEqual([1.0, 3.0], sorted(counts.values()))
+        buckets = self.samples(registry, "took_ms_bucket")
+        of_store = [v for k, v in buckets.items() if 'service="store"' in k]
+        self.assertEqual([1.0, 2.0, 3.0], sorted(of_store))
+
+    # A count encoded its labels as JSON three times, at each of five decisions a task.
+    def test_counting_an_event_encodes_no_labels(self):
+        registry = metrics.Registry("vm-1", "dc-1")
+        counts = registry.counts("decisions_total", "Decisions.", "name")
+        times = registry.observations("took_ms", "Time.", [1.0], "service")
+        times.observe(0.5, "store")
+        with unittest.mock.patch("aioprometheus.metricdict.orjson.dumps") as dumps:
+            for _ in range(100):
+                counts.add("placed")
+                times.observe(0.5, "store")
+        self.assertEqual(0, dumps.call_count)
