Broker: an end of a run is news of one worker only

Cause: each status with an end compared all waiting tasks with all workers that had room, although only the worker of that end has more room than in the pass before. Work grew with ends times waiting tasks times workers.

Change: after ends only the worker that reported them is compared with the waiting tasks; a shard whose run failed, was stopped or vanished, or whose next step has become ready, is placed on all workers. The workers of a pool are looked up when they are first needed; until when a gateway's word counts is worked out once a pass.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import datetime
+import functools
 
 from carawaysail_holding import (
     actions,
@@ -207,8 +208,10 @@
                 running=len(status.running),
             )  # fmt: skip
         self._stall_detector.stop_stalled_runs(worker, now)
-        if changes.finished or changes.vanished or was_silent or not had_status:
+        if was_silent or not had_status:
             self._place(now)
+        elif changes.finished or changes.vanished:
+            self._place_after_ends(worker, now)
         self._poll_again(worker, requested_at, now)
         return self._actions.drain()
 
@@ -426,6 +429,8 @@
         state.record_done(run.number)
         if shard.is_done():
             self._jobs.finish(shard, jobs.JobOutcome(jobs.Verdict.COMPLETED), now)
+        elif len(shard.submission.job.steps) > 1:
+            self._jobs.record_ready(shard)
 
     def _handle_failed_run(
         self, worker: held_worker.HeldWorker, run: runs.Run, now: datetime.datetime
@@ -565,17 +570,22 @@
 
     def _is_overdue(self, known_at: datetime.datetime, now: datetime.datetime) -> bool:
         """Return whether what was known of a gateway at an instant is too old."""
+        return known_at < self._oldest_valid(now)
+
+    def _oldest_valid(self, now: datetime.datetime) -> datetime.datetime:
+        """Return since when what is known of a gateway still counts."""
         if self.gateway_timeout is None:
-            return False
+            return held_worker.NEVER
         longest = held_worker.longest_unconfirmed(self._terms)
-        return now - known_at > min(self.gateway_timeout, longest)
+        return now - min(self.gateway_timeout, longest)
 
     def _is_unconfirmed(
-        self, shard: shard_state.ShardState, now: datetime.datetime
+        self, shard: shard_state.ShardState, oldest_valid: datetime.datetime
     ) -> bool:
         """Return whether the gateway of a shard may not wait for it any more."""
-        return self._is_overdue(shard.submitted_at, now) and self._is_overdue(
-            self._jobs.waits_until(shard), now
+        return (
+            shard.submitted_at < oldest_valid
+            and self._jobs.waits_until(shard) < oldest_valid
         )
 
     def record_own_gateway(
@@ -690,45 +700,75 @@
 
     def _place(self, now: datetime.datetime) -> None:
         """Start as many waiting tasks as fit, in the order of the job policy."""
+        self._jobs.pop_ready()
         self._place_shards(self._jobs.all(), now)
 
+    def _place_after_ends(
+        self, worker: held_worker.HeldWorker, now: datetime.datetime
+    ) -> None:
+        """Start tasks on a worker with runs that have ended, the only one with news.
+
+        Tasks that have become ready by these ends may start anywhere. The next tick
+        compares all waiting tasks with all workers.
+        """
+        self._place_shards(self._jobs.pop_ready(), now)
+        if worker.accepts(now):
+            self._place_shards(self._jobs.all(), now, [worker])
+
     def _place_shards(
-        self, shards: list[shard_state.ShardState], now: datetime.datetime
+        self,
+        shards: list[shard_state.ShardState],
+        now: datetime.datetime,
+        workers: list[held_worker.HeldWorker] | None = None,
     ) -> None:
         """Start waiting tasks of some shards, in the order of the job policy.
 
         A new shard can be placed alone: those that wait already do not fit, or wait for
         other workers.
+
+        Parameters
+        ----------
+        shards : list of shard_state.ShardState
+            The shards.
+        now : datetime.datetime
+            Present instant.
+        workers : list of held_worker.HeldWorker, optional
+            Workers that accept runs, to start tasks on; by default all of them.
         """
         waiting = [shard for shard in shards if shard.waiting_count()]
-        least = min((x.least_processor_milli for x in waiting), default=0)
+        if not waiting:
+            return
+        least = min(x.least_processor_milli for x in waiting)
+        oldest_valid = self._oldest_valid(now)
         self._placer.begin_pass(now)
-        usable: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
+        pools: dict[tuple[str, str], placer.Pool] = {}
         roomy: dict[tuple[str, str], list[held_worker.HeldWorker]] = {}
         for shard in sorted(waiting, key=lambda x: self._job_order.key(x, now)):
             submission = shard.submission
             key = (submission.queue.service, submission.data_centre)
-            if key not in usable:
-                usable[key] = self._workers.usable(submission, now)
-                roomy[key] = _with_room(usable[key], least)
-            if not roomy[key] or self._is_unconfirmed(shard, now):
+            if key not in pools:
+                find = functools.partial(self._workers.usable, submission, now)
+                pool = pools[key] = placer.Pool(key, find)
+                in_pool = pool.workers() if workers is None else pool.select(workers)
+                roomy[key] = _with_room(in_pool, least)
+            if not roomy[key] or self._is_unconfirmed(shard, oldest_valid):
                 continue
             if submission.is_resumed and self._workers.may_miss_runs(submission):
                 continue
-            if self._place_shard(shard, usable[key], roomy[key], now):
+            if self._place_shard(shard, pools[key], roomy[key], now):
                 accepting = [x for x in roomy[key] if x.accepts(now)]
                 roomy[key] = _with_room(accepting, least)
 
     def _place_shard(
         self,
         shard: shard_state.ShardState,
-        usable: list[held_worker.HeldWorker],
+        pool: placer.Pool,
         roomy: list[held_worker.HeldWorker],
         now: datetime.datetime,
     ) -> bool:
         """Start tasks of a shard; return whether any was started.
 
-        ``roomy`` are the usable workers that have room for some waiting task.
+        ``roomy`` are workers of the pool that have room for some waiting task.
         """
         queued = 0
         started_on: set[str] = set()
@@ -737,7 +777,7 @@
             if not candidates_of.of(state):
                 continue
             chosen = self._placer.choose(
-                shard, state, candidates_of, usable, queued, now
+                shard, state, candidates_of, pool, queued, now
             )
             if chosen is None:
                 queued += 1
@@ -849,9 +889,11 @@
     def _end_unconfirmed_shards(self, now: datetime.datetime) -> None:
         """End the shards whose gateway may have ended, or may be cut off."""
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
+        oldest_valid = self._oldest_valid(now)
         for shard in self._jobs.all():
             gateway = shard.shard_id.gateway
-            if self._is_unconfirmed(shard, now) and not self._gateways.is_own(gateway):
+            is_unconfirmed = self._is_unconfirmed(shard, oldest_valid)
+            if is_unconfirmed and not self._gateways.is_own(gateway):
                 silent = now - self._jobs.waits_until(shard)
                 self._actions.log(
                     "gateway_silent", shard.job_id, waiter=gateway.vm,
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -51,6 +51,8 @@
         self._gateways = known_gateways
         self._shards: dict[broker_messages.ShardId, shard_state.ShardState] = {}
         self._shard_by_task: dict[runs.Task, shard_state.ShardState] = {}
+        # Shards with tasks that have become ready since the last pass over them.
+        self._ready: dict[broker_messages.ShardId, shard_state.ShardState] = {}
 
     def get(self, shard_id: broker_messages.ShardId) -> shard_state.ShardState | None:
         """Return a shard, or ``None`` if it is not in the table."""
@@ -335,6 +337,16 @@
             and state.last_run_number == run.number
         ):
             state.requeue()
+            self.record_ready(self._shard_by_task[run.task])
+
+    def record_ready(self, shard: shard_state.ShardState) -> None:
+        """Record that tasks of a shard may have become ready to start."""
+        self._ready[shard.shard_id] = shard
+
+    def pop_ready(self) -> list[shard_state.ShardState]:
+        """Return, and forget, the shards recorded by ``record_ready`` that are open."""
+        ready, self._ready = self._ready, {}
+        return [x for x in ready.values() if self._shards.get(x.shard_id) is x]
 
     def shard_of(self, task: runs.Task) -> shard_state.ShardState | None:
         """Return the shard that a task belongs to; ``None`` if it is not known."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/placer.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/placer.py
@@ -24,6 +24,39 @@
 FindShard = collections.abc.Callable[[runs.Task], shard_state.ShardState | None]
 
 
+class Pool:
+    """The workers of a service in a data centre that accept runs.
+
+    Parameters
+    ----------
+    key : tuple of (str, str)
+        Service and data centre.
+    find : callable
+        Returns them; called when they are first needed.
+    """
+
+    def __init__(
+        self,
+        key: tuple[str, str],
+        find: collections.abc.Callable[[], list[held_worker.HeldWorker]],
+    ) -> None:
+        self.key = key
+        self._find = find
+        self._workers: list[held_worker.HeldWorker] | None = None
+
+    def workers(self) -> list[held_worker.HeldWorker]:
+        """Return all workers of the pool, with and without free resources."""
+        if self._workers is None:
+            self._workers = self._find()
+        return self._workers
+
+    def select(
+        self, workers: list[held_worker.HeldWorker]
+    ) -> list[held_worker.HeldWorker]:
+        """Return those of some workers that belong to the pool."""
+        return [x for x in workers if _pool_key(x) == self.key]
+
+
 class Candidates:
     """Candidates for the tasks of one shard, placed one after the other.
 
@@ -97,7 +130,7 @@
         state: shard_state.TaskState,
         run_time_ms: float,
         limit_ms: float,
-        usable: list[held_worker.HeldWorker],
+        pool: Pool,
     ) -> int:
         """Count the runs after which a task would finish earlier than at a limit.
 
@@ -108,13 +141,13 @@
         run_time_ms, limit_ms : float
             Run time of the task on an average worker, and time until the limit, in
             milliseconds.
-        usable : list of held_worker.HeldWorker
-            All workers that accept runs, with and without free resources.
+        pool : Pool
+            The workers that accept runs.
         """
         key = (state.task.step, limit_ms)
         if key not in self._sooner:
             self._sooner[key] = self._placer.count_sooner(
-                run_time_ms, limit_ms, state.step, usable, self._now
+                run_time_ms, limit_ms, state.step, pool, self._now
             )
         return self._sooner[key]
 
@@ -204,7 +237,7 @@
         shard: shard_state.ShardState,
         state: shard_state.TaskState,
         candidates_of: Candidates,
-        usable: list[held_worker.HeldWorker],
+        pool: Pool,
         queued: int,
         now: datetime.datetime,
     ) -> policies.Candidate | None:
@@ -218,8 +251,8 @@
             The task.
         candidates_of : Candidates
             Workers with free resources for the shard's tasks; at least one for this.
-        usable : list of held_worker.HeldWorker
-            All workers that accept runs, with and without free resources.
+        pool : Pool
+            The workers that accept runs.
         queued : int
             Number of tasks of the shard that wait already; each is expected to take
             one of the slots that become free next.
@@ -237,28 +270,29 @@
                 if compares_bounds
                 else (run_time.expected_ms, candidate.expected_ms)
             )
-            return candidates_of.count_sooner(state, own_ms, other_ms, usable) > queued
+            return candidates_of.count_sooner(state, own_ms, other_ms, pool) > queued
 
         context = policies.PlacementContext(
             shard,
             is_sooner_after_wait,
-            functools.partial(self._utilisation, usable),
+            functools.partial(self._utilisation, pool),
             now,
         )
         return self._choice.choose(candidates, context)
 
-    def _utilisation(self, usable: list[held_worker.HeldWorker]) -> float:
-        pool = _pool(usable[0])
-        if pool not in self._utilisations:
-            self._utilisations[pool] = utilisation.processor_utilisation(usable)
-        return self._utilisations[pool]
+    def _utilisation(self, pool: Pool) -> float:
+        found = self._utilisations.get(pool.key)
+        if found is None:
+            found = utilisation.processor_utilisation(pool.workers())
+            self._utilisations[pool.key] = found
+        return found
 
     def count_sooner(
         self,
         run_time_ms: float,
         limit_ms: float,
         step: jobs.Step,
-        usable: list[held_worker.HeldWorker],
+        pool: Pool,
         now: datetime.datetime,
     ) -> int:
         """Count the runs after which a task would finish earlier than at a limit.
@@ -272,13 +306,13 @@
             milliseconds.
         step : jobs.Step
             Step of the task.
-        usable : list of held_worker.HeldWorker
-            All workers that accept runs.
+        pool : Pool
+            The workers that accept runs.
         now : datetime.datetime
             Present instant.
         """
         count = 0
-        for remaining_ms, speed, worker in self._busy_runs(usable, now):
+        for remaining_ms, speed, worker in self._busy_runs(pool, now):
             if remaining_ms >= limit_ms:
                 break
             if remaining_ms + run_time_ms / speed >= limit_ms:
@@ -288,20 +322,19 @@
         return count
 
     def _busy_runs(
-        self, usable: list[held_worker.HeldWorker], now: datetime.datetime
+        self, pool: Pool, now: datetime.datetime
     ) -> list[tuple[float, float, held_worker.HeldWorker]]:
         """Return remaining time in ms, speed and worker of all runs, soonest first."""
-        pool = _pool(usable[0])
-        if pool not in self._sorted_runs:
-            self._sorted_runs[pool] = sorted(
+        if pool.key not in self._sorted_runs:
+            self._sorted_runs[pool.key] = sorted(
                 (
                     (remaining_ms, self._estimates.speed(worker.report), worker)
-                    for worker in usable
+                    for worker in pool.workers()
                     for remaining_ms in self._remaining_times(worker, now)
                 ),
                 key=operator.itemgetter(0),
             )
-        return self._sorted_runs[pool]
+        return self._sorted_runs[pool.key]
 
     def _remaining_times(
         self, worker: held_worker.HeldWorker, now: datetime.datetime
@@ -338,11 +371,11 @@
         self._remaining.pop(worker.report.worker_id, None)
         speed = self._estimates.speed(worker.report)
         started = (chosen.run_time.expected_ms, speed, worker)
-        sorted_runs = self._sorted_runs.get(_pool(worker))
+        sorted_runs = self._sorted_runs.get(_pool_key(worker))
         if sorted_runs is not None:
             bisect.insort(sorted_runs, started, key=operator.itemgetter(0))
 
 
-def _pool(worker: held_worker.HeldWorker) -> tuple[str, str]:
-    """Return service and data centre, whose workers are usable for the same tasks."""
+def _pool_key(worker: held_worker.HeldWorker) -> tuple[str, str]:
+    """Return service and data centre of a worker."""
     return worker.report.service, worker.report.data_centre
