Fleet: only holders look at all other daemons; contacts follow changes

Cause: eight times a second each daemon listed all other daemons that may be alive, which only holders use, all that are known, and all whose contact might have to be recorded.

Change: the list of live gateways is made while workers are held; the known daemons are kept until one registers or sends its first message; contacts are recorded where they change; the interval of slow ticks is worked out with the contacts.

Result: no look at all others in a second of ticks of a plain daemon (20 before).

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -168,6 +168,7 @@
         self._sent_loads: tuple[tuple[str, tuple[loads.ServiceLoad, ...]], ...] = ()
         self._sent_holders: tuple[daemons.Holder, ...] = ()
         self._last_tick = self._next_slow_tick = now
+        self._slow_tick_interval = self._find_slow_tick_interval()
         self._heartbeat_count = 0
         # Moving average of the time by which ticks are late.
         self._delay_ms = 0.0
@@ -211,14 +212,11 @@
         is_busy = self.broker.open_shards() or (
             self.gateway.open_jobs() and self.broker.is_holding()
         )
-        interval = BUSY_TICK_INTERVAL if is_busy else self._slow_tick_interval()
+        interval = BUSY_TICK_INTERVAL if is_busy else self._slow_tick_interval
         next_tick = min(self._last_tick + interval, self._next_heartbeat)
         job_due = self.gateway.next_due()
         return next_tick if job_due is None else min(next_tick, job_due)
 
-    def _slow_tick_interval(self) -> datetime.timedelta:
-        return self.election.heartbeat_interval() / TICKS_PER_HEARTBEAT
-
     def handle(self, message: messages.Message) -> datetime.datetime:
         """Handle one message; settle what it began if that fails.
 
@@ -290,7 +288,7 @@
         )
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
-            self._next_slow_tick = now + self._slow_tick_interval()
+            self._next_slow_tick = now + self._slow_tick_interval
             steps = (*_SLOW_STEPS, *_TIMED_STEPS)
         failures = set()
         for step in steps:
@@ -388,9 +386,13 @@
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
+        self._slow_tick_interval = self._find_slow_tick_interval()
         self.broker.gateway_timeout = self.election.suspect_after()
         self.gateway.record_gateway_count(self.election.fleet_size())
 
+    def _find_slow_tick_interval(self) -> datetime.timedelta:
+        return self.election.heartbeat_interval() / TICKS_PER_HEARTBEAT
+
     def accept(
         self,
         sender: daemons.Daemon,
@@ -530,12 +532,13 @@
                 and self.election.is_responsive(holder.vm, holder.incarnation, now)
             ):
                 reachable[holder.data_centre] = gateway.ReachableBroker(holder, daemon)
-        self.broker.record_live_gateways(
-            frozenset(
-                broker_messages.GatewayId(x.vm, x.incarnation)
-                for x in self.election.live_peers(now)
+        if self.broker.is_holding():
+            self.broker.record_live_gateways(
+                frozenset(
+                    broker_messages.GatewayId(x.vm, x.incarnation)
+                    for x in self.election.live_peers(now)
+                )
             )
-        )
         self.perform(self.gateway.update_brokers(reachable, now), now)
 
     def _send_due_messages(self, now: datetime.datetime) -> None:
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -342,6 +342,25 @@
         self.assertEqual(1, self.loop.gateway.open_jobs())
         self.assertGreaterEqual(self.loop.max_wait(), before)
 
+    # Each daemon of a fleet of a hundred looked at all others eight times a second, for
+    # a list that only holders use.
+    def test_only_holders_look_at_all_other_daemons(self):
+        for number in range(2, 100):
+            vm = f"vm-{number}"
+            self.receive(make_heartbeat(), daemons.Daemon(vm, "away", vm, f"{vm}:1"))
+        looks = []
+        real = self.loop.election.live_peers
+        self.patch(
+            self.loop.election, "live_peers", lambda now: looks.append(now) or real(now)
+        )
+        for _ in range(20):
+            self.clock.advance(MS(50))
+            self.receive(make_heartbeat())
+            self.loop.tick()
+        self.assertEqual([], looks)
+        self.hold_worker()
+        self.assertNotEqual([], looks)
+
     def test_client_is_answered_when_its_job_is_due(self):
         self.receive(make_heartbeat())
         self.loop.record_holder(
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -101,6 +101,9 @@
         self.is_leaving = False
         self._started_at = now
         self._peers: dict[str, _Peer] = {}
+        # What ``peers`` returns; ``None`` after a change.
+        self._known_peers: tuple[daemons.Daemon, ...] | None = None
+        self._contacted_vms: set[str] = set()
         self._suspect_after = contacts.suspect_after(0)
         self._holders: dict[str, daemons.Holder] = {}
         self._holder_changed_at: dict[str, datetime.datetime] = {}
@@ -133,6 +136,7 @@
         for daemon in registered:
             if daemon.vm != self.me.vm:
                 self._record_peer(daemon)
+        self._known_peers = None
         incarnations = {(daemon.vm, daemon.incarnation) for daemon in registered}
         for peer in self._peers.values():
             peer.is_registered = (
@@ -146,6 +150,8 @@
         peer = self._peers.get(daemon.vm)
         if peer is None or peer.daemon.incarnation != daemon.incarnation:
             peer = self._peers[daemon.vm] = _Peer(daemon)
+            self._known_peers = None
+            self._contacted_vms.discard(daemon.vm)
             self._suspect_after = contacts.suspect_after(len(self._peers))
         return peer
 
@@ -164,6 +170,8 @@
             Present instant.
         """
         peer = self._record_peer(daemon)
+        if peer.last_received_at is None:
+            self._known_peers = None
         peer.last_received_at = now
         if is_leaving is not None:
             peer.is_leaving = is_leaving
@@ -205,11 +213,13 @@
 
     def peers(self) -> tuple[daemons.Daemon, ...]:
         """Return the other daemons that are registered or have sent a message."""
-        return tuple(
-            peer.daemon
-            for peer in self._peers.values()
-            if peer.is_registered or self._has_sent_message(peer)
-        )
+        if self._known_peers is None:
+            self._known_peers = tuple(
+                peer.daemon
+                for peer in self._peers.values()
+                if peer.is_registered or self._has_sent_message(peer)
+            )
+        return self._known_peers
 
     def live_peers(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
         """Return the other daemons that are neither suspected nor have ended."""
@@ -229,11 +239,11 @@
         )
         wanted = contacts.wanted(view)
         wanted_vms = {daemon.vm for daemon in wanted}
-        for vm, peer in self._peers.items():
-            if vm not in wanted_vms:
-                peer.contacted_at = None
-            elif peer.contacted_at is None:
-                peer.contacted_at = now
+        for vm in self._contacted_vms - wanted_vms:
+            self._peers[vm].contacted_at = None
+        for vm in wanted_vms - self._contacted_vms:
+            self._peers[vm].contacted_at = now
+        self._contacted_vms = wanted_vms
         return wanted
 
     def _other_holders(self) -> tuple[daemons.Daemon, ...]:
--- a/libs/carawaysail_holding/tests/test_holder_election.py
+++ b/libs/carawaysail_holding/tests/test_holder_election.py
@@ -67,6 +67,33 @@
         self.assertEqual(expected, claims)
 
 
+class TestPeers(ElectionCase):
+    """Which other daemons are known, and since when they are contacted."""
+
+    def test_daemon_is_known_while_registered_or_once_it_has_sent_a_message(self):
+        first, second = self.local_peer, self.remote_peer
+        self.assertEqual((), self.election.peers())
+        self.register_all(first, second)
+        self.assertEqual({first, second}, set(self.election.peers()))
+        self.receive_message(first)
+        self.register_all()
+        self.assertEqual((first,), self.election.peers())
+        again = first._replace(incarnation="later")
+        self.receive_message(again)
+        self.assertEqual((again,), self.election.peers())
+
+    def test_later_incarnation_gets_time_for_its_first_message(self):
+        first = self.local_peer
+        self.register_all(first)
+        self.advance(5000, first)
+        again = first._replace(incarnation="later")
+        self.register_all(again)
+        self.election.update_contacts(self.now)
+        self.assertIn(again, self.election.live_peers(self.now))
+        self.advance(1500)
+        self.assertNotIn(again, self.election.live_peers(self.now))
+
+
 class TestOwnDataCentre(ElectionCase):
     """Claims on the daemon's own data centre."""
 
