Processor time: a metric of each daemon, and figures of control and placing

carawaysail_processor_seconds is the processor time of a process. bin/measure control plays a holder with 8, 32 and 97 gateways and a gateway with 6 holders over loopback; placing is the cost of an end of a run by waiting shards.

--- a/libs/carawaysail_bench/src/carawaysail_bench/measure/main.py
+++ b/libs/carawaysail_bench/src/carawaysail_bench/measure/main.py
@@ -18,10 +18,15 @@
 
 import docopt
 
-from carawaysail_bench.measure import figures, load_figures, scaling_figures
+from carawaysail_bench.measure import (
+    control_figures,
+    figures,
+    load_figures,
+    scaling_figures,
+)
 from carawaysail_types import errors
 
-FIGURE_MODULES = (scaling_figures, load_figures)
+FIGURE_MODULES = (scaling_figures, load_figures, control_figures)
 """Modules whose import fills the registry of figures."""
 
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/metrics.py
@@ -2,6 +2,7 @@
 
 import datetime
 import re
+import time
 
 from carawaysail_runtime import metrics
 from carawaysail_types import clock
@@ -86,6 +87,10 @@
             STORE_ANSWER_AGE,
             "Time since the store's last answer in milliseconds by task.",
         )
+        self._processor_s = registry.gauge(
+            "carawaysail_processor_seconds",
+            "Processor time of the process since its start in seconds.",
+        )
         self._answered_at: dict[str, datetime.datetime] = {}
         self._newest_sizes: dict[str, int] = {}
 
@@ -132,9 +137,7 @@
             Time until the response or the failure.
         """
         with self._registry.lock:
-            self._calls_ms.observe(
-                clock.to_milliseconds(duration), service, outcome
-            )
+            self._calls_ms.observe(clock.to_milliseconds(duration), service, outcome)
 
     def set_sizes(self, sizes: dict[str, int]) -> None:
         """Set the sizes of the daemon's state, by name."""
@@ -161,6 +164,7 @@
         with self._registry.lock:
             for name, value in self._newest_sizes.items():
                 self._sizes.set({"name": name}, value)
+            self._processor_s.set({}, time.process_time())
             for task, at in self._answered_at.items():
                 age_ms = round(clock.to_milliseconds(now - at))
                 self._answer_age_ms.set({"task": task}, age_ms)
--- a/libs/carawaysail_fleet/tests/test_fleet.py
+++ b/libs/carawaysail_fleet/tests/test_fleet.py
@@ -581,3 +581,9 @@
         self.assertEqual(
             2.0, metrics.find_sample(text, name, outcome="completed", **labels)
         )
+
+    def test_processor_time_of_the_process_is_rendered(self):
+        daemon_metrics = metrics.DaemonMetrics("vm", "dc")
+        text = daemon_metrics.render(clock.ManualClock().now())[0].decode()
+        found = metrics.find_sample(text, "carawaysail_processor_seconds")
+        self.assertGreater(found, 0.0)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -776,9 +776,7 @@
         for state in shard.ready_tasks():
             if not candidates_of.of(state):
                 continue
-            chosen = self._placer.choose(
-                shard, state, candidates_of, pool, queued, now
-            )
+            chosen = self._placer.choose(shard, state, candidates_of, pool, queued, now)
             if chosen is None:
                 queued += 1
             elif not self._workers.is_on_any_worker(state.task) and self._order_start(
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/logs.py
@@ -29,8 +29,8 @@
 """Largest number of lines that wait to be written; about one second of peak load."""
 
 WRITE_INTERVAL_S = 0.1
-"""Least time between two writes, in seconds. Each write wakes a thread, which costs more
-than the lines that it writes."""
+"""Least time between two writes, in seconds. Each write wakes a thread, which costs
+more than the lines that it writes."""
 
 
 def open_log(path: str) -> None:
