Broker: an index of shards by gateway, a count of unclaimed runs

Change: the table of shards has them by gateway as well; a ledger counts its runs whose job is not known. The new test fails before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -646,9 +646,8 @@
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
         withdrawn = [
             shard
-            for shard in self._jobs.all()
-            if shard.shard_id.gateway == gateway
-            and self._gateways.is_withdrawn(gateway, shard.submission)
+            for shard in self._jobs.of_gateway(gateway)
+            if self._gateways.is_withdrawn(gateway, shard.submission)
         ]
         for shard in withdrawn:
             self._jobs.finish(shard, outcome, now)
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -50,6 +50,10 @@
         self._estimates = estimates
         self._gateways = known_gateways
         self._shards: dict[broker_messages.ShardId, shard_state.ShardState] = {}
+        # Used as sets in order of insertion.
+        self._shard_ids_by_gateway: dict[
+            broker_messages.GatewayId, dict[broker_messages.ShardId, None]
+        ] = {}
         self._shard_by_task: dict[runs.Task, shard_state.ShardState] = {}
         # Shards with tasks that have become ready since the last pass over them.
         self._ready: dict[broker_messages.ShardId, shard_state.ShardState] = {}
@@ -62,6 +66,12 @@
         """Return all shards, as a new list."""
         return list(self._shards.values())
 
+    def of_gateway(
+        self, gateway: broker_messages.GatewayId
+    ) -> list[shard_state.ShardState]:
+        """Return the shards that a gateway has submitted, as a new list."""
+        return [self._shards[x] for x in self._shard_ids_by_gateway.get(gateway, ())]
+
     def waits_until(self, shard: shard_state.ShardState) -> datetime.datetime:
         """Return until when the gateway of a shard is known to have waited for it."""
         return self._gateways.waits_until(shard.shard_id.gateway, shard.submitted_at)
@@ -124,6 +134,7 @@
             return
         self._supersede(shard, now)
         self._shards[shard_id] = shard
+        self._shard_ids_by_gateway.setdefault(shard_id.gateway, {})[shard_id] = None
         for task in shard.tasks:
             self._shard_by_task[task] = shard
         self._restore_history(shard, now)
@@ -259,7 +270,12 @@
 
     def remove(self, shard: shard_state.ShardState) -> None:
         """Remove a shard without sending an outcome to its gateway."""
-        self._shards.pop(shard.shard_id, None)
+        if self._shards.pop(shard.shard_id, None) is not None:
+            gateway = shard.shard_id.gateway
+            of_gateway = self._shard_ids_by_gateway[gateway]
+            del of_gateway[shard.shard_id]
+            if not of_gateway:
+                del self._shard_ids_by_gateway[gateway]
         for task in shard.tasks:
             if self._shard_by_task.get(task) is shard:
                 del self._shard_by_task[task]
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -99,6 +99,8 @@
         self._reported: set[runs.Run] = set()
         # Used as a set in order of insertion.
         self._uncertain: dict[runs.Run, None] = {}
+        # Number of entries without resources.
+        self._unclaimed = 0
         # Number of entries of each task.
         self._task_counts: collections.Counter[runs.Task] = collections.Counter()
 
@@ -136,8 +138,13 @@
         return free
 
     def _set(self, run: runs.Run, entry: Entry) -> None:
-        if run not in self._entries:
+        known = self._entries.get(run)
+        if known is None:
             self._task_counts[run.task] += 1
+        elif known.resources is None:
+            self._unclaimed -= 1
+        if entry.resources is None:
+            self._unclaimed += 1
         self._entries[run] = entry
         if entry.state is RunState.UNCERTAIN:
             self._uncertain[run] = None
@@ -146,7 +153,9 @@
         self._free = None
 
     def _remove(self, run: runs.Run) -> None:
-        if self._entries.pop(run, None) is not None:
+        entry = self._entries.pop(run, None)
+        if entry is not None:
+            self._unclaimed -= entry.resources is None
             self._free = None
             self._reported.discard(run)
             self._uncertain.pop(run, None)
@@ -156,7 +165,7 @@
 
     def has_unclaimed(self) -> bool:
         """Return whether a run counts here that no shard of this holder asked for."""
-        return any(x.resources is None for x in self._entries.values())
+        return self._unclaimed > 0
 
     def has_run_of(self, task: runs.Task) -> bool:
         """Return whether a run of a task counts here."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -929,6 +929,23 @@
         self.assertEqual([], self.stops(self.state(1, 4)))
         self.assertEqual([started.run], [x.run for x in self.stops(self.state(2))])
 
+    # Each statement, some 300 a second at a holder of a large fleet, was compared with
+    # the open shards of all gateways.
+    def test_statement_is_compared_with_the_shards_of_its_gateway_only(self):
+        self.submit(self.make(shard=4))
+        self.submit(self.make(2, shard=9), OTHER)
+        compared = []
+        real = self.broker._gateways.is_withdrawn
+
+        def is_withdrawn(gateway, submission):
+            compared.append(submission.job.job_id)
+            return real(gateway, submission)
+
+        self.patch(self.broker._gateways, "is_withdrawn", is_withdrawn)
+        self.patch(self.broker._jobs, "all", lambda: self.fail("all shards"))
+        self.state(1, 9, gateway=OTHER)
+        self.assertEqual([f"{2:016x}"], compared)
+
     def test_statement_of_another_gateway_changes_nothing(self):
         self.submit(self.make(shard=4))
         self.assertEqual([], self.stops(self.state(1, gateway=OTHER)))
