Load reports: no more often than their receivers bear; next tick worked out once a batch

Cause: the interval of load reports followed from what sending them costs the holder. A gateway hears all holders: with 97 daemons and six holders some 50 reports a second, each with a wake-up, at daemons of 0.387 of a core. When the next tick is due was worked out up to four times for each message.

Change: the interval also follows from the number of holders and the processor of the smallest gateway. The loop works out the next tick when it wakes and after each tick.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -191,12 +191,14 @@
         while True:
             wait_s = self.max_wait().total_seconds()
             received = await self.inbox.drain(wait_s)
-            is_failed = self._is_tick_due(self.clock.now()) and not self.tick()
+            is_failed, next_tick = False, self._next_tick()
+            if self.clock.now() >= next_tick:
+                is_failed, next_tick = not self.tick(), self._next_tick()
             for message in received:
                 handled_at = self.handle(message)
                 # Heartbeats and leases must not wait for many messages.
-                if self._is_tick_due(handled_at):
-                    is_failed = not self.tick()
+                if handled_at >= next_tick:
+                    is_failed, next_tick = not self.tick(), self._next_tick()
             if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
@@ -204,9 +206,6 @@
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
 
-    def _is_tick_due(self, now: datetime.datetime) -> bool:
-        return now >= self._next_tick()
-
     def _next_tick(self) -> datetime.datetime:
         # The load of a holder whose clients wait must reach the gateways soon.
         is_busy = self.broker.open_shards() or (
@@ -564,9 +563,12 @@
             self._next_loads = now + contacts.MIN_LOADS_INTERVAL
             return
         self._sent_loads = held
-        listeners, size_bytes = self._links.broadcast(
+        count, size_bytes = self._links.broadcast(
             stream_messages.Loads(held, delay_ms, self._clock_ms(now))
         )
+        listeners = contacts.Listeners(
+            count, len(self.election.holders()), self.election.least_processor_milli()
+        )
         self._next_loads = now + contacts.loads_interval(
             listeners, size_bytes, self.cfg.limits
         )
--- a/libs/carawaysail_holding/src/carawaysail_holding/contacts.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/contacts.py
@@ -47,10 +47,11 @@
 
 LOADS_PROCESSOR_SHARE = 0.02
 LOADS_LINK_SHARE = 0.1
-"""Shares of the processor and of the link that load reports may take."""
+"""Shares of the processor, at either end, and of the link for load reports."""
 
 SEND_TIME = clock.milliseconds(0.03)
-"""Processor time to send a frame to one daemon, on a whole core."""
+RECEIVE_TIME = clock.milliseconds(0.2)
+"""Processor time to send a report to one daemon, and to receive one, on a core."""
 
 
 class Limits(typing.NamedTuple):
@@ -104,23 +105,49 @@
     return SMALL_FLEET_PACE if is_full_mesh(peer_count) else LARGE_FLEET_PACE
 
 
+class Listeners(typing.NamedTuple):
+    """The daemons that get a holder's load reports.
+
+    Parameters
+    ----------
+    total : int
+        Number of daemons.
+    holders : int
+        Number of holders whose reports each of them gets.
+    least_processor_milli : int
+        Thousandths of a core that the smallest of them has; 0 if not known.
+    """
+
+    total: int
+    holders: int = 1
+    least_processor_milli: int = 0
+
+
 def loads_interval(
-    listeners: int, report_bytes: int, limits: Limits
+    listeners: Listeners, report_bytes: int, limits: Limits
 ) -> datetime.timedelta:
     """Return the least time between two load reports to all listeners.
 
     Parameters
     ----------
-    listeners : int
-        Number of daemons that get each report.
+    listeners : Listeners
+        The daemons that get each report.
     report_bytes : int
         Size of a report.
     limits : Limits
         Limits of this daemon's VM.
     """
-    processor_ms = clock.to_milliseconds(SEND_TIME) * 1000.0 / limits.processor_milli
-    by_processor_ms = listeners * processor_ms / LOADS_PROCESSOR_SHARE
+    sending_ms = listeners.total * _on_core(SEND_TIME, limits.processor_milli)
+    receiving_ms = listeners.holders * _on_core(
+        RECEIVE_TIME, listeners.least_processor_milli or limits.processor_milli
+    )
+    by_processor_ms = max(sending_ms, receiving_ms) / LOADS_PROCESSOR_SHARE
     link_bytes_ms = limits.link_bytes / 1000.0
-    by_link_ms = listeners * report_bytes / (LOADS_LINK_SHARE * link_bytes_ms)
+    by_link_ms = listeners.total * report_bytes / (LOADS_LINK_SHARE * link_bytes_ms)
     least = clock.milliseconds(max(by_processor_ms, by_link_ms))
     return max(MIN_LOADS_INTERVAL, least)
+
+
+def _on_core(duration: datetime.timedelta, processor_milli: int) -> float:
+    """Return a processor time, given for a whole core, on a part of one, in ms."""
+    return clock.to_milliseconds(duration) * 1000.0 / processor_milli
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -266,6 +266,13 @@
         """Return the number of known daemons, this one included."""
         return len(self._peers) + 1
 
+    def least_processor_milli(self) -> int:
+        """Return what the smallest other daemon has of a core; 0 if not known.
+
+        In thousandths.
+        """
+        return min((x.processor_milli for x in self.peers()), default=0)
+
     def pace(self) -> contacts.Pace:
         """Return how often daemons of a fleet of this size show that they are alive."""
         return contacts.pace(len(self._peers))
--- a/libs/carawaysail_holding/tests/test_contacts.py
+++ b/libs/carawaysail_holding/tests/test_contacts.py
@@ -43,19 +43,31 @@
         self.assertLessEqual(6 / interval.total_seconds(), 20.0)
 
     def test_few_listeners_get_each_change(self):
-        interval = contacts.loads_interval(6, 2_000, contacts.Limits())
+        interval = contacts.loads_interval(
+            contacts.Listeners(6), 2_000, contacts.Limits()
+        )
         self.assertEqual(contacts.MIN_LOADS_INTERVAL, interval)
 
     def test_reports_stay_within_their_share_of_the_link(self):
         link_bytes = 1_250_000.0
         limits = contacts.Limits(8_000, link_bytes)
-        interval = contacts.loads_interval(96, 2_000, limits)
+        interval = contacts.loads_interval(contacts.Listeners(96), 2_000, limits)
         sent = 96 * 2_000 / interval.total_seconds()
         self.assertLessEqual(sent, contacts.LOADS_LINK_SHARE * link_bytes * 1.001)
 
+    # A sixth of what a fleet of a hundred did at a crest was to receive load reports.
+    def test_reports_of_all_holders_stay_within_the_share_of_the_smallest_listener(
+        self,
+    ):
+        listeners = contacts.Listeners(96, 6, 387)
+        limits = contacts.Limits(2_000)
+        interval = contacts.loads_interval(listeners, 2_000, limits)
+        taken = 6 * contacts.RECEIVE_TIME / 0.387 / interval
+        self.assertLessEqual(taken, contacts.LOADS_PROCESSOR_SHARE * 1.001)
+
     def test_slow_daemon_reports_less_often(self):
         slow, fast = (
-            contacts.loads_interval(96, 100, contacts.Limits(milli))
+            contacts.loads_interval(contacts.Listeners(96), 100, contacts.Limits(milli))
             for milli in (120, 2_000)
         )
         self.assertGreater(slow, 10 * fast)
