Broker: whether a task runs on some worker is looked up, not searched

Change: the ledgers of a table keep one count of runs by task; a worker that is not held any more takes its runs out. TestTaskCounts compares the count with a search.

--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -1,5 +1,6 @@
 """A worker that this daemon holds: its ledger, health, clock and lease."""
 
+import collections
 import datetime
 
 from carawaysail_holding import broker_messages, ledger, run_progress, worker_health
@@ -50,6 +51,8 @@
         Fencing token of the holder.
     now : datetime.datetime
         Present instant.
+    all_task_counts : collections.Counter, optional
+        Number of runs of each task that count on any held worker.
 
     Attributes
     ----------
@@ -60,9 +63,13 @@
     """
 
     def __init__(
-        self, report: runs.WorkerReport, token: int, now: datetime.datetime
+        self,
+        report: runs.WorkerReport,
+        token: int,
+        now: datetime.datetime,
+        all_task_counts: "collections.Counter[runs.Task] | None" = None,
     ) -> None:
-        self.ledger = ledger.Ledger(report, token)
+        self.ledger = ledger.Ledger(report, token, all_task_counts)
         self.health = worker_health.WorkerHealth()
         self.run_progress = run_progress.RunProgress()
         self.is_draining = report.is_draining
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -80,6 +80,9 @@
         The worker; a new incarnation gets a new ledger.
     token : int
         Fencing token of the holder, sent with all orders.
+    all_task_counts : collections.Counter, optional
+        Number of runs of each task that count on any worker; kept up to date until
+        ``detach`` is called.
 
     Attributes
     ----------
@@ -89,7 +92,12 @@
         Highest sequence number of its finished runs that have been processed.
     """
 
-    def __init__(self, report: runs.WorkerReport, token: int) -> None:
+    def __init__(
+        self,
+        report: runs.WorkerReport,
+        token: int,
+        all_task_counts: "collections.Counter[runs.Task] | None" = None,
+    ) -> None:
         self.report = report
         self.token = token
         self.has_status = False
@@ -101,8 +109,15 @@
         self._uncertain: dict[runs.Run, None] = {}
         # Number of entries without resources.
         self._unclaimed = 0
-        # Number of entries of each task.
-        self._task_counts: collections.Counter[runs.Task] = collections.Counter()
+        self._all_task_counts = (
+            collections.Counter() if all_task_counts is None else all_task_counts
+        )
+
+    def detach(self) -> None:
+        """Take the runs out of the counts of all workers: this one is not held now."""
+        for run in self._entries:
+            self._uncount(run.task)
+        self._all_task_counts = collections.Counter()
 
     def entries(self) -> dict[runs.Run, Entry]:
         """Return a copy of the runs that count against the worker's resources."""
@@ -137,10 +152,16 @@
             free = free.minus(entry.resources)
         return free
 
+    def _uncount(self, task: runs.Task) -> None:
+        counts = self._all_task_counts
+        counts[task] -= 1
+        if not counts[task]:
+            del counts[task]
+
     def _set(self, run: runs.Run, entry: Entry) -> None:
         known = self._entries.get(run)
         if known is None:
-            self._task_counts[run.task] += 1
+            self._all_task_counts[run.task] += 1
         elif known.resources is None:
             self._unclaimed -= 1
         if entry.resources is None:
@@ -159,18 +180,12 @@
             self._free = None
             self._reported.discard(run)
             self._uncertain.pop(run, None)
-            self._task_counts[run.task] -= 1
-            if not self._task_counts[run.task]:
-                del self._task_counts[run.task]
+            self._uncount(run.task)
 
     def has_unclaimed(self) -> bool:
         """Return whether a run counts here that no shard of this holder asked for."""
         return self._unclaimed > 0
 
-    def has_run_of(self, task: runs.Task) -> bool:
-        """Return whether a run of a task counts here."""
-        return task in self._task_counts
-
     def tasks_of(self, job_id: str, step: int) -> int:
         """Return the number of runs of a job's step that count here."""
         return sum(
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -1,5 +1,6 @@
 """The workers that a daemon holds, and the newest reports of all workers."""
 
+import collections
 import collections.abc
 import datetime
 
@@ -16,6 +17,8 @@
         self._newest_tokens: dict[str, int] = {}
         self._reports: dict[str, runs.WorkerReport] = {}
         self._workers: dict[str, held_worker.HeldWorker] = {}
+        # Number of runs of each task that count on any held worker.
+        self._task_counts: collections.Counter[runs.Task] = collections.Counter()
         # Orders to an earlier incarnation of a worker that may have reached the next.
         self._carried_over: dict[str, dict[runs.Run, ledger.Entry]] = {}
         # By worker; the store may still report an incarnation that has ended.
@@ -47,7 +50,7 @@
         self.tokens.pop(data_centre, None)
         worker_ids = [x.report.worker_id for x in self.held_in(data_centre)]
         for worker_id in worker_ids:
-            del self._workers[worker_id]
+            self._workers.pop(worker_id).ledger.detach()
         return worker_ids
 
     # Worker reports
@@ -85,7 +88,7 @@
                 continue
             if self._ended_incarnations.get(worker_id) == report.incarnation:
                 continue
-            worker = held_worker.HeldWorker(report, token, now)
+            worker = held_worker.HeldWorker(report, token, now, self._task_counts)
             self._workers[worker_id] = worker
             for run, entry in self._carried_over.pop(worker_id, {}).items():
                 worker.ledger.record_carried_over(run, entry, now)
@@ -127,7 +130,9 @@
 
     def remove(self, worker_id: str) -> list[runs.Run]:
         """Remove an incarnation that has ended; return the runs that counted there."""
-        return list(self._workers.pop(worker_id).ledger.entries())
+        worker = self._workers.pop(worker_id)
+        worker.ledger.detach()
+        return list(worker.ledger.entries())
 
     def handle_restart(self, worker_id: str) -> tuple[list[runs.Run], int]:
         """Remove an incarnation that was replaced by another of the same name.
@@ -191,7 +196,7 @@
 
     def is_on_any_worker(self, task: runs.Task) -> bool:
         """Return whether a run of a task counts on some held worker."""
-        return any(x.ledger.has_run_of(task) for x in self._workers.values())
+        return task in self._task_counts
 
 
 def _can_run(report: runs.WorkerReport, step: jobs.Step) -> bool:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -647,6 +647,56 @@
         self.assert_sent([jobs.Verdict.COMPLETED], self.finish(self.start))
 
 
+class TestTaskCounts(BrokerCase):
+    """Whether a task has a run on any held worker; kept as runs come and go."""
+
+    def setUp(self):
+        super().setUp()
+        self.reports = [make_report(n) for n in range(2)]
+        self.hold(*self.reports)
+        [self.start] = self.starts(self.submit(self.make()))
+        self.task = self.start.run.task
+
+    def is_counted(self):
+        table = self.broker._workers
+        scanned = any(
+            run.task == self.task
+            for worker in table.all()
+            for run in worker.ledger.entries()
+        )
+        self.assertEqual(scanned, table.is_on_any_worker(self.task))
+        return scanned
+
+    def test_run_counts_until_its_end_is_listed(self):
+        self.answer(self.start)
+        self.assertTrue(self.is_counted())
+        self.finish(self.start)
+        self.assertFalse(self.is_counted())
+
+    def test_runs_of_a_worker_that_is_not_held_any_more_do_not_count(self):
+        self.broker.stop_holding(HOME)
+        self.assertFalse(self.is_counted())
+        # Taken over again, with the run of before.
+        self.hold(*self.reports, token=8)
+        self.poll(self.start.worker, running=[self.start.run])
+        self.assertTrue(self.is_counted())
+
+    def test_runs_of_a_restarted_worker_do_not_count(self):
+        self.answer(self.start)
+        self.poll(self.start.worker, running=[self.start.run])
+        self.assertTrue(self.is_counted())
+        self.poll(self.start.worker, incarnation="2")
+        again = self.starts(self.broker.tick(self.now))
+        self.assertEqual(len(again) > 0, self.is_counted())
+
+    def test_order_that_may_have_reached_the_next_incarnation_counts(self):
+        self.poll(self.start.worker, incarnation="2")
+        self.broker.handle_reports(
+            [x._replace(incarnation="2") for x in self.reports], self.now
+        )
+        self.is_counted()
+
+
 class TestTakeover(BrokerCase):
     """Runs that an earlier holder has ordered."""
 
