Turns: a pause behind collected events counts for what is read in the next turn

Cause: the process is stopped when the kernel has already collected the events of its wait, without the connections that come meanwhile. These are accepted in the next turn, which began after the pause, and the pause counted for the turn before only.

Change: by how much a wait outlasted its timeout counts for the next turn that looks at the sockets, as it did for waits without events, and no longer for the turn that reads the collected ones once that is over.

The new test fails before.

--- a/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
@@ -58,8 +58,12 @@
         self._waits_since = self._began_at = source.now()
         self._count = 0
         self._unobserved = collections.deque([_NO_TIME] * MAX_TURNS, MAX_TURNS)
-        # Of a wait that ended without a look at the sockets; counts for the next turn.
+        # Time by which the last wait outlasted its timeout. It counts for the next turn
+        # that looks at the sockets: what came meanwhile may be read only there.
         self._overrun = _NO_TIME
+        # Position among the last turns of the one that has counted it, from the end;
+        # 0 if none has.
+        self._overrun_position = 0
 
     def begin_wait(self) -> None:
         """Record that the loop begins to wait for events."""
@@ -80,15 +84,17 @@
         unobserved = self._waits_since - self._began_at
         if self._overrun:
             unobserved += self._overrun
-            self._overrun = _NO_TIME
+            if self._overrun_position:
+                self._unobserved[self._overrun_position] -= self._overrun
+            self._overrun, self._overrun_position = _NO_TIME, 0
         waited = now - self._waits_since
         # Most waits end before their timeout.
         if timeout_s is not None and waited.total_seconds() > timeout_s:
-            overrun = waited - datetime.timedelta(seconds=max(0.0, timeout_s))
+            self._overrun = waited - datetime.timedelta(seconds=max(0.0, timeout_s))
             if has_events:
-                unobserved += overrun
-            else:
-                self._overrun = overrun
+                # The kernel may have collected them before, or after, the pause.
+                unobserved += self._overrun
+                self._overrun_position = -1
         self._unobserved.append(unobserved)
         self._began_at = now
         self._count += 1
@@ -100,6 +106,8 @@
         """
         self._unobserved.append(_NO_TIME)
         self._count += 1
+        if self._overrun_position:
+            self._overrun_position -= 1
 
     def arrived(self, turns: int = 1) -> datetime.datetime:
         """Return the earliest instant at which what was read can have arrived."""
--- a/libs/carawaysail_runtime/tests/test_turns.py
+++ b/libs/carawaysail_runtime/tests/test_turns.py
@@ -52,6 +52,19 @@
         self.take_turn()
         self.assertEqual(0.0, self.waited_ms())
 
+    # A process was stopped once the kernel had collected the events of a wait. What came
+    # meanwhile was read in the next turn, and counted from there.
+    def test_pause_that_ends_with_events_counts_for_the_next_turn_as_well(self):
+        self.take_turn(waited_ms=4080, timeout_ms=80)
+        self.turns.skip_wait()
+        self.take_turn()
+        self.assertEqual(4000.0, self.waited_ms())
+        for turn_count in (2, 3, turns.ACCEPT_TURNS):
+            self.assertEqual(4000.0, self.waited_ms(turn_count))
+        self.take_turn()
+        self.assertEqual(0.0, self.waited_ms())
+        self.assertEqual(4000.0, self.waited_ms(turns.ACCEPT_TURNS))
+
     def test_time_since_the_turn_began_counts(self):
         self.take_turn()
         self.clock.advance(MS(20))
