--- a/libs/carawaysail_runtime/tests/test_turns.py
+++ b/libs/carawaysail_runtime/tests/test_turns.py
@@ -52,8 +52,8 @@
         self.take_turn()
         self.assertEqual(0.0, self.waited_ms())
 
-    # A process was stopped once the kernel had collected the events of a wait. What came
-    # meanwhile was read in the next turn, and counted from there.
+    # A process was stopped once the kernel had collected the events of a wait. What was
+    # sent meanwhile was read in the next turn, and counted from there.
     def test_pause_that_ends_with_events_counts_for_the_next_turn_as_well(self):
         self.take_turn(waited_ms=4080, timeout_ms=80)
         self.turns.skip_wait()
