Model: more seeds for the variant that starts resumed shards at once

The test replaces a decision by a faulty one and requires that the checks see a run beside another at one of eight seeds.

--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -212,7 +212,7 @@
 
     def test_broker_that_starts_resumed_shards_at_once(self):
         self.replace(worker_table.WorkerTable, "may_miss_runs", lambda *args: False)
-        simulations = [run_fault("holder_killed", seed) for seed in range(8, 16)]
+        simulations = [run_fault("holder_killed", seed) for seed in range(16, 32)]
         observed = [
             x.invariant
             for simulation in simulations
