Turns: the position of a counted wait does not outlive it

An overrun of less than a microsecond is rounded to none, and then the position was never cleared: skipped turns moved it on, and the next wait that did outlast its timeout, without events, raised an IndexError in the event loop, or took its overrun from another turn.

Evidence: the new test raises that IndexError before.

Change: overrun and position are taken and cleared at the end of each wait.

--- a/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
@@ -82,11 +82,10 @@
         """
         now = self.clock.now()
         unobserved = self._waits_since - self._began_at
-        if self._overrun:
-            unobserved += self._overrun
-            if self._overrun_position:
-                self._unobserved[self._overrun_position] -= self._overrun
-            self._overrun, self._overrun_position = _NO_TIME, 0
+        unobserved += self._overrun
+        if self._overrun_position:
+            self._unobserved[self._overrun_position] -= self._overrun
+        self._overrun, self._overrun_position = _NO_TIME, 0
         waited = now - self._waits_since
         # Most waits end before their timeout.
         if timeout_s is not None and waited.total_seconds() > timeout_s:
--- a/libs/carawaysail_runtime/tests/test_turns.py
+++ b/libs/carawaysail_runtime/tests/test_turns.py
@@ -65,6 +65,18 @@
         self.assertEqual(0.0, self.waited_ms())
         self.assertEqual(4000.0, self.waited_ms(turns.ACCEPT_TURNS))
 
+    # The position of a turn was kept if its wait had outlasted its timeout by less than
+    # a microsecond, and raised an exception in the event loop some turns later.
+    def test_wait_that_outlasts_its_timeout_by_nothing_leaves_no_trace(self):
+        self.take_turn(waited_ms=80, timeout_ms=79.9999999)
+        for _ in range(3 * turns.MAX_TURNS):
+            self.turns.skip_wait()
+            self.take_turn(waited_ms=1)
+        self.take_turn(waited_ms=4080, timeout_ms=80, has_events=False)
+        self.take_turn()
+        self.assertEqual(4000.0, self.waited_ms())
+        self.assertEqual(4000.0, self.waited_ms(turns.MAX_TURNS))
+
     def test_time_since_the_turn_began_counts(self):
         self.take_turn()
         self.clock.advance(MS(20))
