Log: since when a lease counts, which reports complete a takeover, age of a gateway's word

lease_lost now has the token, the time since the worker was held, and since the instant from which the lease counts; worker_listed the time since the worker was held; reports_complete, new, the read that ends the wait of a new holder; placed the token, whether the shard is resumed and the age of its gateway's word; resubmitted the workers that the gateway knows of.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -128,7 +128,14 @@
         requested_at : datetime.datetime, optional
             When the read was sent to the store; ``now`` by default.
         """
-        self._workers.record_reports(reports, requested_at or now)
+        requested_at = requested_at or now
+        for data_centre in self._workers.record_reports(reports, requested_at):
+            self._actions.log(
+                "reports_complete", data_centre,
+                token=self._workers.tokens.get(data_centre),
+                workers=self._workers.count_reported(data_centre),
+                read_ms=_ms_between(requested_at, now),
+            )  # fmt: skip
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -206,6 +213,7 @@
             self._actions.log(
                 "worker_listed", worker_id, token=worker.ledger.token,
                 running=len(status.running),
+                held_ms=_ms_between(worker.held_since, now),
             )  # fmt: skip
         self._stall_detector.stop_stalled_runs(worker, now)
         if was_silent or not had_status:
@@ -824,6 +832,8 @@
             takes_ms=round(chosen.run_time.expected_ms),
             due_ms=round(clock.to_milliseconds(shard.schedule.target_finish - now)),
             free_milli=worker.ledger.free().processor_milli,
+            token=worker.ledger.token, resumed=shard.submission.is_resumed,
+            word_ms=_ms_between(self._jobs.waits_until(shard), now),
         )  # fmt: skip
         spec, token = shard.submission.job.spec, worker.ledger.token
         self._actions.add(
@@ -917,7 +927,9 @@
                 self._actions.log(
                     "lease_lost", run.task.job_id, run=actions.label(run),
                     worker=worker_id, read=worker.ledger.acknowledged_sequence,
-                    acknowledged=worker.confirmed_sequence,
+                    acknowledged=worker.confirmed_sequence, token=worker.ledger.token,
+                    held_ms=_ms_between(worker.held_since, now),
+                    counted_ms=_ms_between(worker.lease_counts_from, now),
                 )  # fmt: skip
                 self._jobs.requeue_task(run, worker_id)
             if worker.missing_since is not None:
@@ -951,13 +963,18 @@
         return {"jobs": self._jobs.count(), **self._workers.counts()}
 
 
+def _ms_between(since: datetime.datetime, now: datetime.datetime) -> int:
+    """Return the time since an instant in whole milliseconds, for logs."""
+    return round(clock.to_milliseconds(now - since))
+
+
 def _elapsed_ms(
     state: shard_state.TaskState | None, now: datetime.datetime
 ) -> int | None:
     """Return the time since a task's present run was ordered, for logs."""
     if state is None or state.started_at is None:
         return None
-    return round(clock.to_milliseconds(now - state.started_at))
+    return _ms_between(state.started_at, now)
 
 
 def _with_room(
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateway.py
@@ -297,7 +297,7 @@
             shard.is_resumed = True
             out.append(
                 _log("resubmitted", job, part=shard.number, to=current.daemon.vm,
-                     token=current.holder.token)
+                     token=current.holder.token, workers=sorted(shard.workers))
             )  # fmt: skip
             out.append(self._send(job, shard))
         elif shard.lost_since is None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -58,6 +58,8 @@
     ----------
     held_since : datetime.datetime
         When it was held; an answer to a poll sent earlier is not about its ledger.
+    lease_counts_from : datetime.datetime
+        Latest instant at which the lease may have been extended.
     confirmed_sequence : int
         Highest sequence number whose acknowledgement the worker has certainly received.
     """
@@ -81,7 +83,7 @@
         self._poll_wait = clock.milliseconds(0)
         self._awaits_extension = False
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
-        self._extended_at = now
+        self.lease_counts_from = now
 
     @property
     def report(self) -> runs.WorkerReport:
@@ -165,14 +167,15 @@
 
     def record_lease_extension(self, now: datetime.datetime) -> None:
         """Record that an order which extends the lease is sent."""
-        self._extended_at = now
+        self.lease_counts_from = now
 
     def is_lease_expired(
         self, terms: broker_messages.Terms, now: datetime.datetime
     ) -> bool:
         """Return whether the lease has certainly expired on the worker's clock."""
         return (
-            now >= self._extended_at + terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
+            now
+            >= self.lease_counts_from + terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
         )
 
     def is_newest_poll(self, requested_at: datetime.datetime) -> bool:
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -48,6 +48,7 @@
     def stop_holding(self, data_centre: str) -> list[str]:
         """Remove the workers of a data centre and return their names."""
         self.tokens.pop(data_centre, None)
+        self._awaiting_reports.pop(data_centre, None)
         worker_ids = [x.report.worker_id for x in self.held_in(data_centre)]
         for worker_id in worker_ids:
             self._workers.pop(worker_id).ledger.detach()
@@ -59,8 +60,8 @@
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
         requested_at: datetime.datetime,
-    ) -> None:
-        """Replace the reports of all workers.
+    ) -> list[str]:
+        """Replace the reports of all workers; return what they complete.
 
         Parameters
         ----------
@@ -69,11 +70,21 @@
         requested_at : datetime.datetime
             When the read was sent to the store. Data centres that are held since a
             later time still await their reports.
+
+        Returns
+        -------
+        list of str
+            Held data centres that awaited their reports and have them now.
         """
         self._reports = {report.worker_id: report for report in reports}
-        self._awaiting_reports = {
-            k: v for k, v in self._awaiting_reports.items() if v > requested_at
-        }
+        complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
+        for data_centre in complete:
+            del self._awaiting_reports[data_centre]
+        return complete
+
+    def count_reported(self, data_centre: str) -> int:
+        """Return the number of workers of a data centre in the newest reports."""
+        return sum(x.data_centre == data_centre for x in self._reports.values())
 
     def report(self, worker_id: str) -> runs.WorkerReport | None:
         """Return the newest report of a worker; ``None`` if the store has none."""
