Broker: no task starts under a lease that outlasts its gateway's word

What callers may see: two runs of one task, if the gateway of a waiting job is lost and its holder within some hundred ms after it (docs/design/resends.md listed this path as not bounded).

Cause: a start limits the lease that it asks for to L after its gateway's last word, but a worker's lease never shortens: one granted just before, for others or to an idle worker, lasted to up to 1,000 ms, for a word of up to 600 ms of age, so 435 ms longer than L allows.

Change: a start waits while the lease granted so far outlasts the word. Leases are granted for L - H at most, and on idle workers for L - U, so that this rarely delays a start: 1,000 ms on a busy worker in small fleets as before, 845 ms in large ones.

TestStalledRuns left its gateway silent for 270 ms, longer than gateways are; its own gateway now says that it waits at each report, the assertions are the same.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -154,7 +154,7 @@
         self.broker = broker.Broker(cfg.terms, cfg.policy_names)
         self.gateway = gateway.Gateway(me, cfg.admission, random_state)
         self.election = holder_election.HolderElection(me, cfg.data_centres, now)
-        self.broker.gateway_timeout = self.election.suspect_after()
+        self._set_gateway_pace()
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
         self.has_ended = asyncio.Event()
@@ -386,9 +386,15 @@
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
         self._slow_tick_interval = self._find_slow_tick_interval()
-        self.broker.gateway_timeout = self.election.suspect_after()
+        self._set_gateway_pace()
         self.gateway.record_gateway_count(self.election.fleet_size())
 
+    def _set_gateway_pace(self) -> None:
+        """Give the broker the times in which gateways state that they wait."""
+        pace = self.election.pace()
+        self.broker.gateway_timeout = pace.suspect_after()
+        self.broker.statement_interval = pace.heartbeat_interval
+
     def _find_slow_tick_interval(self) -> datetime.timedelta:
         return self.election.pace().heartbeat_interval / TICKS_PER_HEARTBEAT
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -43,6 +43,8 @@
     gateway_timeout : datetime.timedelta or None
         Time after which shards are ended whose gateway has not said that it still waits
         for them, if clients do not send jobs again sooner; ``None`` for no limit.
+    statement_interval : datetime.timedelta
+        Time between two statements of a gateway; leases leave room for it.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         names: policies.PolicyNames = policies.PolicyNames(),
     ) -> None:
         self.gateway_timeout: datetime.timedelta | None = None
+        self.statement_interval = datetime.timedelta()
         self._terms = terms
         self._job_order = policies.job_order_policies.get(names.order)
         self.estimates = run_time_estimates.RunTimeEstimates()
@@ -225,7 +228,18 @@
 
     def _poll(self, worker: held_worker.HeldWorker, now: datetime.datetime) -> None:
         latest = self._latest_lease_end(worker)
-        self._actions.add(worker.next_poll(self._terms, now, latest))
+        lease = self._longest_lease(is_busy=bool(worker.ledger.run_count()))
+        self._actions.add(worker.next_poll(lease, now, latest))
+
+    def _longest_lease(self, is_busy: bool) -> datetime.timedelta:
+        """Return the longest lease that lets tasks of the gateways start under it.
+
+        On an idle worker also those of a gateway that will soon count as lost.
+        """
+        word_age = self.statement_interval
+        if not is_busy:
+            word_age = self.gateway_timeout or self._terms.retransmit
+        return held_worker.longest_lease(self._terms, word_age)
 
     def _latest_lease_end(
         self, worker: held_worker.HeldWorker
@@ -808,21 +822,23 @@
     ) -> bool:
         """Order a task to start; return whether the worker's lease allows it.
 
-        A start extends the lease of all runs on the worker.
+        A start extends the lease of all runs on the worker. One granted before, which
+        never shortens, must not outlast what the gateway has last said either.
         """
         worker = chosen.worker
         latest = self._jobs.waits_until(shard) + held_worker.longest_unconfirmed(
             self._terms
         )
+        if worker.leased_until(self._terms) > latest:
+            return False
         of_others = self._latest_lease_end(worker)
         if of_others is not None:
             latest = min(latest, of_others)
-        lease_end = worker.lease_end(self._terms, now, latest)
+        lease_end = worker.extend_lease(self._longest_lease(is_busy=True), now, latest)
         if lease_end is None:
             return False
         run = state.next_run()
         worker.ledger.record_order(run, state.step.resources, now)
-        worker.record_lease_extension(now)
         state.record_placement(run, worker.report.worker_id, now)
         shard.has_ordered_runs = True
         self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -18,6 +18,10 @@
 LEASE_MARGIN = clock.milliseconds(60)
 """Added to the lease, since an extension in flight takes time to arrive."""
 
+SHORTEST_LEASE_SHARE = 1 / 3
+"""Share of ``longest_unconfirmed`` that a lease lasts at least, whatever the age of a
+gateway's word; shorter ones lapse between two polls."""
+
 MISSING_TIMEOUT = clock.milliseconds(3000)
 """A worker counts as gone if the store lacks its report for so long; reports that
 expired while the store was down are back within two seconds."""
@@ -40,6 +44,24 @@
     return (terms.retransmit - terms.stop) / CLOCK_DRIFT_FACTOR - LEASE_MARGIN
 
 
+def longest_lease(
+    terms: broker_messages.Terms, word_age: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the longest lease that is over in time for a gateway's word of some age.
+
+    Parameters
+    ----------
+    terms : broker_messages.Terms
+        Parameters of the deployment.
+    word_age : datetime.timedelta
+        Time since the gateway last said that it waits.
+    """
+    unconfirmed = longest_unconfirmed(terms)
+    return min(
+        terms.lease, max(unconfirmed * SHORTEST_LEASE_SHARE, unconfirmed - word_age)
+    )
+
+
 class HeldWorker:
     """One incarnation of a worker that this daemon holds.
 
@@ -84,6 +106,8 @@
         self._awaits_extension = False
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
         self.lease_counts_from = now
+        self._granted_until = NEVER
+        self._listed_at: datetime.datetime | None = None
 
     @property
     def report(self) -> runs.WorkerReport:
@@ -128,24 +152,26 @@
             Present instant.
         """
         self.health.is_silent = False
+        if self._listed_at is None:
+            self._listed_at = now
         if self.is_newest_poll(requested_at):
             self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
         return self.ledger.apply_status(status, requested_at)
 
-    def lease_end(
+    def extend_lease(
         self,
-        terms: broker_messages.Terms,
+        lease: datetime.timedelta,
         now: datetime.datetime,
         latest: datetime.datetime | None,
     ) -> datetime.timedelta | None:
-        """Return the end of a lease granted now, on the worker's monotonic clock.
+        """Record that an order which extends the lease is sent.
 
         Parameters
         ----------
-        terms : broker_messages.Terms
-            Parameters of the deployment.
+        lease : datetime.timedelta
+            Longest lease to grant.
         now : datetime.datetime
             Present instant.
         latest : datetime.datetime or None
@@ -154,20 +180,30 @@
         Returns
         -------
         datetime.timedelta or None
-            ``None`` if the lease would be over by now, or until the worker's clock is
-            known from a status.
+            End of the lease on the worker's monotonic clock. ``None`` if it would be
+            over by now, or until the worker's clock is known from a status; then the
+            order must not extend the lease.
         """
         if self._clock_reading is None:
             return None
         worker_clock, read_at = self._clock_reading
-        end = now + terms.lease
+        end = now + lease
         if latest is not None:
             end = min(end, latest)
-        return worker_clock + (end - read_at) if end > now else None
-
-    def record_lease_extension(self, now: datetime.datetime) -> None:
-        """Record that an order which extends the lease is sent."""
+        if end <= now:
+            return None
         self.lease_counts_from = now
+        self._granted_until = max(self._granted_until, end)
+        return worker_clock + (end - read_at)
+
+    def leased_until(self, terms: broker_messages.Terms) -> datetime.datetime:
+        """Return until when the lease may last that was granted so far.
+
+        An earlier holder can have extended it until the worker first answered this one.
+        """
+        if self._listed_at is None:
+            return self._granted_until
+        return max(self._granted_until, self._listed_at + terms.lease)
 
     def is_lease_expired(
         self, terms: broker_messages.Terms, now: datetime.datetime
@@ -192,7 +228,7 @@
 
     def next_poll(
         self,
-        terms: broker_messages.Terms,
+        lease: datetime.timedelta,
         now: datetime.datetime,
         latest: datetime.datetime | None = None,
     ) -> broker_messages.PollWorker:
@@ -203,8 +239,8 @@
 
         Parameters
         ----------
-        terms : broker_messages.Terms
-            Parameters of the deployment.
+        lease : datetime.timedelta
+            Longest lease to grant.
         now : datetime.datetime
             Present instant.
         latest : datetime.datetime, optional
@@ -213,10 +249,8 @@
         is_busy = bool(self.ledger.run_count())
         lease_end = None
         if not self.health.is_silent:
-            lease_end = self.lease_end(terms, now, latest)
+            lease_end = self.extend_lease(lease, now, latest)
         self._awaits_extension = latest is not None and lease_end is None
-        if lease_end is not None:
-            self.record_lease_extension(now)
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
         if not self.ledger.has_status or self.health.is_silent:
             wait = clock.milliseconds(0)
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -124,6 +124,7 @@
 
     def report_progress(self, wait_ms, *shares):
         self.clock.advance(MS(wait_ms))
+        self.broker.record_own_gateway(ME, self.now)
         return self.poll(self.stalled, running=self.stalled_runs, progress=shares)
 
     def test_stalled_runs_are_stopped_and_started_elsewhere(self):
@@ -1140,6 +1141,33 @@
         # The clock was read 500 ms ago.
         self.assertLessEqual(lease_ms, longest_ms)
 
+    # The lease, extended for others just before, outlasted the pause after which the
+    # client of a gateway that had been lost sends its job again.
+    def test_nothing_starts_under_a_lease_that_outlasts_the_gateways_word(self):
+        self.broker.gateway_timeout = MS(600)
+        [beside] = self.starts(self.submit(self.make(2, shard=5), OTHER))
+        gone = broker_messages.GatewayId("vm-2", "1")
+        self.assertEqual([], self.starts(self.submit(self.make(3), gone)))
+        self.clock.advance(MS(500))
+        self.state(1, 4, 5)
+        self.poll(self.report, running=[self.start.run, beside.run])
+        ended = [runs.FinishedRun(1, beside.run, runs.RunResult.DONE)]
+        actions = self.poll(self.report, [self.start.run], ended)
+        self.assertEqual([], self.starts(actions))
+        statement = broker_messages.Statement(1, frozenset({0}))
+        self.broker.handle_statement(gone, statement, self.now)
+        self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
+
+    def test_lease_of_an_idle_worker_leaves_room_for_a_silent_gateway(self):
+        self.broker.gateway_timeout = MS(600)
+        [lease_end] = self.leases(self.finish(self.start))
+        lease_ms = clock.to_milliseconds(lease_end - MS(10_000))
+        self.assertAlmostEqual(self.LONGEST_MS, lease_ms + 600, 2)
+
+    def test_leases_leave_room_for_the_interval_between_statements(self):
+        self.broker.statement_interval = MS(320)
+        self.assertAlmostEqual(self.LONGEST_MS - 320, self.poll_lease_ms(), 2)
+
     def test_shorter_pause_of_clients_ends_shards_earlier(self):
         self.broker.set_terms(broker_messages.Terms(retransmit=MS(600)))
         self.broker.gateway_timeout = MS(600)
