A worker's lease counts from its first answer, not from when it was held

The former holder extends the leases of a worker until that refuses it, which is with the first poll of the new holder. The new one counted the lease from when it began to hold the worker, so that a worker that answered late and then fell silent was given up while the former lease still ran: first answer at 902 ms, task started elsewhere at 1,083 ms, former lease until 1,902 ms.

It counts from the arrival of the first answer now, and no lease is over before it. A worker that never answers is dropped with the orders carried over to it once its report has been missing for MISSING_TIMEOUT: by then it counts as gone, and these would have kept it in the table.

test_lease_of_an_earlier_holder_counts_from_the_first_answer failed before: a tick 1,091 ms after the takeover started run 4 on w-1. test_incarnation_that_never_answers_is_removed_with_its_orders passed before (removed as missing and silent) and holds the removal.

--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -59,7 +59,8 @@
     held_since : datetime.datetime
         When it was held; an answer to a poll sent earlier is not about its ledger.
     lease_counts_from : datetime.datetime
-        Latest instant at which the lease may have been extended.
+        Latest instant at which the lease may have been extended: by an earlier holder
+        until the worker's first answer, from then on by this one.
     confirmed_sequence : int
         Highest sequence number whose acknowledgement the worker has certainly received.
     """
@@ -104,11 +105,12 @@
         """Return whether the worker can be removed from the worker table.
 
         It can once its report has been missing in the store for ``MISSING_TIMEOUT`` and
-        it has no runs left.
+        it has no runs left, or has never answered: then its lease cannot be known to
+        have expired.
         """
         missing = self.missing_since
         is_overdue = missing is not None and now - missing > MISSING_TIMEOUT
-        return is_overdue and not self.ledger.run_count()
+        return is_overdue and not (self.ledger.has_status and self.ledger.run_count())
 
     def handle_status(
         self,
@@ -132,6 +134,8 @@
             self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
+        if not self.ledger.has_status:
+            self.lease_counts_from = now
         return self.ledger.apply_status(status, requested_at)
 
     def lease_end(
@@ -172,11 +176,12 @@
     def is_lease_expired(
         self, terms: broker_messages.Terms, now: datetime.datetime
     ) -> bool:
-        """Return whether the lease has certainly expired on the worker's clock."""
-        return (
-            now
-            >= self.lease_counts_from + terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
-        )
+        """Return whether the lease has certainly expired on the worker's clock.
+
+        Before the worker's first answer, an earlier holder may still extend it.
+        """
+        longest = terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
+        return self.ledger.has_status and now >= self.lease_counts_from + longest
 
     def is_newest_poll(self, requested_at: datetime.datetime) -> bool:
         """Return whether no later poll was ordered than the one sent at an instant."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -753,6 +753,26 @@
         self.broker.handle_reports([make_report(0), make_report(1)], self.now)
         self.assertEqual(1, len(self.starts(self.poll(make_report(1)))))
 
+    # Counted from the takeover, the earlier holder's lease was over too early: it had
+    # extended it until the worker's first answer, and the task got a second run.
+    def test_lease_of_an_earlier_holder_counts_from_the_first_answer(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.handle_reports([report, make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.clock.advance(MS(900))
+        self.poll(report, running=[run])
+        answered_at = self.now
+        self.broker.handle_poll_failure(
+            "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.submit(self.make(is_resumed=True))
+        while self.now < answered_at + MS(1080):
+            self.assertEqual([], self.starts(self.broker.tick(self.now)))
+            self.clock.advance(MS(20))
+            self.poll(make_report(1))
+        [again] = self.starts(self.broker.tick(self.now))
+        self.assertEqual("w-1", again.worker.worker_id)
+
     def test_gateway_is_sent_the_workers_of_its_shard(self):
         self.hold(make_report())
         submission = self.make(task_count=2)
@@ -884,6 +904,19 @@
         actions = self.poll(later)
         self.assertEqual([], self.starts(actions))
 
+    # Without an answer no lease ends, so its orders kept it in the table for ever.
+    def test_incarnation_that_never_answers_is_removed_with_its_orders(self):
+        self.hold(make_report())
+        self.starts(self.submit(self.make()))
+        self.broker.handle_reports([make_report(incarnation="2")], self.now)
+        self.broker.handle_poll_failure(
+            "w-0", "2", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.broker.handle_reports([], self.now)
+        self.clock.advance(MS(3001))
+        self.broker.tick(self.now)
+        self.assertEqual(frozenset(), self.broker.worker_ids())
+
     def test_runs_of_a_silent_worker_end_with_the_lease(self):
         self.hold(make_report(0))
         [started] = self.starts(self.submit(self.make()))
