A resumed shard waits for an unknown worker no longer than an earlier run lasts

A shard that named a worker which never came back, or whose data centre had a worker that never answered, waited until its deadline: callers got 504.

Its gateway tells the earlier holders nothing of it once it has sent it to this one, and these extend no lease beyond longest_unconfirmed after its last word. So terms.retransmit after the shard has arrived here no run of theirs can be left, on whatever worker: the same bound by which a client that sends its job again meets no run of before (docs/design/resends.md). The shard is compared with the workers only until then.

The bound holds as far as leases do follow the gateways' words: not for what resends.md lists as not bounded, above all a start under a lease that was extended for others before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -531,8 +531,26 @@
             shard = self._jobs.get(shard_id)
             if shard is not None:
                 shard.record_submission(submission, sent_at)
+                if submission.is_resumed:
+                    shard.earlier_runs_end = self._earlier_runs_end(now)
                 self._place_shards([shard], now)
 
+    def _earlier_runs_end(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when the runs of earlier holders end, for a shard resumed by now.
+
+        Its gateway tells them nothing of it any more, and runs end before a client that
+        was last known to wait then sends its job again.
+        """
+        return now + self._terms.retransmit
+
+    def _may_miss_runs(
+        self, shard: shard_state.ShardState, now: datetime.datetime
+    ) -> bool:
+        """Return whether a shard may have runs of earlier holders, not known here."""
+        end = shard.earlier_runs_end
+        is_over = end is None or now >= end
+        return not is_over and self._workers.may_miss_runs(shard.submission)
+
     def _repeat_answer(
         self,
         shard_id: broker_messages.ShardId,
@@ -760,7 +778,7 @@
                 roomy[key] = _with_room(in_pool, least)
             if not roomy[key] or self._is_unconfirmed(shard, oldest_valid):
                 continue
-            if submission.is_resumed and self._workers.may_miss_runs(submission):
+            if self._may_miss_runs(shard, now):
                 continue
             if self._place_shard(shard, pools[key], roomy[key], now):
                 accepting = [x for x in roomy[key] if x.accepts(now)]
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -157,6 +157,9 @@
         Whether a run of one of its tasks may have been ordered.
     submitted_at : datetime.datetime
         Earliest instant at which its gateway can have submitted it last.
+    earlier_runs_end : datetime.datetime or None
+        When the runs that earlier holders have ordered end at the latest, on whatever
+        worker they are; ``None`` if there are none.
     """
 
     def __init__(
@@ -170,6 +173,7 @@
         self.schedule = schedule
         self.has_ordered_runs = False
         self.submitted_at = submission.arrived
+        self.earlier_runs_end: datetime.datetime | None = None
         self.tasks: dict[runs.Task, TaskState] = {}
         # Least requirement of a task; without so much free nothing can be placed.
         self.least_processor_milli = min(
