A worker that is removed without an answer still keeps resumed shards waiting

A worker that had never answered the new holder was dropped as missing and silent, and with it the wait of resumed shards for it, though the earlier holder may still reach it and keep runs of theirs alive. The same held for a worker that has restarted until it is reported again.

The worker table remembers the workers that were removed while their present incarnation had not answered, until it holds them again; the shards that wait for them do so until earlier_runs_end at the latest.

test_resumed_shard_waits_for_a_worker_removed_without_an_answer and test_resumed_shard_waits_for_a_restarted_worker failed before: the task was started on w-1 as its shard was submitted.

--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -23,6 +23,8 @@
         self._carried_over: dict[str, dict[runs.Run, ledger.Entry]] = {}
         # By worker; the store may still report an incarnation that has ended.
         self._ended_incarnations: dict[str, str] = {}
+        # Removed workers whose present incarnation has not answered this holder.
+        self._unanswered: dict[str, runs.WorkerReport] = {}
         # By data centre: when this daemon became its holder; absent once the reports
         # have been read after that.
         self._awaiting_reports: dict[str, datetime.datetime] = {}
@@ -52,6 +54,9 @@
         worker_ids = [x.report.worker_id for x in self.held_in(data_centre)]
         for worker_id in worker_ids:
             self._workers.pop(worker_id).ledger.detach()
+        self._unanswered = {
+            k: v for k, v in self._unanswered.items() if v.data_centre != data_centre
+        }
         return worker_ids
 
     # Worker reports
@@ -101,6 +106,7 @@
                 continue
             worker = held_worker.HeldWorker(report, token, now, self._task_counts)
             self._workers[worker_id] = worker
+            self._unanswered.pop(worker_id, None)
             for run, entry in self._carried_over.pop(worker_id, {}).items():
                 worker.ledger.record_carried_over(run, entry, now)
             added.append(worker)
@@ -143,6 +149,8 @@
         """Remove an incarnation that has ended; return the runs that counted there."""
         worker = self._workers.pop(worker_id)
         worker.ledger.detach()
+        if not worker.ledger.has_status:
+            self._unanswered[worker_id] = worker.report
         return list(worker.ledger.entries())
 
     def handle_restart(self, worker_id: str) -> tuple[list[runs.Run], int]:
@@ -160,6 +168,7 @@
         unreported = worker.ledger.unreported()
         self._ended_incarnations[worker_id] = worker.report.incarnation
         lost = [run for run in self.remove(worker_id) if run not in unreported]
+        self._unanswered[worker_id] = worker.report
         if unreported:
             self._carried_over[worker_id] = unreported
         return lost, len(unreported)
@@ -186,7 +195,8 @@
     def may_miss_runs(self, submission: broker_messages.Submission) -> bool:
         """Return whether a shard may have inherited runs that are not known yet.
 
-        A worker that has not answered this holder may still obey the earlier one.
+        A worker that has not answered this holder may still obey the earlier one, also
+        if it was removed, or if it was started on and is in no report.
         Reports that were read before this daemon became the holder may lack workers
         that were cut off.
         """
@@ -194,6 +204,9 @@
             return True
         if any(not x.ledger.has_status for x in self.suitable(submission)):
             return True
+        place = (submission.data_centre, submission.queue.service)
+        if any((x.data_centre, x.service) == place for x in self._unanswered.values()):
+            return True
         return any(x not in self._workers for x in submission.workers)
 
     def can_ever_fit(self, submission: broker_messages.Submission) -> bool:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -764,6 +764,35 @@
             started += self.starts(self.broker.tick(self.now))
         return started
 
+    # The removal of a worker that had never answered was taken for the end of what an
+    # earlier holder runs there.
+    def test_resumed_shard_waits_for_a_worker_removed_without_an_answer(self):
+        self.hold_with_inherited_run()
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.broker.handle_poll_failure(
+            "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.broker.handle_reports([make_report(1)], self.now)
+        self.tick_until(self.now + MS(3100), make_report(1))
+        self.assertEqual({"w-1"}, self.broker.worker_ids())
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        submitted_at = self.now
+        early = self.tick_until(submitted_at + MS(1275), make_report(1))
+        self.assertEqual([], early)
+        late = self.tick_until(submitted_at + MS(1350), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
+    # Between its restart and its next report, an earlier holder may start runs there.
+    def test_resumed_shard_waits_for_a_restarted_worker(self):
+        reports = [make_report(0), make_report(1)]
+        self.hold(*reports)
+        self.poll(reports[0], incarnation="2")
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        later = make_report(0, incarnation="2")
+        self.broker.handle_reports([later, reports[1]], self.now)
+        self.assertEqual([], self.starts(self.broker.tick(self.now)))
+        self.assertEqual(1, len(self.starts(self.poll(later))))
+
     # A worker that never came back kept the shard waiting until its deadline.
     def test_resumed_shard_waits_no_longer_than_an_earlier_run_can_last(self):
         self.broker.start_holding(HOME, 9, self.now)
