Reports of a takeover: only linearizable reads that follow it complete it

Cause, three of one kind: - ReportsTask looked at the flag that asks for a fresh read, then cleared it. A request between the two was lost. - The flag was cleared before the read. If the read failed, as while the store is away, the next one was stale. This one is not milliseconds wide. - A read that was begun as a stale one after start_holding(now) but before refresh() has requested_at after the takeover, so it ended the wait for the reports.

ReportsRead now says whether the store was asked for a linearizable answer, and only such a one ends the wait. Requests are counted by the decision loop's thread, and answered counts by the reading thread once what was read is on its way, so none is lost, whenever it comes and whatever fails. A linearizable answer that is no newer than the last one is not read a second time.

With the earlier flag in place test_request_at_any_moment_of_a_read_is_not_lost (at the line between look and reset) and test_request_outlives_failed_reads fail; on the whole earlier code test_resumed_shard_waits_for_linearizable_reports fails as well.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -130,9 +130,10 @@
 ) -> None:
     for data_centre in message.live_data_centres:
         loop.election.record_worker_report(data_centre, now)
-    loop.perform(
-        loop.broker.handle_reports(message.reports, now, message.requested_at), now
+    actions = loop.broker.handle_reports(
+        message.reports, now, message.requested_at, message.is_linearizable
     )
+    loop.perform(actions, now)
     loop.dependencies.workers.close_except(loop.broker.worker_ids())
 
 
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -125,11 +125,15 @@
         Data centres where some report has a new heartbeat count since the last read.
     requested_at : datetime.datetime
         When the read began.
+    is_linearizable : bool
+        Whether the answer has all that the store had when the read began. Another one
+        may be older, whenever it was asked for.
     """
 
     reports: tuple[runs.WorkerReport, ...]
     live_data_centres: frozenset[str]
     requested_at: datetime.datetime
+    is_linearizable: bool = True
 
 
 class MembersRead(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -205,7 +205,10 @@
         self._codec = codec
         self._heartbeats: dict[str, int] = {}
         self._revision = 0
-        self._needs_fresh_read = False
+        # Numbers of linearizable reads that were asked for and that were answered. Each
+        # is written by one thread: the decision loop's, and this one.
+        self._requested_count = 0
+        self._answered_count = 0
         self._is_needed = threading.Event()
         self._read_now = threading.Event()
 
@@ -218,8 +221,11 @@
             self._is_needed.clear()
 
     def refresh(self) -> None:
-        """Read at once, without accepting a stale answer."""
-        self._needs_fresh_read = True
+        """Read at once, without accepting a stale answer.
+
+        The request stands until a read that begins later has been answered.
+        """
+        self._requested_count += 1
         self._read_now.set()
 
     def stop(self) -> None:
@@ -235,7 +241,9 @@
         self._read_now.clear()
         reports, live_data_centres = [], set()
         requested_at = self._call_began_at = self._clock.now()
-        for item in self._read().items:
+        requested_count = self._requested_count
+        snapshot, is_linearizable = self._read(requested_count == self._answered_count)
+        for item in snapshot.items:
             decoded = self._codec.report(item)
             if decoded is None:
                 continue
@@ -246,25 +254,42 @@
             self._heartbeats[report.worker_id] = heartbeat
         self._loop_inbox.put(
             messages.ReportsRead(
-                tuple(reports), frozenset(live_data_centres), requested_at
+                tuple(reports),
+                frozenset(live_data_centres),
+                requested_at,
+                is_linearizable,
             )
         )
+        if is_linearizable:
+            self._answered_count = requested_count
         self._read_now.wait(REPORTS_INTERVAL.total_seconds())
         return 0.0
 
-    def _read(self) -> ports.Snapshot:
+    def _read(self, may_be_stale: bool) -> tuple[ports.Snapshot, bool]:
         """Read the reports, with a stale read first because it costs much less.
 
         A stale answer that is no newer than the last one is replaced by a fresh read.
+
+        Parameters
+        ----------
+        may_be_stale : bool
+            Whether a stale answer is accepted, if there has been an answer before.
+
+        Returns
+        -------
+        ports.Snapshot
+            The reports.
+        bool
+            Whether the store was asked for a linearizable answer.
         """
         prefix = self._codec.reports_prefix
-        allow_stale = bool(self._revision) and not self._needs_fresh_read
-        self._needs_fresh_read = False
+        allow_stale = may_be_stale and bool(self._revision)
         snapshot = self._store.list(prefix, allow_stale)
-        if snapshot.revision <= self._revision:
+        if allow_stale and snapshot.revision <= self._revision:
+            allow_stale = False
             snapshot = self._store.list(prefix)
         self._revision = max(self._revision, snapshot.revision)
-        return snapshot
+        return snapshot, not allow_stale
 
 
 class ClaimTask(store_thread.StoreThread):
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -1,6 +1,7 @@
 """Tasks that call the store, and their behaviour after failed calls."""
 
 import random
+import sys
 
 import eliot
 import msgspec
@@ -371,6 +372,95 @@
         self.assertEqual((), self.read(item).registered)
 
 
+class ReportsStore(Store):
+    """Records which lists may be stale; each is newer than the one before."""
+
+    def list(self, prefix, allow_stale=False):
+        self._record("stale" if allow_stale else "fresh")
+        self.revision += 1
+        return ports.Snapshot(self.items, self.revision)
+
+
+class TestReports(testtools.TestCase):
+    """Reads of the workers' reports: which may be stale, and what they say of that."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = ReportsStore()
+        self.inbox = FakeInbox()
+        self.task = store_tasks.ReportsTask(
+            self.store, Codec(), make_context(self.inbox)
+        )
+        self.task._read_now.wait = lambda pause_s: None
+        self.task.set_needed(True)
+
+    def read(self):
+        """Read once; return the calls to the store, and whether it was linearizable."""
+        self.store.calls.clear()
+        self.task._attempt()
+        return self.store.calls, [x.is_linearizable for x in self.inbox.messages][-1]
+
+    def test_later_reads_may_be_stale(self):
+        self.assertEqual((["fresh"], True), self.read())
+        self.assertEqual((["stale"], False), self.read())
+        self.task.refresh()
+        self.assertEqual((["fresh"], True), self.read())
+        self.assertEqual((["stale"], False), self.read())
+
+    def read_with_request(self, number):
+        """Read once; ask for a fresh read just before a line of the task's code.
+
+        Returns
+        -------
+        bool
+            Whether the read has so many lines.
+        """
+        count = 0
+
+        def trace(frame, event, argument):
+            nonlocal count
+            if frame.f_code.co_filename != store_tasks.__file__:
+                return None
+            count += event == "line"
+            if event == "line" and count == number:
+                self.store.calls.append("request")
+                self.task.refresh()
+            return trace
+
+        self.store.calls.clear()
+        sys.settrace(trace)
+        try:
+            self.task._attempt()
+        finally:
+            sys.settrace(None)
+        return count >= number
+
+    # One that came between the look at the flag and its reset was cleared with it.
+    def test_request_at_any_moment_of_a_read_is_not_lost(self):
+        self.read()
+        number = 1
+        while self.read_with_request(number):
+            calls = list(self.store.calls)
+            calls += self.read()[0]
+            self.assertIn("fresh", calls[calls.index("request") :], number)
+            number += 1
+        self.assertGreater(number, 10)
+
+    # While the store was away, each request was forgotten with the first failed read.
+    def test_request_outlives_failed_reads(self):
+        self.read()
+        self.task.refresh()
+        for _ in range(2):
+            self.store.failure = errors.StoreUnavailableError("list", "503")
+            self.task._attempt()
+        self.assertEqual((["fresh"], True), self.read())
+
+    def test_answer_that_is_no_newer_is_replaced_by_a_linearizable_one(self):
+        self.read()
+        self.store.revision -= 1
+        self.assertEqual((["stale", "fresh"], True), self.read())
+
+
 class TestClaims(testtools.TestCase):
     """Claims of data centres."""
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -116,6 +116,7 @@
         reports: collections.abc.Iterable[runs.WorkerReport],
         now: datetime.datetime,
         requested_at: datetime.datetime | None = None,
+        is_linearizable: bool = True,
     ) -> list[broker_messages.Action]:
         """Compare the held workers with a complete read of the store.
 
@@ -127,9 +128,12 @@
             Present instant.
         requested_at : datetime.datetime, optional
             When the read was sent to the store; ``now`` by default.
+        is_linearizable : bool, optional
+            Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        for data_centre in self._workers.record_reports(reports, requested_at):
+        complete_at = requested_at if is_linearizable else held_worker.NEVER
+        for data_centre in self._workers.record_reports(reports, complete_at):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -59,7 +59,7 @@
     def record_reports(
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
-        requested_at: datetime.datetime,
+        complete_at: datetime.datetime,
     ) -> list[str]:
         """Replace the reports of all workers; return what they complete.
 
@@ -67,9 +67,9 @@
         ----------
         reports : iterable of runs.WorkerReport
             Reports of all workers of the site.
-        requested_at : datetime.datetime
-            When the read was sent to the store. Data centres that are held since a
-            later time still await their reports.
+        complete_at : datetime.datetime
+            An instant as of which no report is missing. Data centres that are held
+            since a later time still await their reports.
 
         Returns
         -------
@@ -77,7 +77,7 @@
             Held data centres that awaited their reports and have them now.
         """
         self._reports = {report.worker_id: report for report in reports}
-        complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
+        complete = [k for k, v in self._awaiting_reports.items() if v <= complete_at]
         for data_centre in complete:
             del self._awaiting_reports[data_centre]
         return complete
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -744,6 +744,17 @@
         self.broker.handle_reports([make_report(0), late_report], self.now)
         self.assertEqual([], self.starts(self.poll(late_report, running=[run])))
 
+    # A read that the store might answer with an old list ended the wait for a new one.
+    def test_resumed_shard_waits_for_linearizable_reports(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports(
+            [make_report(0)], self.now, self.now, is_linearizable=False
+        )
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        actions = self.broker.handle_reports([make_report(0)], self.now)
+        self.assertEqual(1, len(self.starts(actions)))
+
     def test_resumed_shard_waits_for_the_workers_it_was_started_on(self):
         self.broker.start_holding(HOME, 9, self.now)
         self.broker.handle_reports([make_report(0)], self.now)
