The turn after a pause does not count what came meanwhile as handled

Cause: CPython's epoll.poll returns no events once a process that was stopped goes on after its timeout. The record counted such a pause only from the next turn that looks at the sockets. In between comes the tick that the same wait woke: it took the present instant as that up to which the ends of clients' connections were known, extended leases of its own clients' runs from there, and stated what it waits for.

`handled_until` has a name of its own, as it is another question than since when something read just now can have waited: an overrun that no look at the sockets has counted yet belongs to it. The test failed before with `arrived(MAX_TURNS)` in its place: 4000.0 != 0.0.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -282,9 +282,7 @@
         self._delay_ms += DELAY_WEIGHT * (late_ms - self._delay_ms)
         self._last_tick = now
         # Disconnects of clients that came before have been read and handled.
-        self.broker.record_own_gateway(
-            self._own_id, self._observer.arrived(turns.MAX_TURNS)
-        )
+        self.broker.record_own_gateway(self._own_id, self._observer.handled_until())
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
             self._next_slow_tick = now + self._slow_tick_interval
--- a/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
+++ b/libs/carawaysail_runtime/src/carawaysail_runtime/turns.py
@@ -36,6 +36,13 @@
             beside the time in which the loop did not look; at most ``MAX_TURNS``.
         """
 
+    def handled_until(self) -> datetime.datetime:
+        """Return up to when all that had arrived has certainly been handled.
+
+        What is handled within ``MAX_TURNS`` of its arrival counts: the end of a
+        connection is read, reported, and passed to the task that it concerns.
+        """
+
     def count(self) -> int:
         """Return the number of turns since the loop began."""
 
@@ -115,6 +122,11 @@
         recent = list(self._unobserved)[-turns:]
         return self._began_at - sum(recent, _NO_TIME)
 
+    def handled_until(self) -> datetime.datetime:
+        """Return up to when all that had arrived has certainly been handled."""
+        unread = _NO_TIME if self._overrun_position else self._overrun
+        return self.arrived(MAX_TURNS) - unread
+
     def count(self) -> int:
         """Return the number of turns since the loop began."""
         return self._count
@@ -136,6 +148,10 @@
         """Return the present instant."""
         return self.clock.now()
 
+    def handled_until(self) -> datetime.datetime:
+        """Return the present instant."""
+        return self.clock.now()
+
     def count(self) -> int:
         """Return 0."""
         return 0
--- a/libs/carawaysail_runtime/tests/test_turns.py
+++ b/libs/carawaysail_runtime/tests/test_turns.py
@@ -31,6 +31,10 @@
         arrived = self.turns.arrived(turn_count)
         return clock.to_milliseconds(self.clock.now() - arrived)
 
+    def assert_handled_ms_ago(self, expected_ms):
+        handled = self.clock.now() - self.turns.handled_until()
+        self.assertEqual(expected_ms, clock.to_milliseconds(handled))
+
     def test_what_arrives_during_a_wait_is_read_at_once(self):
         self.take_turn(waited_ms=80)
         self.assertEqual(0.0, self.waited_ms())
@@ -52,6 +56,19 @@
         self.take_turn()
         self.assertEqual(0.0, self.waited_ms())
 
+    # The turn after a pause claimed to know all that had come meanwhile, unread still:
+    # gateways said that clients waited which had left, and brokers kept their runs.
+    def test_pause_that_ends_without_events_leaves_unread_what_came_meanwhile(self):
+        self.take_turn(waited_ms=4080, timeout_ms=80, has_events=False)
+        self.assert_handled_ms_ago(4000.0)
+        self.turns.skip_wait()
+        self.assert_handled_ms_ago(4000.0)
+        for _ in range(turns.MAX_TURNS):
+            self.take_turn()
+            self.assert_handled_ms_ago(4000.0)
+        self.take_turn()
+        self.assert_handled_ms_ago(0.0)
+
     # A process was stopped once the kernel had collected the events of a wait. What was
     # sent meanwhile was read in the next turn, and counted from there.
     def test_pause_that_ends_with_events_counts_for_the_next_turn_as_well(self):
