--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -154,14 +154,12 @@
             Present instant.
         """
         self.health.is_silent = False
-        if self._listed_at is None:
-            self._listed_at = now
         if self.is_newest_poll(requested_at):
             self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
         if not self.ledger.has_status:
-            self.lease_counts_from = now
+            self.lease_counts_from = self._listed_at = now
         return self.ledger.apply_status(status, requested_at)
 
     def extend_lease(
