Ledger: a start without an answer is stopped on the worker's next boot as well

Cause: a start that got no answer is stopped; once the stop is confirmed and no status shows the run, the ledger forgets it and the task starts elsewhere. The platform may still carry out the start seconds later. A worker that has restarted under its name by then has forgotten the stop, and its clock has started anew, so the end of the lease in the order is far ahead: it starts the run. Only orders that still counted were carried over to the next boot, and none if the worker had been removed in between.

Change: the ledger remembers such starts for 15 s, unless a status shows them; they are told to the next boot never to start, and until it has confirmed that the task starts nowhere else.

Evidence: test_lost_start_is_stopped_on_the_next_incarnation_as_well failed before. A start that reaches the next boot before its first poll is found as a run and stopped, as before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -153,7 +153,7 @@
                 continue
             worker.missing_since = None
             if report.incarnation != worker.report.incarnation:
-                self._handle_restart(worker_id)
+                self._handle_restart(worker_id, now)
             elif report.is_draining and not worker.is_draining:
                 worker.is_draining = True
                 self._actions.log("worker_draining", worker_id)
@@ -165,14 +165,17 @@
         for worker in self._workers.hold_reported(now):
             self._poll(worker, now)
 
-    def _handle_restart(self, worker_id: str) -> None:
+    def _handle_restart(self, worker_id: str, now: datetime.datetime) -> None:
         """Drop an incarnation; orders in flight may have reached the next one."""
-        lost, carried_over = self._workers.handle_restart(worker_id)
+        lost, carried_over = self._workers.handle_restart(worker_id, now)
         self._handle_lost_worker(worker_id, "restarted", lost, carried_over)
 
-    def _remove_worker(self, worker_id: str, cause: str) -> None:
+    def _remove_worker(
+        self, worker_id: str, cause: str, now: datetime.datetime
+    ) -> None:
         """Drop an incarnation that has ended for good."""
-        self._handle_lost_worker(worker_id, cause, self._workers.remove(worker_id))
+        lost = self._workers.remove(worker_id, now)
+        self._handle_lost_worker(worker_id, cause, lost)
 
     def _handle_lost_worker(
         self, worker_id: str, cause: str, lost: list[runs.Run], carried_over: int = 0
@@ -200,7 +203,7 @@
         if worker is None or requested_at < worker.held_since:
             return self._actions.drain()
         if status.incarnation != worker.report.incarnation:
-            self._handle_restart(worker_id)
+            self._handle_restart(worker_id, now)
             self._hold_reported_workers(now)
             return self._actions.drain()
         was_silent = worker.health.is_silent
@@ -971,10 +974,10 @@
                 )  # fmt: skip
                 self._jobs.requeue_task(run, worker_id)
             if worker.missing_since is not None:
-                self._remove_worker(worker_id, "missing and silent")
+                self._remove_worker(worker_id, "missing and silent", now)
                 return
         if worker.is_removable(now):
-            self._remove_worker(worker_id, "missing in the store")
+            self._remove_worker(worker_id, "missing in the store", now)
             return
         if worker.ledger.has_status:
             for run in worker.ledger.uncertain():
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -4,6 +4,9 @@
 reports that the run has finished or can never start. An order without an answer may
 be carried out much later, so its resources stay occupied until the worker has answered
 an order to stop that same run.
+
+A worker that restarts under its name forgets the stop, and its clock starts anew, so
+that the end of the lease in such an order does not bound it either.
 """
 
 import collections
@@ -12,7 +15,10 @@
 import enum
 import typing
 
-from carawaysail_types import jobs, runs
+from carawaysail_types import clock, jobs, runs
+
+LATE_ORDER_TIME = clock.milliseconds(15_000)
+"""Time in which an order without an answer may still be carried out."""
 
 
 class RunState(enum.Enum):
@@ -105,6 +111,8 @@
         self._entries: dict[runs.Run, Entry] = {}
         self._free: jobs.Resources | None = None
         self._reported: set[runs.Run] = set()
+        # Starts without an answer that no status has shown, since when.
+        self._lost_starts: dict[runs.Run, Entry] = {}
         # Used as a set in order of insertion.
         self._uncertain: dict[runs.Run, None] = {}
         # Number of entries without resources.
@@ -215,7 +223,9 @@
             if entry.state is RunState.ORDERED:
                 self._set(run, entry._replace(state=RunState.RUNNING, since=now))
         elif result is runs.OrderResult.NO_ANSWER:
-            self._set(run, entry._replace(state=RunState.UNCERTAIN, since=now))
+            lost = entry._replace(state=RunState.UNCERTAIN, since=now)
+            self._lost_starts[run] = lost
+            self._set(run, lost)
         else:
             self._remove(run)
 
@@ -277,7 +287,9 @@
         )
         for finished_run in finished:
             self._remove(finished_run.run)
+            self._lost_starts.pop(finished_run.run, None)
         for run in running:
+            self._lost_starts.pop(run, None)
             entry = self._entries.get(run)
             if entry is None:
                 continue
@@ -311,12 +323,15 @@
             self.acknowledged_sequence, finished_run.sequence
         )
 
-    def unreported(self) -> dict[runs.Run, Entry]:
-        """Return the entries of runs that no status has reported as running.
+    def unreported(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
+        """Return the starts that no status has shown, whether or not they still count.
 
-        If the worker restarts, their orders may have reached the next incarnation.
+        If the worker restarts, they may reach the next incarnation.
         """
-        return {k: v for k, v in self._entries.items() if k not in self._reported}
+        oldest = now - LATE_ORDER_TIME
+        lost = {k: v for k, v in self._lost_starts.items() if v.since > oldest}
+        counted = {k: v for k, v in self._entries.items() if k not in self._reported}
+        return {**counted, **lost}
 
     def record_carried_over(
         self, run: runs.Run, entry: Entry, now: datetime.datetime
@@ -325,6 +340,7 @@
 
         ``entry`` is what the ledger of that incarnation has of it.
         """
+        self._lost_starts[run] = entry
         self._set(run, entry._replace(state=RunState.UNCERTAIN, since=now))
 
     def drop_expired(self) -> tuple[runs.Run, ...]:
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -145,15 +145,23 @@
             "runs": sum(x.ledger.run_count() for x in self.all()),
         }
 
-    def remove(self, worker_id: str) -> list[runs.Run]:
-        """Remove an incarnation that has ended; return the runs that counted there."""
+    def remove(self, worker_id: str, now: datetime.datetime) -> list[runs.Run]:
+        """Remove an incarnation that has ended; return the runs that counted there.
+
+        Orders that may reach the next incarnation of that name are kept for its ledger.
+        """
         worker = self._workers.pop(worker_id)
         worker.ledger.detach()
         if not worker.ledger.has_status:
             self._unanswered[worker_id] = worker.report
+        unreported = worker.ledger.unreported(now)
+        if unreported:
+            self._carried_over[worker_id] = unreported
         return list(worker.ledger.entries())
 
-    def handle_restart(self, worker_id: str) -> tuple[list[runs.Run], int]:
+    def handle_restart(
+        self, worker_id: str, now: datetime.datetime
+    ) -> tuple[list[runs.Run], int]:
         """Remove an incarnation that was replaced by another of the same name.
 
         Returns
@@ -164,14 +172,12 @@
             Number of orders that may have reached the next incarnation, whose ledger
             starts with them.
         """
-        worker = self._workers[worker_id]
-        unreported = worker.ledger.unreported()
-        self._ended_incarnations[worker_id] = worker.report.incarnation
-        lost = [run for run in self.remove(worker_id) if run not in unreported]
-        self._unanswered[worker_id] = worker.report
-        if unreported:
-            self._carried_over[worker_id] = unreported
-        return lost, len(unreported)
+        report = self._workers[worker_id].report
+        self._ended_incarnations[worker_id] = report.incarnation
+        counted = self.remove(worker_id, now)
+        self._unanswered[worker_id] = report
+        carried_over = self._carried_over.get(worker_id, {})
+        return [run for run in counted if run not in carried_over], len(carried_over)
 
     # Workers for a shard
 
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -475,6 +475,37 @@
         self.assertEqual([], self.starts(actions))
         self.assert_sent([jobs.Verdict.COMPLETED], self.finish(started))
 
+    def lose_start_and_restart(self, wait_ms):
+        """Stop a lost start; its worker then restarts under its name.
+
+        Returns
+        -------
+        list of runs.Run
+            Runs that the next incarnation is told never to start.
+        """
+        started, _ = self.lose_start()
+        worker = started.worker
+        self.broker.handle_stop_result(
+            worker.worker_id, "1", started.run, runs.OrderResult.ACCEPTED, self.now
+        )
+        self.clock.advance(MS(5))
+        self.poll(worker)
+        self.clock.advance(MS(wait_ms))
+        self.poll(worker)
+        later = worker._replace(incarnation="2")
+        self.broker.handle_reports([later], self.now)
+        self.poll(later)
+        stops = self.stops(self.broker.tick(self.now))
+        return [x.run.number for x in stops if x.worker == later]
+
+    # A start without an answer was carried out by the next boot of its worker, which
+    # knows nothing of the stop, while the task ran elsewhere.
+    def test_lost_start_is_stopped_on_the_next_incarnation_as_well(self):
+        self.assertIn(1, self.lose_start_and_restart(2000))
+
+    def test_lost_start_is_forgotten_once_it_can_no_longer_be_carried_out(self):
+        self.assertNotIn(1, self.lose_start_and_restart(16_000))
+
     def test_expired_job_is_unknown_and_not_refused(self):
         self.lose_start()
         self.clock.advance(MS(1600))
