Broker: a stop without an answer is repeated though a status shows the run

What callers may see: runs of jobs that ended before, and runs of others that lapse beside them.

Cause: a stop that got no answer makes its run uncertain, and the next tick repeats it. A status that lists the run in between made it a running one again, which nobody stopped: it went on to its end, or to the end of the lease, which is not extended beside it.

Change: a status that confirms an uncertain run which is not the present one of its task has it stopped again.

Evidence: test_stop_without_an_answer_is_repeated_though_the_run_is_reported failed before.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -219,6 +219,9 @@
             self._jobs.requeue_task(run, worker_id)
         for run in changes.inherited:
             self._jobs.record_inherited_run(worker, run, now)
+        for run in changes.confirmed:
+            if not self._jobs.is_present_run(run, worker_id):
+                self._jobs.stop_run(worker, run, now)
         if not had_status:
             self._actions.log(
                 "worker_listed", worker_id, token=worker.ledger.token,
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -345,15 +345,20 @@
         Runs that are not the present run of their task on that worker are ignored.
         """
         self.inherited.drop_run(run, worker_id)
+        if self.is_present_run(run, worker_id):
+            shard = self._shard_by_task[run.task]
+            shard.tasks[run.task].requeue()
+            self.record_ready(shard)
+
+    def is_present_run(self, run: runs.Run, worker_id: str) -> bool:
+        """Return whether a run on a worker is the one that its task waits for."""
         state = self.task_state(run)
-        if (
+        return (
             state is not None
             and state.phase is shard_state.Phase.PLACED
             and state.worker_id == worker_id
             and state.last_run_number == run.number
-        ):
-            state.requeue()
-            self.record_ready(self._shard_by_task[run.task])
+        )
 
     def record_ready(self, shard: shard_state.ShardState) -> None:
         """Record that tasks of a shard may have become ready to start."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -70,11 +70,14 @@
         Runs that the worker reports neither as running nor as finished.
     inherited : tuple of runs.Run
         Running runs that this holder did not order.
+    confirmed : tuple of runs.Run
+        Running runs of which it was uncertain whether they are there.
     """
 
     finished: tuple[runs.FinishedRun, ...]
     vanished: tuple[runs.Run, ...]
     inherited: tuple[runs.Run, ...]
+    confirmed: tuple[runs.Run, ...]
 
 
 class Ledger:
@@ -288,6 +291,7 @@
         for finished_run in finished:
             self._remove(finished_run.run)
             self._lost_starts.pop(finished_run.run, None)
+        confirmed = []
         for run in running:
             self._lost_starts.pop(run, None)
             entry = self._entries.get(run)
@@ -295,6 +299,7 @@
                 continue
             self._reported.add(run)
             if entry.state is RunState.UNCERTAIN:
+                confirmed.append(run)
                 self._set(
                     run, entry._replace(state=RunState.RUNNING, since=requested_at)
                 )
@@ -315,7 +320,7 @@
         )
         for run in inherited:
             self._set(run, Entry(RunState.RUNNING, None, requested_at))
-        return StatusChanges(finished, tuple(vanished), inherited)
+        return StatusChanges(finished, tuple(vanished), inherited, tuple(confirmed))
 
     def record_processed(self, finished_run: runs.FinishedRun) -> None:
         """Record that a finished run has been processed, so that it is acknowledged."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -498,6 +498,21 @@
         stops = self.stops(self.broker.tick(self.now))
         return [x.run.number for x in stops if x.worker == later]
 
+    # A lost stop was not repeated once a status had shown its run.
+    def test_stop_without_an_answer_is_repeated_though_the_run_is_reported(self):
+        self.hold(make_report())
+        [started] = self.starts(self.submit(self.make()))
+        self.answer(started)
+        shard_id = broker_messages.ShardId(started.run.task.job_id, 0, ME)
+        self.assertEqual(1, len(self.stops(self.broker.withdraw(shard_id, self.now))))
+        self.broker.handle_stop_result(
+            "w-0", "1", started.run, runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.clock.advance(MS(5))
+        actions = self.poll(make_report(), running=[started.run])
+        actions += self.broker.tick(self.now)
+        self.assertEqual([started.run], [x.run for x in self.stops(actions)])
+
     # A start without an answer was carried out by the next boot of its worker, which
     # knows nothing of the stop, while the task ran elsewhere.
     def test_lost_start_is_stopped_on_the_next_incarnation_as_well(self):
