The word of a gateway counts from what it has read from its clients

Cause: a statement or submission counted from when it can have been sent, whatever its gateway knew. One that is late (slow VM, processor cap, crest after a freeze) said that its clients wait while the ends of their connections lay unread. Each statement renewed the leases of their runs by up to L from there; the client sends its job again 1,300 ms after the end.

A job counts from the arrival of its request if that is later, so that a late gateway's new jobs start at once. Knowledge does not get older: an earlier statement that reached further still counts. The own gateway's submissions count in the same way; they counted from their handling.

The age travels in a row of its own in front of the message. msgspec refuses an array with more fields than a NamedTuple has, so a daemon of the landing before would discard the whole frame of a message with a further field, heartbeats included; it skips rows with unknown names. A message without the row counts as before.

Five tests failed before: a gateway that reads nothing kept a lease of 1,000 ms after 400 ms (now 765 ms), its run was not stopped after 640 ms, and what it submitted again after 700 ms started; a frame for an earlier release; an older statement that renews less. `TestLeases.state` has a further argument, with the default of before; `make_submit` and the round trip of streams have a value in the new field.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -455,6 +455,11 @@
             return self._clock_ms(self.clock.now())
         return self._peer_clocks_ms.get(peer)
 
+    def known_age_ms(self) -> float:
+        """Return for how long clients may have left unnoticed, in milliseconds."""
+        age = self.clock.now() - self._observer.handled_until()
+        return round(max(0.0, clock.to_milliseconds(age)), 3)
+
     def _record_peer_clock(self, peer: daemons.Daemon, clock_ms: float) -> None:
         known_ms = self._peer_clocks_ms.get(peer, 0.0)
         self._peer_clocks_ms[peer] = max(known_ms, clock_ms)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -265,7 +265,10 @@
         message.token,
     )
     echoed_at = loop.clock_instant(message.echo_ms)
-    actions = loop.broker.submit(submission, _gateway_id(sent), now, sent_at, echoed_at)
+    known_at = sent_at - clock.milliseconds(message.known_age_ms)
+    actions = loop.broker.submit(
+        submission, _gateway_id(sent), now, known_at, echoed_at
+    )
     loop.perform(actions, now)
 
 
@@ -295,8 +298,9 @@
 def _handle_waiting_shards(
     loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
+    known_at = sent.sent_at - clock.milliseconds(sent.content.known_age_ms)
     actions = loop.broker.handle_statement(
-        _gateway_id(sent), sent.content.statement, now, sent.sent_at
+        _gateway_id(sent), sent.content.statement, now, known_at
     )
     loop.perform(actions, now)
 
@@ -454,7 +458,11 @@
     age_ms = clock.to_milliseconds(now - submission.arrived)
     remaining_ms = clock.to_milliseconds(submission.deadline - now)
     echo_ms = loop.peer_clock_ms(action.daemon)
-    message = stream_messages.submit(submission, age_ms, remaining_ms, echo_ms)
+    # The client waited when its request arrived, however late that was read.
+    known_age_ms = min(age_ms, loop.known_age_ms())
+    message = stream_messages.submit(
+        submission, age_ms, remaining_ms, echo_ms, known_age_ms
+    )
     loop.send(action.daemon, message)
 
 
@@ -473,7 +481,8 @@
     action: gateway.SendStatement,
     now: datetime.datetime,
 ) -> None:
-    loop.send_on_all(action.daemon, stream_messages.WaitingShards(action.statement))
+    message = stream_messages.WaitingShards(action.statement, loop.known_age_ms())
+    loop.send_on_all(action.daemon, message)
 
 
 @decision_loop.action_handlers.register("Answer")
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -73,6 +73,17 @@
         self._site.under_way.append((self._me, message))
 
 
+class Observer:
+    """Observer of a daemon's event loop; it reads nothing after ``stuck_since``."""
+
+    def __init__(self, source):
+        self.clock = source
+        self.stuck_since = None
+
+    def handled_until(self):
+        return self.stuck_since or self.clock.now()
+
+
 class TwoDaemonsCase(testtools.TestCase):
     """Shared fixtures: a gateway, and a broker that holds one worker."""
 
@@ -87,6 +98,7 @@
         self.held_up = None
         self.workers = {x: Component() for x in (GATEWAY, BROKER)}
         self.replies = {x: Component() for x in (GATEWAY, BROKER)}
+        self.observers = {x: Observer(self.clock) for x in (GATEWAY, BROKER)}
         self.loops = {x: self.make_loop(x) for x in (GATEWAY, BROKER)}
         self.open_connections()
         holder = daemons.Holder("away", BROKER.vm, BROKER.incarnation, 5)
@@ -107,8 +119,9 @@
             broker_messages.Terms(), MS(6000),
         )  # fmt: skip
         loop = decision_loop.DecisionLoop(
-            cfg, me, Inbox(self, me), self.clock, lambda peer: Link(self, peer)
-        )
+            cfg, me, Inbox(self, me), self.clock, lambda peer: Link(self, peer),
+            observer=self.observers[me],
+        )  # fmt: skip
         loop.set_dependencies(
             decision_loop.Dependencies(
                 self.workers[me], Component(), Component(), self.replies[me],
@@ -327,6 +340,47 @@
         self.assertEqual([run], [x.run for x in self.orders("stop")])
 
 
+class TestLateGateway(TwoDaemonsCase):
+    """A gateway that goes on, but has not read what its clients sent of late."""
+
+    def stop_reading(self, duration_ms):
+        self.observers[GATEWAY].stuck_since = self.now
+        self.pass_time(duration_ms)
+
+    def lease_ms(self, run):
+        """Return for how long the next poll of the worker extends its lease."""
+        self.report_status(run)
+        lease_end = self.orders("poll")[-1].lease_end
+        # The worker's clock shows 10 s in each status.
+        return lease_end and clock.to_milliseconds(lease_end - MS(10_000))
+
+    # Its statements renewed the lease for clients that may have left long ago.
+    def test_lease_counts_from_what_it_has_read(self):
+        run = self.post_job()
+        self.stop_reading(400)
+        longest_ms = 1250 / 1.02 - 60
+        self.assertAlmostEqual(longest_ms - 400, self.lease_ms(run), 2)
+
+    def test_its_runs_are_stopped_if_it_reads_nothing(self):
+        run = self.post_job()
+        self.stop_reading(640)
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+    # Its new holder started it beside the client's next attempt.
+    def test_shard_that_it_submits_again_starts_nothing(self):
+        self.is_lossy = True
+        self.post(timeout_ms=9000)
+        self.is_lossy = False
+        self.stop_reading(700)
+        self.open_connections()
+        self.assertEqual([], self.orders("start"))
+
+    def test_job_that_has_just_come_starts_at_once(self):
+        self.stop_reading(700)
+        self.post()
+        self.assertEqual(1, len(self.orders("start")))
+
+
 class TestHeldUpLink(TwoDaemonsCase):
     """A network that delivers what a gateway has sent much later, with no sign of it.
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -90,7 +90,7 @@
         self._workers.start_holding(data_centre, token, now)
         self._hold_reported_workers(now)
         for early in self._early.pop(data_centre, token):
-            self._submit(early.submission, early.gateway, now, early.sent_at)
+            self._submit(early.submission, early.gateway, now, early.known_at)
         return self._actions.drain()
 
     def stop_holding(self, data_centre: str) -> list[broker_messages.Action]:
@@ -464,7 +464,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
-        sent_at: datetime.datetime | None = None,
+        known_at: datetime.datetime | None = None,
         echoed_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """Admit or refuse a shard.
@@ -482,18 +482,19 @@
             The gateway that submits it.
         now : datetime.datetime
             Present instant.
-        sent_at : datetime.datetime, optional
-            Earliest instant at which it can have been sent if the network did not hold
-            it up; ``now`` by default. An old submission starts nothing: the gateway
-            sends its shards again when it hears from this daemon.
+        known_at : datetime.datetime, optional
+            Instant up to which the gateway knew that a client waits, if the network did
+            not hold the submission up; ``now`` by default. One with old knowledge
+            starts nothing: the gateway sends its shards again when it knows more, or
+            hears from this daemon again.
         echoed_at : datetime.datetime, optional
             Instant on this daemon's clock of which the gateway knew when it sent it;
             ``now`` by default. It is no older than that, whatever the network did.
         """
         longest = held_worker.longest_unconfirmed(self._terms)
         if echoed_at is not None and now - echoed_at > longest:
-            sent_at = min(echoed_at, sent_at or now)
-        self._submit(submission, gateway, now, sent_at or now)
+            known_at = min(echoed_at, known_at or now)
+        self._submit(submission, gateway, now, known_at or now)
         return self._actions.drain()
 
     def _submit(
@@ -501,7 +502,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> None:
         shard_id = broker_messages.ShardId(
             submission.job.job_id, submission.shard, gateway
@@ -509,14 +510,14 @@
         if now - submission.arrived >= outcome_cache.RETENTION:
             # What became of it may have been forgotten.
             submission = submission._replace(is_resumed=True)
-        if self._repeat_answer(shard_id, submission, now, sent_at):
+        if self._repeat_answer(shard_id, submission, now, known_at):
             return
-        if self._starts_nothing(shard_id, submission, now, sent_at):
+        if self._starts_nothing(shard_id, submission, now, known_at):
             return
         if submission.is_resumed and self._workers.is_future(
             submission.data_centre, submission.token
         ):
-            early = early_submissions.EarlySubmission(submission, gateway, sent_at)
+            early = early_submissions.EarlySubmission(submission, gateway, known_at)
             self._early.add(early)
         elif self._may_have_moved(shard_id, submission):
             token = submission.token
@@ -530,7 +531,7 @@
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
             if shard is not None:
-                shard.record_submission(submission, sent_at)
+                shard.record_submission(submission, known_at)
                 self._place_shards([shard], now)
 
     def _repeat_answer(
@@ -538,12 +539,12 @@
         shard_id: broker_messages.ShardId,
         submission: broker_messages.Submission,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> bool:
         """Return whether a shard is in the table, or its outcome was sent again."""
         known = self._jobs.get(shard_id)
         if known is not None:
-            known.record_submission(submission, sent_at)
+            known.record_submission(submission, known_at)
             self._actions.log(
                 "joined", shard_id.job_id, waiter=shard_id.gateway.vm,
                 part=shard_id.shard,
@@ -561,18 +562,18 @@
         shard_id: broker_messages.ShardId,
         submission: broker_messages.Submission,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> bool:
         """Return whether a submission was, or may have been, withdrawn before."""
         gateway = shard_id.gateway
         if self._gateways.is_withdrawn(gateway, submission):
             self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
             return True
-        is_old = self._is_overdue(sent_at, now) and not self._gateways.is_own(gateway)
+        is_old = self._is_overdue(known_at, now) and not self._gateways.is_own(gateway)
         if is_old:
             self._actions.log(
                 "old_submission", shard_id.job_id, waiter=gateway.vm,
-                part=shard_id.shard, age_ms=round(clock.to_milliseconds(now - sent_at)),
+                part=shard_id.shard, age_ms=_ms_between(known_at, now),
             )  # fmt: skip
         return is_old
 
@@ -592,7 +593,7 @@
     ) -> bool:
         """Return whether the gateway of a shard may not wait for it any more."""
         return (
-            shard.submitted_at < oldest_valid
+            shard.known_at < oldest_valid
             and self._jobs.waits_until(shard) < oldest_valid
         )
 
@@ -633,7 +634,7 @@
         gateway: broker_messages.GatewayId,
         statement: broker_messages.Statement,
         now: datetime.datetime,
-        sent_at: datetime.datetime | None = None,
+        known_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """End the shards that a gateway does not wait for any more.
 
@@ -645,10 +646,11 @@
             Its statement.
         now : datetime.datetime
             Present instant.
-        sent_at : datetime.datetime, optional
-            Earliest instant at which it can have been sent; ``now`` by default.
+        known_at : datetime.datetime, optional
+            Instant up to which the gateway knew of its clients' disconnects; ``now`` by
+            default.
         """
-        if not self._gateways.record_statement(gateway, statement, sent_at or now):
+        if not self._gateways.record_statement(gateway, statement, known_at or now):
             return self._actions.drain()
         self._stop_unclaimed_runs(now)
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
--- a/libs/carawaysail_holding/src/carawaysail_holding/early_submissions.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/early_submissions.py
@@ -15,13 +15,13 @@
         The submission.
     gateway : broker_messages.GatewayId
         The gateway that submits it.
-    sent_at : datetime.datetime
-        Earliest instant at which it can have been sent.
+    known_at : datetime.datetime
+        Up to when the gateway knew that a client waits, as it sent it.
     """
 
     submission: broker_messages.Submission
     gateway: broker_messages.GatewayId
-    sent_at: datetime.datetime
+    known_at: datetime.datetime
 
 
 class EarlySubmissions:
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
@@ -11,10 +11,10 @@
 
 
 class _Entry(typing.NamedTuple):
-    """The newest statement of a gateway, and when it can have been sent at earliest."""
+    """The newest statement of a gateway, and up to when its clients' ends are known."""
 
     statement: broker_messages.Statement
-    sent_at: datetime.datetime
+    known_at: datetime.datetime
 
 
 class Gateways:
@@ -50,7 +50,7 @@
         return self._own is not None and self._own[0] == gateway
 
     def waits_until(
-        self, gateway: broker_messages.GatewayId, submitted_at: datetime.datetime
+        self, gateway: broker_messages.GatewayId, known_at: datetime.datetime
     ) -> datetime.datetime:
         """Return until when a gateway is known to have waited for a shard.
 
@@ -58,29 +58,40 @@
         ----------
         gateway : broker_messages.GatewayId
             The gateway.
-        submitted_at : datetime.datetime
-            Earliest instant at which it can have submitted the shard, which is not
-            withdrawn.
+        known_at : datetime.datetime
+            Up to when it knew that a client waits as it submitted the shard, which is
+            not withdrawn.
         """
         if self._own is not None and self._own[0] == gateway:
-            return max(submitted_at, self._own[1])
+            return max(known_at, self._own[1])
         entry = self._entries.get(gateway)
-        return submitted_at if entry is None else max(submitted_at, entry.sent_at)
+        return known_at if entry is None else max(known_at, entry.known_at)
 
     def record_statement(
         self,
         gateway: broker_messages.GatewayId,
         statement: broker_messages.Statement,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> bool:
         """Record a statement; return whether it is newer than those recorded before.
 
         Statements on different connections may overtake each other.
+
+        Parameters
+        ----------
+        gateway : broker_messages.GatewayId
+            The gateway.
+        statement : broker_messages.Statement
+            Its statement.
+        known_at : datetime.datetime
+            Instant up to which it knew of disconnects of its clients.
         """
         entry = self._entries.get(gateway)
         if entry is not None and entry.statement.sequence >= statement.sequence:
             return False
-        self._entries[gateway] = _Entry(statement, sent_at)
+        if entry is not None:
+            known_at = max(known_at, entry.known_at)
+        self._entries[gateway] = _Entry(statement, known_at)
         return True
 
     def is_withdrawn(
@@ -113,7 +124,7 @@
     def prune(self, now: datetime.datetime) -> None:
         """Forget gateways that have made no statement for ``RETENTION``."""
         oldest = now - RETENTION
-        if any(x.sent_at < oldest for x in self._entries.values()):
+        if any(x.known_at < oldest for x in self._entries.values()):
             self._entries = {
-                k: v for k, v in self._entries.items() if v.sent_at >= oldest
+                k: v for k, v in self._entries.items() if v.known_at >= oldest
             }
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -74,7 +74,7 @@
 
     def waits_until(self, shard: shard_state.ShardState) -> datetime.datetime:
         """Return until when the gateway of a shard is known to have waited for it."""
-        return self._gateways.waits_until(shard.shard_id.gateway, shard.submitted_at)
+        return self._gateways.waits_until(shard.shard_id.gateway, shard.known_at)
 
     def wanted_until(self, run: runs.Run, entry: ledger.Entry) -> datetime.datetime:
         """Return until when the client of a run is known to have waited.
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -155,8 +155,8 @@
     ----------
     has_ordered_runs : bool
         Whether a run of one of its tasks may have been ordered.
-    submitted_at : datetime.datetime
-        Earliest instant at which its gateway can have submitted it last.
+    known_at : datetime.datetime
+        Up to when its gateway knew that a client waits, as it last submitted it.
     """
 
     def __init__(
@@ -169,7 +169,7 @@
         self.submission = submission
         self.schedule = schedule
         self.has_ordered_runs = False
-        self.submitted_at = submission.arrived
+        self.known_at = submission.arrived
         self.tasks: dict[runs.Task, TaskState] = {}
         # Least requirement of a task; without so much free nothing can be placed.
         self.least_processor_milli = min(
@@ -191,13 +191,13 @@
         return self.submission.job.job_id
 
     def record_submission(
-        self, submission: broker_messages.Submission, sent_at: datetime.datetime
+        self, submission: broker_messages.Submission, known_at: datetime.datetime
     ) -> None:
         """Record that the gateway has submitted the shard, perhaps again.
 
-        ``sent_at`` is the earliest instant at which it can have done so.
+        ``known_at`` is up to when it knew then that a client waits.
         """
-        self.submitted_at = max(self.submitted_at, sent_at)
+        self.known_at = max(self.known_at, known_at)
         sequence = max(self.submission.sequence, submission.sequence)
         self.submission = self.submission._replace(sequence=sequence)
 
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -1094,9 +1094,11 @@
         self.answer(self.start)
         self.submitted_at = self.now
 
-    def state(self, sequence, *shards):
+    def state(self, sequence, *shards, known_ms=0):
+        """State the shards of a gateway; it knew of its clients some time ago."""
         statement = broker_messages.Statement(sequence, frozenset(shards))
-        return self.broker.handle_statement(OTHER, statement, self.now)
+        known_at = self.now - MS(known_ms)
+        return self.broker.handle_statement(OTHER, statement, self.now, known_at)
 
     def poll_lease_ms(self):
         """Return how long the lease that the next poll asks for lasts from now."""
@@ -1120,6 +1122,18 @@
         self.state(1, 4)
         self.assertEqual(1000.0, self.poll_lease_ms())
 
+    # Statements of a gateway whose clients' ends lay unread renewed it.
+    def test_statement_renews_it_no_further_than_its_gateway_knows(self):
+        self.clock.advance(MS(500))
+        self.state(1, 4, known_ms=300)
+        self.assertAlmostEqual(self.LONGEST_MS - 301, self.poll_lease_ms(), 2)
+
+    def test_statement_does_not_shorten_what_an_earlier_one_has_renewed(self):
+        self.clock.advance(MS(500))
+        self.state(1, 4)
+        self.state(2, 4, known_ms=300)
+        self.assertEqual(1000.0, self.poll_lease_ms())
+
     # A stop that never reached the worker, while polls did, let the run go on.
     def test_lease_is_not_extended_while_a_stop_is_not_confirmed(self):
         self.state(1)
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -86,6 +86,8 @@
     echo_ms : float or None
         Newest reading of the receiver's clock that the sender has got; ``None`` if it
         has got none. The message was sent after it, however long it takes to arrive.
+    known_age_ms : float
+        Time since the last instant at which the job's client certainly waited, in ms.
     """
 
     job: jobs.Job
@@ -100,6 +102,7 @@
     sequence: int = 0
     token: int = 0
     echo_ms: float | None = None
+    known_age_ms: float = 0.0
 
 
 @kinds.register("waiting")
@@ -113,9 +116,13 @@
     ----------
     statement : broker_messages.Statement
         The statement.
+    known_age_ms : float
+        Time since the instant up to which the sender knows of all disconnects of its
+        clients, in ms.
     """
 
     statement: broker_messages.Statement
+    known_age_ms: float = 0.0
 
 
 @kinds.register("begun")
@@ -177,6 +184,13 @@
 
 Message = Heartbeat | Loads | Submit | WaitingShards | ShardStarted | Withdraw | Outcome
 
+_AGE_ROW = "known_age"
+"""Name of a row with the ``known_age_ms`` of the message in the next row. Daemons of an
+earlier release skip rows with unknown names, but not unknown fields."""
+
+_AGED_KINDS = (Submit, WaitingShards)
+"""Kinds whose last field is ``known_age_ms``."""
+
 _names_by_type = {kind: name for name, kind in kinds.items()}
 _decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
     name: msgspec.msgpack.Decoder(kind) for name, kind in kinds.items()
@@ -188,6 +202,7 @@
 """Name of the kind of a message, and its encoding."""
 
 _frame_decoder = msgspec.msgpack.Decoder(tuple[_Row, ...])
+_age_decoder = msgspec.msgpack.Decoder(float)
 _introduction_decoder = msgspec.msgpack.Decoder(daemons.Daemon)
 
 _DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
@@ -214,12 +229,19 @@
 
 def encode(messages: typing.Iterable[Message]) -> bytes:
     """Return a frame with messages, in order."""
-    return _encoder.encode(
-        [
-            (_names_by_type[type(message)], msgspec.Raw(_encoder.encode(message)))
-            for message in messages
-        ]
-    )
+    return _encoder.encode([row for message in messages for row in _rows(message)])
+
+
+def _rows(message: Message) -> list[_Row]:
+    """Return the rows of a message."""
+    name = _names_by_type[type(message)]
+    if not isinstance(message, _AGED_KINDS):
+        return [(name, msgspec.Raw(_encoder.encode(message)))]
+    *others, known_age_ms = message
+    return [
+        (_AGE_ROW, msgspec.Raw(_encoder.encode(known_age_ms))),
+        (name, msgspec.Raw(_encoder.encode(others))),
+    ]
 
 
 def decode(data: bytes) -> list[Message]:
@@ -233,11 +255,20 @@
         If the bytes are not a valid frame.
     """
     try:
-        messages = []
+        messages: list[Message] = []
+        known_age_ms = 0.0
         for name, raw in _frame_decoder.decode(data):
+            if name == _AGE_ROW:
+                known_age_ms = _age_decoder.decode(raw)
+                continue
             decoder = _decoders.get(name)
-            if decoder is not None:
-                messages.append(decoder.decode(raw))
+            if decoder is None:
+                continue
+            message = decoder.decode(raw)
+            if isinstance(message, _AGED_KINDS):
+                message = message._replace(known_age_ms=known_age_ms)
+            messages.append(message)
+            known_age_ms = 0.0
     except _DECODE_ERRORS as exc:
         raise errors.BadFrameError(len(data), str(exc)) from exc
     return messages
@@ -248,6 +279,7 @@
     age_ms: float,
     remaining_ms: float,
     echo_ms: float | None,
+    known_age_ms: float,
 ) -> Submit:
     """Return the message that sends a submission.
 
@@ -259,6 +291,8 @@
         Its age, and the time until its client stops waiting, in ms.
     echo_ms : float or None
         Newest reading of the receiver's clock, in ms.
+    known_age_ms : float
+        Time since the last instant at which its client certainly waited, in ms.
     """
     return Submit(
         submission.job,
@@ -273,4 +307,5 @@
         submission.sequence,
         submission.token,
         echo_ms,
+        known_age_ms,
     )
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -26,7 +26,9 @@
     queue = jobs.Queue(
         "q", "h", "/p/", "s", 0, 3, 1.6, clock.milliseconds(60), clock.milliseconds(9)
     )
-    return messages.Submit(job, queue, "home", 1.5, 900.0, 7, (0, 1), True, ("w-1",))
+    return messages.Submit(
+        job, queue, "home", 1.5, 900.0, 7, (0, 1), True, ("w-1",), known_age_ms=4.5
+    )
 
 
 class TestEncoding(testtools.TestCase):
@@ -47,7 +49,9 @@
             messages.Loads((("home", (load,)),)),
             make_submit(),
             messages.ShardStarted("a" * 16, 7, ("w-1", "w-2")),
-            messages.WaitingShards(broker_messages.Statement(3, frozenset((7, 9)))),
+            messages.WaitingShards(
+                broker_messages.Statement(3, frozenset((7, 9))), 2.5
+            ),
             messages.Withdraw("a" * 16, 7),
             messages.Outcome("a" * 16, 7, jobs.JobOutcome(jobs.Verdict.COMPLETED)),
         ]
@@ -56,6 +60,19 @@
         })  # fmt: skip
         self.assertEqual(sent, messages.decode(messages.encode(sent)))
 
+    # An earlier release discards the frame of a message with a field that it lacks.
+    def test_earlier_release_reads_what_it_knows_and_is_read(self):
+        waiting = messages.WaitingShards(broker_messages.Statement(3, frozenset()), 2.5)
+        for sent in (make_submit(), waiting):
+            [name] = [k for k, v in messages.kinds.items() if v is type(sent)]
+            encoded = msgspec.msgpack.decode(messages.encode([sent]))
+            earlier = [row for row in encoded if row[0] in messages.kinds.names()]
+            without_age = msgspec.msgpack.encode(tuple(sent)[:-1])
+            self.assertEqual([[name, msgspec.msgpack.decode(without_age)]], earlier)
+            unaged = sent._replace(known_age_ms=0.0)
+            data = msgspec.msgpack.encode(earlier)
+            self.assertEqual([unaged], messages.decode(data))
+
     def test_introduction_survives_a_round_trip(self):
         data = messages.encode_introduction(ME)
         self.assertEqual(ME, messages.decode_introduction(data))
