After a pause a daemon handles its clients' ends before it decides anything

Cause: as a daemon goes on after a pause, a tick comes first, then the messages in order of arrival. The tick states, and the messages of peers submit to new holders, the shards of clients that have left meanwhile: their ends take some turns of the event loop to be read.

Now a loop whose knowledge is older than 200 ms first takes the turns after which a pause does not count any more, for 100 ms at most, as heartbeats wait for them; then it handles the ends of clients. A job whose client has left again meanwhile is not begun. A loop that stays late goes on with what it has: there is one such wait before a batch of messages.

The two tests of the order failed before. Those of a loop that stays late, and of the limit of 100 ms (fails without it: 390 ms), guard the wait itself. `make_loop` is taken out of `setUp`.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -52,6 +52,16 @@
 MIN_WAIT = clock.milliseconds(1)
 """Shortest wait for messages, also if a tick is overdue."""
 
+MAX_KNOWN_AGE = clock.milliseconds(200)
+"""Time for which clients may have left unnoticed; beyond, the loop reads before it
+decides anything."""
+
+CATCH_UP_TURNS = turns.MAX_TURNS + 2
+"""Turns of the event loop after which a pause does not count any more."""
+
+MAX_CATCH_UP = clock.milliseconds(100)
+"""Longest time for these turns, as heartbeats wait for them."""
+
 MAX_INBOX_MESSAGES = 20_000
 """Size of the inbox; without effect while all messages are added by ``Inbox.put``."""
 
@@ -191,6 +201,8 @@
         while True:
             wait_s = self.max_wait().total_seconds()
             received = await self.inbox.drain(wait_s)
+            if self._is_behind():
+                received = await self._catch_up(received)
             is_failed, next_tick = False, self._next_tick()
             if self.clock.now() >= next_tick:
                 is_failed, next_tick = not self.tick(), self._next_tick()
@@ -202,6 +214,43 @@
             if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
+    def _is_behind(self) -> bool:
+        return self.known_age_ms() > clock.to_milliseconds(MAX_KNOWN_AGE)
+
+    async def _catch_up(
+        self, received: list[messages.Message]
+    ) -> list[messages.Message]:
+        """Read what has come during a pause; handle the ends of clients before it.
+
+        Parameters
+        ----------
+        received : list of messages.Message
+            Messages that have been received and not handled.
+
+        Returns
+        -------
+        list of messages.Message
+            Messages that are left to handle.
+        """
+        until = self.clock.now() + MAX_CATCH_UP
+        for _ in range(CATCH_UP_TURNS):
+            await asyncio.sleep(0)
+            if not self._is_behind() or self.clock.now() >= until:
+                break
+        received = [*received, *await self.inbox.drain(0.0)]
+        left = set()
+        for message in received:
+            if isinstance(message, messages.ClientLeft):
+                self.handle(message)
+                left.add(message.reply_id)
+        # A job whose client has left as well is not begun.
+        return [
+            x
+            for x in received
+            if not isinstance(x, messages.ClientLeft | messages.JobPosted)
+            or x.reply_id not in left
+        ]
+
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -57,15 +57,19 @@
     def setUp(self):
         super().setUp()
         self.clock = clock.ManualClock()
+        self.inbox, self.workers = Component(), Component()
+        self.replies, self.metrics = Component(), Component()
+        self.streams = []
+        self.make_loop()
+
+    def make_loop(self, observer=None):
+        """Make the decision loop."""
         cfg = ports.Settings(
             "vm-0", "home", "", "", "", "", ("home", "away"), broker_messages.Terms(),
             MS(6000),
         )  # fmt: skip
-        self.inbox, self.workers = Component(), Component()
-        self.replies, self.metrics = Component(), Component()
-        self.streams = []
         self.loop = decision_loop.DecisionLoop(
-            cfg, ME, self.inbox, self.clock, self.open_stream
+            cfg, ME, self.inbox, self.clock, self.open_stream, observer=observer
         )
         self.loop.set_dependencies(
             decision_loop.Dependencies(
@@ -442,6 +446,104 @@
         self.assertGreater(sizes[-1]["delay_ms"], 20)
 
 
+class LateObserver:
+    """Observer of an event loop that is late until ``catch_up`` is called."""
+
+    def __init__(self, source):
+        self.clock = source
+        self.late = MS(700)
+        # How long the turns between two questions take.
+        self.turns_take = MS(0)
+
+    def handled_until(self):
+        self.clock.advance(self.turns_take)
+        return self.clock.now() - self.late
+
+    def catch_up(self):
+        self.late = MS(0)
+
+
+class TestPauses(DecisionLoopCase):
+    """A daemon that goes on after a pause in which clients have left."""
+
+    TURNS_TO_READ = 6
+    """Turns of the event loop until the end of a connection is a message."""
+
+    def setUp(self):
+        super().setUp()
+        self.observer = LateObserver(self.clock)
+        self.make_loop(self.observer)
+        self.decided = []
+        self.ticked_at = None
+
+    def play(self, *received, client_left=None):
+        """Let the loop go on with some messages, while a client's end is unread."""
+
+        def read(turns_left):
+            if turns_left:
+                asyncio.get_running_loop().call_soon(read, turns_left - 1)
+            else:
+                self.loop.inbox.put(client_left)
+                self.observer.catch_up()
+
+        async def run():
+            self.loop.inbox = inbox.Inbox(asyncio.get_running_loop(), 10)
+            for message in received:
+                self.loop.inbox.put(message)
+            task = asyncio.create_task(self.loop.run())
+            if client_left is not None:
+                read(self.TURNS_TO_READ)
+            for _ in range(10 * decision_loop.CATCH_UP_TURNS):
+                await asyncio.sleep(0)
+            task.cancel()
+
+        def handle(loop, message):
+            self.decided.append(type(message).__name__)
+            return self.clock.now()
+
+        def tick(loop):
+            self.decided.append("tick")
+            self.ticked_at = self.ticked_at or self.clock.now()
+            self.clock.advance(MS(1))
+            loop._last_tick = self.clock.now()
+            loop._next_heartbeat = self.clock.now() + MS(60_000)
+            return True
+
+        self.clock.advance(MS(700))
+        with (
+            unittest.mock.patch.object(decision_loop.DecisionLoop, "handle", handle),
+            unittest.mock.patch.object(decision_loop.DecisionLoop, "tick", tick),
+        ):
+            asyncio.run(run())
+
+    # It stated, and submitted to new holders, the shards of clients that had left.
+    def test_ends_of_clients_are_handled_before_anything_is_decided(self):
+        heard = messages.PeerMessagesReceived(REMOTE, (), self.clock.now())
+        self.play(heard, client_left=messages.ClientLeft("a" * 16, 1))
+        expected = ["ClientLeft", "tick", "PeerMessagesReceived"]
+        self.assertEqual(expected, self.decided)
+
+    def test_job_whose_client_has_left_meanwhile_is_not_begun(self):
+        step = jobs.Step(2, jobs.Resources(1000, 64, 0), MS(50))
+        queue = jobs.Queue("q", "", "", "search", 0, 2, 1.6, MS(60), MS(1500))
+        req = ports.JobRequest(queue, jobs.Job("a" * 16, "", (step,)), MS(1500))
+        posted = [messages.JobPosted(req, x, self.clock.now()) for x in (1, 2)]
+        self.play(*posted, client_left=messages.ClientLeft("a" * 16, 1))
+        self.assertEqual(["ClientLeft", "tick", "JobPosted"], self.decided)
+
+    def test_loop_that_stays_late_goes_on(self):
+        heard = messages.PeerMessagesReceived(REMOTE, (), self.clock.now())
+        self.play(heard)
+        self.assertEqual(["tick", "PeerMessagesReceived"], self.decided[:2])
+
+    # Other daemons would take a slow one for dead.
+    def test_heartbeats_wait_for_a_short_time_only(self):
+        self.observer.turns_take = MS(30)
+        went_on_at = self.clock.now() + MS(700)
+        self.play(messages.PeerMessagesReceived(REMOTE, (), self.clock.now()))
+        self.assertLess(self.ticked_at - went_on_at, MS(200))
+
+
 class TestHeartbeats(DecisionLoopCase):
     """Heartbeats of other daemons."""
 
