A shard that was refused as old is submitted again once its gateway has read

What callers saw: nothing yet. Since words count from what their gateway has read, a broker drops the submission of a gateway that has read nothing for longer than it waits for words, though its client may wait still; the gateway repeated its submissions only after a new connection or a peer's silence, so the client got 504 at its deadline.

Brokers that have the shard only record that. The new test failed before: nothing was started.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -185,6 +185,8 @@
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
+        # Brokers that may have refused a submission since this daemon knew too little.
+        self._resubmit_to: set[daemons.Daemon] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -429,6 +431,20 @@
         self.perform(self.gateway.resend_shards(peer), now)
         self.perform(self.gateway.state_shards([peer]), now)
 
+    def record_submission(self, peer: daemons.Daemon, known_age_ms: float) -> None:
+        """Record a submission; it is repeated if its broker may find it too old.
+
+        Parameters
+        ----------
+        peer : daemons.Daemon
+            The daemon that it was sent to.
+        known_age_ms : float
+            Time since its client certainly waited, in milliseconds.
+        """
+        interval = self.election.pace().heartbeat_interval
+        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
+            self._resubmit_to.add(peer)
+
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
@@ -633,6 +649,9 @@
         pace = self.election.pace()
         self._next_heartbeat = now + pace.heartbeat_interval
         self.perform(self.gateway.state_shards(), now)
+        resubmit_to, self._resubmit_to = self._resubmit_to, set()
+        for peer in resubmit_to:
+            self.perform(self.gateway.resend_shards(peer), now)
         heartbeat = self._heartbeat(self._is_refresh_due(), now)
         self._heartbeat_count += 1
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -464,6 +464,7 @@
         submission, age_ms, remaining_ms, echo_ms, known_age_ms
     )
     loop.send(action.daemon, message)
+    loop.record_submission(action.daemon, known_age_ms)
 
 
 @decision_loop.action_handlers.register("SendWithdrawal")
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -375,6 +375,17 @@
         self.open_connections()
         self.assertEqual([], self.orders("start"))
 
+    # The broker refused it as old, and nobody submitted it again.
+    def test_shard_that_it_submits_again_starts_once_it_has_read(self):
+        self.is_lossy = True
+        self.post(timeout_ms=9000)
+        self.is_lossy = False
+        self.stop_reading(700)
+        self.open_connections()
+        self.observers[GATEWAY].stuck_since = None
+        self.pass_time(160)
+        self.assertEqual(1, len(self.orders("start")))
+
     def test_job_that_has_just_come_starts_at_once(self):
         self.stop_reading(700)
         self.post()
