--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -52,6 +52,16 @@
 MIN_WAIT = clock.milliseconds(1)
 """Shortest wait for messages, also if a tick is overdue."""
 
+MAX_KNOWN_AGE = clock.milliseconds(200)
+"""Time for which clients may have left unnoticed; beyond, the loop reads before it
+decides anything."""
+
+CATCH_UP_TURNS = turns.MAX_TURNS + 2
+"""Turns of the event loop after which a pause does not count any more."""
+
+MAX_CATCH_UP = clock.milliseconds(100)
+"""Longest time for these turns, as heartbeats wait for them."""
+
 MAX_INBOX_MESSAGES = 20_000
 """Size of the inbox; without effect while all messages are added by ``Inbox.put``."""
 
@@ -175,6 +185,8 @@
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
+        # Brokers that may have refused a submission since this daemon knew too little.
+        self._resubmit_to: set[daemons.Daemon] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -191,6 +203,8 @@
         while True:
             wait_s = self.max_wait().total_seconds()
             received = await self.inbox.drain(wait_s)
+            if self._is_behind():
+                received = await self._catch_up(received)
             is_failed, next_tick = False, self._next_tick()
             if self.clock.now() >= next_tick:
                 is_failed, next_tick = not self.tick(), self._next_tick()
@@ -202,6 +216,43 @@
             if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
+    def _is_behind(self) -> bool:
+        return self.known_age_ms() > clock.to_milliseconds(MAX_KNOWN_AGE)
+
+    async def _catch_up(
+        self, received: list[messages.Message]
+    ) -> list[messages.Message]:
+        """Read what has come during a pause; handle the ends of clients before it.
+
+        Parameters
+        ----------
+        received : list of messages.Message
+            Messages that have been received and not handled.
+
+        Returns
+        -------
+        list of messages.Message
+            Messages that are left to handle.
+        """
+        until = self.clock.now() + MAX_CATCH_UP
+        for _ in range(CATCH_UP_TURNS):
+            await asyncio.sleep(0)
+            if not self._is_behind() or self.clock.now() >= until:
+                break
+        received = [*received, *await self.inbox.drain(0.0)]
+        left = set()
+        for message in received:
+            if isinstance(message, messages.ClientLeft):
+                self.handle(message)
+                left.add(message.reply_id)
+        # A job whose client has left as well is not begun.
+        return [
+            x
+            for x in received
+            if not isinstance(x, messages.ClientLeft | messages.JobPosted)
+            or x.reply_id not in left
+        ]
+
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
@@ -380,6 +431,20 @@
         self.perform(self.gateway.resend_shards(peer), now)
         self.perform(self.gateway.state_shards([peer]), now)
 
+    def record_submission(self, peer: daemons.Daemon, known_age_ms: float) -> None:
+        """Record a submission; it is repeated if its broker may find it too old.
+
+        Parameters
+        ----------
+        peer : daemons.Daemon
+            The daemon that it was sent to.
+        known_age_ms : float
+            Time since its client certainly waited, in milliseconds.
+        """
+        interval = self.election.pace().heartbeat_interval
+        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
+            self._resubmit_to.add(peer)
+
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
@@ -590,6 +655,9 @@
         pace = self.election.pace()
         self._next_heartbeat = now + pace.heartbeat_interval
         self.perform(self.gateway.state_shards(), now)
+        resubmit_to, self._resubmit_to = self._resubmit_to, set()
+        for peer in resubmit_to:
+            self.perform(self.gateway.resend_shards(peer), now)
         heartbeat = self._heartbeat(self._is_refresh_due(), now)
         self._heartbeat_count += 1
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
