A new holder expects the workers that the earlier holder has told of

Two decision loops show it on the code before: a holder starts a task on w-0 and is killed before its note reaches the gateway; the list that the next holder reads lacks w-0, whose entry expired while the store was down; the next holder starts the task on w-1.

Cause: which workers may run tasks of an earlier holder was known from the store's list, and from the note of each start to its gateway, which travels after the start and dies with the holder.

A holder now tells all daemons it is connected to which workers may get its orders: when that changes, before it polls a worker for the first time and so at least a round trip before the first start there, and on each new connection. A daemon keeps the newest set of each data centre. As it becomes the holder, resumed shards wait for all workers of that set as for one that has not answered; it passes on those that it still expects. If the holder just before has told it nothing, or did not know itself, resumed shards wait as well. Both end as the workers are held, the set arrives, or MISSING_TIMEOUT after the takeover, from when a worker without an entry counts as gone. Shards that were never submitted before do not wait.

On the code before, test_task_on_a_worker_that_the_list_lacks_is_not_started_again fails (StartRun on w-1). With the sets ignored the other tests of TestKilledHolder and two of TestTakeover fail; with nothing sent on new connections test_daemon_that_has_just_started_is_told_of_the_workers fails. The list of kinds in test_every_kind_survives_a_round_trip has the new kind and an example of it.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -377,6 +377,15 @@
         """Send a message to another daemon on each connection to it."""
         self._links.send_on_all(peer, message)
 
+    def broadcast(self, message: stream_messages.Message) -> None:
+        """Send a message to all other daemons that there is a connection to."""
+        self._links.broadcast(message)
+
+    def tell_workers(self, peer: daemons.Daemon) -> None:
+        """Tell a daemon which workers may get orders of this one."""
+        for worker_set in self.broker.worker_sets():
+            self.send(peer, stream_messages.HeldWorkers(worker_set))
+
     def restate_shards(self, peer: daemons.Daemon, now: datetime.datetime) -> None:
         """Submit a daemon's open shards again, and state that it has no others."""
         self.perform(self.gateway.resend_shards(peer), now)
@@ -411,6 +420,8 @@
                 self._sent_loads, round(self._delay_ms), self._clock_ms(now)
             )
             connection.send(load)
+        for worker_set in self.broker.worker_sets():
+            connection.send(stream_messages.HeldWorkers(worker_set))
 
     def forget(self, sender: daemons.Daemon, connection: peer_links.Connection) -> None:
         """Drop a connection that another daemon had opened and that has ended."""
@@ -496,9 +507,10 @@
 
         A holder that is not newer than the recorded one changes nothing.
         """
+        data_centre = holder.data_centre
+        former = self.election.holder(data_centre)
         if not self.election.record_holder(holder, now):
             return
-        data_centre = holder.data_centre
         logs.log_event(
             "tenure",
             "Holder.",
@@ -507,7 +519,12 @@
             token=holder.token,
         )
         if self.election.is_own(holder):
-            self.perform(self.broker.start_holding(data_centre, holder.token, now), now)
+            # A claim replaces the holder that is known here, or fails.
+            former_token = former.token if former is not None else 0
+            actions = self.broker.start_holding(
+                data_centre, holder.token, now, former_token
+            )
+            self.perform(actions, now)
             self.dependencies.reports.refresh()
         elif data_centre in self.broker.tokens():
             self.perform(self.broker.stop_holding(data_centre), now)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -165,6 +165,7 @@
     message: messages.StreamOpened,
     now: datetime.datetime,
 ) -> None:
+    loop.tell_workers(message.peer)
     loop.restate_shards(message.peer, now)
 
 
@@ -312,6 +313,13 @@
     )
 
 
+@decision_loop.handlers.register("HeldWorkers")
+def _handle_held_workers(
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
+) -> None:
+    loop.perform(loop.broker.record_worker_set(sent.content.worker_set), now)
+
+
 @decision_loop.handlers.register("Outcome")
 def _handle_outcome(
     loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
@@ -407,6 +415,15 @@
     _send_to_gateway(loop, shard_id.gateway, message)
 
 
+@decision_loop.action_handlers.register("TellWorkers")
+def _perform_tell_workers(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.TellWorkers,
+    now: datetime.datetime,
+) -> None:
+    loop.broadcast(stream_messages.HeldWorkers(action.worker_set))
+
+
 def _send_to_gateway(
     loop: decision_loop.DecisionLoop,
     gateway_id: broker_messages.GatewayId,
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -276,6 +276,69 @@
         self.assertEqual([], self.orders("start", GATEWAY))
 
 
+class TestKilledHolder(TwoDaemonsCase):
+    """A holder that is killed right after a start; the gateway's daemon is the next."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = WORKER._replace(worker_id="w-1", address="w-1:1")
+
+    def start_and_kill(self):
+        """Let the holder start a task, and end before it can tell its gateway."""
+        self.held_up = []
+        self.post()
+        to_broker, self.held_up = self.held_up, None
+        for _, message in to_broker:
+            self.pass_message(BROKER, message, self.now)
+        self.under_way.clear()
+        self.frozen[BROKER] = self.now
+        [start] = self.orders("start")
+        self.loops[GATEWAY].handle(messages.ConnectionRefused(BROKER))
+        return start.run
+
+    def succeed(self, *workers):
+        """Let the gateway's daemon become the holder, and read a list of workers."""
+        holder = daemons.Holder("away", GATEWAY.vm, GATEWAY.incarnation, 6)
+        self.loops[GATEWAY].record_holder(holder, self.now)
+        self.read_reports(GATEWAY, *workers)
+        self.deliver()
+
+    # The entry of the worker had expired while the store was down.
+    def test_task_on_a_worker_that_the_list_lacks_is_not_started_again(self):
+        run = self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(500)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.loops[GATEWAY].handle(
+            messages.ReportsRead((self.other, WORKER), frozenset({"away"}), self.now)
+        )
+        self.report_status(run, daemon=GATEWAY)
+        self.pass_time(100)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.assertEqual([], self.orders("stop", GATEWAY))
+
+    def test_daemon_that_has_just_started_is_told_of_the_workers(self):
+        self.loops[GATEWAY] = self.make_loop(GATEWAY)
+        self.open_connections()
+        self.pass_time(200)
+        self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(500)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        expected = self.loops[GATEWAY].broker.worker_sets()[0].workers
+        self.assertEqual({"w-0", "w-1"}, expected)
+
+    # A worker that was told of and that answers without the run keeps no task waiting.
+    def test_task_starts_once_all_workers_have_answered(self):
+        self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(200)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.read_reports(GATEWAY, self.other, WORKER)
+        self.pass_time(100)
+        self.assertEqual(1, len(self.orders("start", GATEWAY)))
+
+
 class TestFrozenBroker(TwoDaemonsCase):
     """A broker that stands still while shards are submitted and withdrawn."""
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -83,11 +83,32 @@
         return bool(self._workers.tokens)
 
     def start_holding(
-        self, data_centre: str, token: int, now: datetime.datetime
+        self,
+        data_centre: str,
+        token: int,
+        now: datetime.datetime,
+        former_token: int = 0,
     ) -> list[broker_messages.Action]:
-        """Start to hold a data centre and poll its reported workers."""
+        """Start to hold a data centre and poll its reported workers.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+        token : int
+            Fencing token of this holder.
+        now : datetime.datetime
+            Present instant.
+        former_token : int, optional
+            Fencing token of the holder before; 0 if there was none.
+        """
         self._stop_holding(data_centre)
-        self._workers.start_holding(data_centre, token, now)
+        self._workers.start_holding(data_centre, token, now, former_token)
+        self._actions.log(
+            "holding", data_centre, token=token, former=former_token,
+            expected=sorted(self._workers.former.expected(data_centre)),
+            is_told=self._workers.former.are_known(data_centre),
+        )  # fmt: skip
         self._hold_reported_workers(now)
         for early in self._early.pop(data_centre, token):
             self._submit(early.submission, early.gateway, now, early.sent_at)
@@ -140,6 +161,8 @@
                 workers=self._workers.count_reported(data_centre),
                 read_ms=_ms_between(requested_at, now),
             )  # fmt: skip
+        for worker_id in self._workers.former.record_read(requested_at):
+            self._actions.log("expected_worker_missing", worker_id)
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -159,9 +182,28 @@
         return self._actions.drain()
 
     def _hold_reported_workers(self, now: datetime.datetime) -> None:
-        for worker in self._workers.hold_reported(now):
+        added = self._workers.hold_reported(now)
+        self._tell_workers()
+        for worker in added:
             self._poll(worker, now)
 
+    def _tell_workers(self) -> None:
+        """Tell the other daemons of the held workers before these get any order."""
+        for worker_set in self._workers.changed_sets():
+            self._actions.add(broker_messages.TellWorkers(worker_set))
+
+    def record_worker_set(
+        self, worker_set: broker_messages.WorkerSet
+    ) -> list[broker_messages.Action]:
+        """Record which workers may have orders of another holder."""
+        self._workers.former.record(worker_set)
+        self._tell_workers()
+        return self._actions.drain()
+
+    def worker_sets(self) -> list[broker_messages.WorkerSet]:
+        """Return what each daemon has to know of the workers held here."""
+        return self._workers.former.told_here()
+
     def _handle_restart(self, worker_id: str) -> None:
         """Drop an incarnation; orders in flight may have reached the next one."""
         lost, carried_over = self._workers.handle_restart(worker_id)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -120,6 +120,30 @@
     tokens: frozenset[int] = frozenset()
 
 
+class WorkerSet(typing.NamedTuple):
+    """Workers of a data centre that its holder may have given orders to.
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre.
+    token : int
+        Fencing token of the holder.
+    sequence : int
+        Number that grows with each set of the holder.
+    workers : frozenset of str
+        Names of the workers, with those of earlier holders that may be alive.
+    is_whole : bool
+        Whether the holder knows which workers the earlier holders have used.
+    """
+
+    data_centre: str
+    token: int
+    sequence: int
+    workers: frozenset[str]
+    is_whole: bool
+
+
 class StartRun(typing.NamedTuple):
     """Order a worker to start a run.
 
@@ -201,6 +225,12 @@
     workers: tuple[str, ...]
 
 
+class TellWorkers(typing.NamedTuple):
+    """Tell all other daemons which workers may get orders of this holder."""
+
+    worker_set: WorkerSet
+
+
 class HolderFenced(typing.NamedTuple):
     """A worker refused this holder because another one has a higher token."""
 
@@ -232,6 +262,7 @@
     | PollWorker
     | SendOutcome
     | SendShardStarted
+    | TellWorkers
     | HolderFenced
     | LogDecision
 )
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -4,7 +4,7 @@
 import collections.abc
 import datetime
 
-from carawaysail_holding import broker_messages, held_worker, ledger
+from carawaysail_holding import broker_messages, former_workers, held_worker, ledger
 from carawaysail_types import jobs, runs
 
 
@@ -26,13 +26,15 @@
         # By data centre: when this daemon became its holder; absent once the reports
         # have been read after that.
         self._awaiting_reports: dict[str, datetime.datetime] = {}
+        self.former = former_workers.FormerWorkers()
 
     # Held data centres
 
     def start_holding(
-        self, data_centre: str, token: int, now: datetime.datetime
+        self, data_centre: str, token: int, now: datetime.datetime, former_token: int
     ) -> None:
         """Record the token of a data centre that this daemon holds from now on."""
+        self.former.start_holding(data_centre, token, former_token, now)
         self.tokens[data_centre] = token
         self._newest_tokens[data_centre] = token
         self._awaiting_reports[data_centre] = now
@@ -48,6 +50,7 @@
     def stop_holding(self, data_centre: str) -> list[str]:
         """Remove the workers of a data centre and return their names."""
         self.tokens.pop(data_centre, None)
+        self.former.stop_holding(data_centre)
         self._awaiting_reports.pop(data_centre, None)
         worker_ids = [x.report.worker_id for x in self.held_in(data_centre)]
         for worker_id in worker_ids:
@@ -103,9 +106,20 @@
             self._workers[worker_id] = worker
             for run, entry in self._carried_over.pop(worker_id, {}).items():
                 worker.ledger.record_carried_over(run, entry, now)
+            self.former.record_held(report.data_centre, worker_id)
             added.append(worker)
         return added
 
+    def changed_sets(self) -> list[broker_messages.WorkerSet]:
+        """Return what to tell the other daemons of the held workers by now."""
+        found = {data_centre: set[str]() for data_centre in self.tokens}
+        held = (x.report for x in self._workers.values())
+        for report in (*self._reports.values(), *held):
+            if report.data_centre in found:
+                found[report.data_centre].add(report.worker_id)
+        told = (self.former.tell(k, frozenset(v)) for k, v in found.items())
+        return [x for x in told if x is not None]
+
     # Workers
 
     def get(self, worker_id: str) -> held_worker.HeldWorker | None:
@@ -188,10 +202,13 @@
 
         A worker that has not answered this holder may still obey the earlier one.
         Reports that were read before this daemon became the holder may lack workers
-        that were cut off.
+        that were cut off, and so may later ones; those that the earlier holder has told
+        of are expected.
         """
         if submission.data_centre in self._awaiting_reports:
             return True
+        if self.former.may_have_others(submission.data_centre):
+            return True
         if any(not x.ledger.has_status for x in self.suitable(submission)):
             return True
         return any(x not in self._workers for x in submission.workers)
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -863,6 +863,48 @@
         self.assertEqual(frozenset(), self.broker.worker_ids())
 
 
+class TestEarlierWorkers(BrokerCase):
+    """Workers that an earlier holder has told of, whether the store has them or not."""
+
+    def record_worker_set(self, token, *workers):
+        told = broker_messages.WorkerSet(HOME, token, 1, frozenset(workers), True)
+        return self.broker.record_worker_set(told)
+
+    # Only the gateway of a started shard knew its worker, if the note had arrived.
+    def test_resumed_shard_waits_for_a_worker_of_the_earlier_holder(self):
+        self.record_worker_set(7, "w-0", "w-1")
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        run = runs.Run(runs.Task(f"{1:016x}", 0, 0, 0), 1)
+        self.assertEqual([], self.starts(self.poll(make_report(1), running=[run])))
+
+    def test_resumed_shard_waits_if_the_earlier_holder_has_told_of_no_workers(self):
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        self.record_worker_set(7, "w-0")
+        self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
+
+    def test_new_shard_does_not_wait_for_workers_of_the_earlier_holder(self):
+        self.record_worker_set(7, "w-0", "w-1")
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual(1, len(self.starts(self.submit(self.make()))))
+
+    def test_others_are_told_of_a_worker_before_it_is_polled(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        actions = self.broker.handle_reports([make_report(0)], self.now)
+        kinds = [type(x).__name__ for x in actions]
+        self.assertLess(kinds.index("TellWorkers"), kinds.index("PollWorker"))
+        [told] = self.broker.worker_sets()
+        self.assertEqual((9, {"w-0"}, True), (told.token, told.workers, told.is_whole))
+
+
 class TestWorkerFailures(BrokerCase):
     """Workers that restart, fall silent, or fail their runs."""
 
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -137,6 +137,22 @@
     workers: tuple[str, ...]
 
 
+@kinds.register("held")
+class HeldWorkers(typing.NamedTuple):
+    """Notice of a holder to all daemons: which workers may get its orders.
+
+    Sent when that changes and on each new connection. The next holder of the data
+    centre expects these workers even if the store lacks them.
+
+    Parameters
+    ----------
+    worker_set : broker_messages.WorkerSet
+        The workers.
+    """
+
+    worker_set: broker_messages.WorkerSet
+
+
 @kinds.register("withdraw")
 class Withdraw(typing.NamedTuple):
     """Notice of a gateway to a broker: no client waits for a shard any more.
@@ -175,7 +191,16 @@
     token: int = 0
 
 
-Message = Heartbeat | Loads | Submit | WaitingShards | ShardStarted | Withdraw | Outcome
+Message = (
+    Heartbeat
+    | Loads
+    | Submit
+    | WaitingShards
+    | ShardStarted
+    | HeldWorkers
+    | Withdraw
+    | Outcome
+)
 
 _names_by_type = {kind: name for name, kind in kinds.items()}
 _decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -48,11 +48,15 @@
             make_submit(),
             messages.ShardStarted("a" * 16, 7, ("w-1", "w-2")),
             messages.WaitingShards(broker_messages.Statement(3, frozenset((7, 9)))),
+            messages.HeldWorkers(
+                broker_messages.WorkerSet("home", 5, 2, frozenset(("w-1", "w-2")), True)
+            ),
             messages.Withdraw("a" * 16, 7),
             messages.Outcome("a" * 16, 7, jobs.JobOutcome(jobs.Verdict.COMPLETED)),
         ]
         self.assertEqual(set(messages.kinds.names()), {
-            "heartbeat", "loads", "submit", "waiting", "begun", "withdraw", "outcome"
+            "heartbeat", "loads", "submit", "waiting", "begun", "held", "withdraw",
+            "outcome",
         })  # fmt: skip
         self.assertEqual(sent, messages.decode(messages.encode(sent)))
 
