A task whose run was given up with a lease starts again after its gateway's next word

A holder that cannot reach a worker gives its runs up once the lease that it granted is over. A later holder, of which it knows nothing yet, may reach that worker, and extends the lease as soon as the gateway has sent it the shard: the run goes on, and the former holder starts the task again on a worker that has not seen the newer token. Two runs at the same time.

The gateway tells the former holder nothing of a shard once it has sent it to another. So a statement or submission of it that is younger than the end of the lease shows that nobody has extended it. The task waits for that, at most a heartbeat, where gateways make statements; the own gateway would know. The same holds for orders without an answer on a worker that is dropped.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -163,12 +163,20 @@
         lost, carried_over = self._workers.handle_restart(worker_id)
         self._handle_lost_worker(worker_id, "restarted", lost, carried_over)
 
-    def _remove_worker(self, worker_id: str, cause: str) -> None:
+    def _remove_worker(
+        self, worker_id: str, cause: str, now: datetime.datetime
+    ) -> None:
         """Drop an incarnation that has ended for good."""
-        self._handle_lost_worker(worker_id, cause, self._workers.remove(worker_id))
+        lost = self._workers.remove(worker_id)
+        self._handle_lost_worker(worker_id, cause, lost, given_up_at=now)
 
     def _handle_lost_worker(
-        self, worker_id: str, cause: str, lost: list[runs.Run], carried_over: int = 0
+        self,
+        worker_id: str,
+        cause: str,
+        lost: list[runs.Run],
+        carried_over: int = 0,
+        given_up_at: datetime.datetime | None = None,
     ) -> None:
         """Requeue the tasks that ran in an incarnation that has ended."""
         self._jobs.inherited.drop_worker(worker_id)
@@ -176,7 +184,7 @@
             "worker_dropped", worker_id, why=cause, runs=len(lost), carried=carried_over
         )
         for run in lost:
-            self._jobs.requeue_task(run, worker_id)
+            self._jobs.requeue_task(run, worker_id, given_up_at)
 
     def handle_status(
         self,
@@ -799,7 +807,7 @@
         started_on: set[str] = set()
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            if not candidates_of.of(state):
+            if self._may_run_on(shard, state) or not candidates_of.of(state):
                 continue
             chosen = self._placer.choose(shard, state, candidates_of, pool, queued, now)
             if chosen is None:
@@ -817,6 +825,19 @@
             )
         return bool(started_on)
 
+    def _may_run_on(
+        self, shard: shard_state.ShardState, state: shard_state.TaskState
+    ) -> bool:
+        """Return whether a run that was given up may go on under a later holder.
+
+        That extends leases only for gateways that have sent it their shards, and these
+        tell this daemon nothing of them from then on.
+        """
+        if state.given_up_at is None or self.gateway_timeout is None:
+            return False
+        is_told = self._jobs.waits_until(shard) >= state.given_up_at
+        return not is_told and not self._gateways.is_own(shard.shard_id.gateway)
+
     def _order_start(
         self,
         shard: shard_state.ShardState,
@@ -949,12 +970,12 @@
                     held_ms=_ms_between(worker.held_since, now),
                     counted_ms=_ms_between(worker.lease_counts_from, now),
                 )  # fmt: skip
-                self._jobs.requeue_task(run, worker_id)
+                self._jobs.requeue_task(run, worker_id, given_up_at=now)
             if worker.missing_since is not None:
-                self._remove_worker(worker_id, "missing and silent")
+                self._remove_worker(worker_id, "missing and silent", now)
                 return
         if worker.is_removable(now):
-            self._remove_worker(worker_id, "missing in the store")
+            self._remove_worker(worker_id, "missing in the store", now)
             return
         if worker.ledger.has_status:
             for run in worker.ledger.uncertain():
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -339,10 +339,25 @@
             broker_messages.StopRun(worker.report, run, worker.ledger.token)
         )
 
-    def requeue_task(self, run: runs.Run, worker_id: str) -> None:
-        """Let a task start again after a run that has certainly ended.
+    def requeue_task(
+        self,
+        run: runs.Run,
+        worker_id: str,
+        given_up_at: datetime.datetime | None = None,
+    ) -> None:
+        """Let a task start again after a run that has ended.
 
         Runs that are not the present run of their task on that worker are ignored.
+
+        Parameters
+        ----------
+        run : runs.Run
+            The run.
+        worker_id : str
+            Name of its worker.
+        given_up_at : datetime.datetime, optional
+            When the run was given up with a worker that did not answer; by default it
+            was seen to end.
         """
         self.inherited.drop_run(run, worker_id)
         state = self.task_state(run)
@@ -352,7 +367,7 @@
             and state.worker_id == worker_id
             and state.last_run_number == run.number
         ):
-            state.requeue()
+            state.requeue(given_up_at)
             self.record_ready(self._shard_by_task[run.task])
 
     def record_ready(self, shard: shard_state.ShardState) -> None:
--- a/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/shard_state.py
@@ -46,6 +46,12 @@
         Its step: requirements and the client's estimate.
     counts : PhaseCounts
         Counts of the shard's tasks, kept up to date with the task's phase.
+
+    Attributes
+    ----------
+    given_up_at : datetime.datetime or None
+        When its last run was given up together with a worker that did not answer;
+        ``None`` if the run was seen to end.
     """
 
     def __init__(self, task: runs.Task, step: jobs.Step, counts: PhaseCounts) -> None:
@@ -59,6 +65,7 @@
         self.failures = 0
         self.worker_id = ""
         self.started_at: datetime.datetime | None = None
+        self.given_up_at: datetime.datetime | None = None
         self.avoided_workers: set[str] = set()
 
     @property
@@ -84,6 +91,7 @@
         self.last_run_number = max(self.last_run_number, run.number)
         self.worker_id = worker_id
         self.started_at = now
+        self.given_up_at = None
 
     def record_done(self, run_number: int) -> None:
         """Record that a run has completed the task."""
@@ -91,9 +99,10 @@
         self.done_run_number = run_number
         self.worker_id = ""
 
-    def requeue(self) -> None:
+    def requeue(self, given_up_at: datetime.datetime | None = None) -> None:
         """Put the task back into the waiting phase."""
         self.phase = Phase.WAITING
+        self.given_up_at = given_up_at
         self.worker_id = ""
         self.started_at = None
 
