A list of workers of long ago is not taken for the present one at a takeover

What callers saw: 504 for jobs that were resumed at a takeover, beside a healthy worker.

Cause: a daemon that does not hold anything does not read the workers' reports, and keeps those of when it last did. As it became the holder again it held all workers of that list, however old. One that had left in between never answered, so each resumed shard waited for it until it counted as missing and silent.

If the newest reports are older than MISSING_TIMEOUT, which is when a worker without an entry counts as gone, only those of workers that the earlier holder has told of are used before the first read; polling these at once settles sooner what runs there. The reports of other data centres are kept.

test_workers_of_an_old_list_are_polled_only_if_they_were_told_of failed before: w-1, gone for ten minutes, was polled.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -153,8 +153,9 @@
             Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        complete_at = requested_at if is_linearizable else held_worker.NEVER
-        for data_centre in self._workers.record_reports(reports, complete_at):
+        for data_centre in self._workers.record_reports(
+            reports, requested_at, is_linearizable
+        ):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -16,6 +16,8 @@
         # Highest token ever held, by data centre.
         self._newest_tokens: dict[str, int] = {}
         self._reports: dict[str, runs.WorkerReport] = {}
+        # When the newest reports were requested.
+        self._read_at = held_worker.NEVER
         self._workers: dict[str, held_worker.HeldWorker] = {}
         # Number of runs of each task that count on any held worker.
         self._task_counts: collections.Counter[runs.Task] = collections.Counter()
@@ -35,6 +37,8 @@
     ) -> None:
         """Record the token of a data centre that this daemon holds from now on."""
         self.former.start_holding(data_centre, token, former_token, now)
+        if now - self._read_at > held_worker.MISSING_TIMEOUT:
+            self._drop_reports(data_centre, self.former.expected(data_centre))
         self.tokens[data_centre] = token
         self._newest_tokens[data_centre] = token
         self._awaiting_reports[data_centre] = now
@@ -62,7 +66,8 @@
     def record_reports(
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
-        complete_at: datetime.datetime,
+        requested_at: datetime.datetime,
+        is_linearizable: bool,
     ) -> list[str]:
         """Replace the reports of all workers; return what they complete.
 
@@ -70,9 +75,12 @@
         ----------
         reports : iterable of runs.WorkerReport
             Reports of all workers of the site.
-        complete_at : datetime.datetime
-            An instant as of which no report is missing. Data centres that are held
-            since a later time still await their reports.
+        requested_at : datetime.datetime
+            When the read was sent to the store. Data centres that are held since a
+            later time still await their reports.
+        is_linearizable : bool
+            Whether the answer has all that the store had then. Otherwise it completes
+            nothing.
 
         Returns
         -------
@@ -80,11 +88,22 @@
             Held data centres that awaited their reports and have them now.
         """
         self._reports = {report.worker_id: report for report in reports}
-        complete = [k for k, v in self._awaiting_reports.items() if v <= complete_at]
+        self._read_at = requested_at
+        if not is_linearizable:
+            return []
+        complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
         for data_centre in complete:
             del self._awaiting_reports[data_centre]
         return complete
 
+    def _drop_reports(self, data_centre: str, kept: frozenset[str]) -> None:
+        """Drop the reports of a data centre, whose workers may have left since."""
+        self._reports = {
+            worker_id: report
+            for worker_id, report in self._reports.items()
+            if report.data_centre != data_centre or worker_id in kept
+        }
+
     def count_reported(self, data_centre: str) -> int:
         """Return the number of workers of a data centre in the newest reports."""
         return sum(x.data_centre == data_centre for x in self._reports.values())
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -896,6 +896,26 @@
         self.poll(make_report(0))
         self.assertEqual(1, len(self.starts(self.submit(self.make()))))
 
+    # Each resumed shard waited 1,080 ms for a worker that had left long before.
+    def test_workers_of_an_old_list_are_polled_only_if_they_were_told_of(self):
+        self.hold(make_report(0), make_report(1))
+        self.broker.stop_holding(HOME)
+        self.clock.advance(MS(600_000))
+        self.record_worker_set(8, "w-0")
+        actions = self.broker.start_holding(HOME, 9, self.now, 8)
+        polls = [x for x in actions if isinstance(x, broker_messages.PollWorker)]
+        self.assertEqual(["w-0"], [x.worker.worker_id for x in polls])
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual(1, len(self.starts(self.submit(self.make(is_resumed=True)))))
+
+    def test_workers_of_a_recent_list_are_polled_at_once(self):
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.clock.advance(MS(700))
+        actions = self.broker.start_holding(HOME, 9, self.now, 7)
+        polls = [x for x in actions if isinstance(x, broker_messages.PollWorker)]
+        self.assertEqual(["w-0"], [x.worker.worker_id for x in polls])
+
     def test_others_are_told_of_a_worker_before_it_is_polled(self):
         self.broker.start_holding(HOME, 9, self.now)
         actions = self.broker.handle_reports([make_report(0)], self.now)
