Expected workers count as gone from the first read after a takeover

The store may go away right after a takeover, and the entries of living workers are back only two seconds after its return. MISSING_TIMEOUT counted from the takeover, so the first read after such an outage dropped the workers that the earlier holder had told of before their entries could be back. It counts from the first read now, and workers that this very read shows are not logged as missing.

test_worker_counts_as_gone_a_while_after_the_first_read failed before (read 60 s after the takeover). test_worker_that_stays_away_keeps_no_shard_waiting holds the end of the wait.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -162,8 +162,6 @@
                 workers=self._workers.count_reported(data_centre),
                 read_ms=_ms_between(requested_at, now),
             )  # fmt: skip
-        for worker_id in self._workers.former.record_read(requested_at):
-            self._actions.log("expected_worker_missing", worker_id)
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -179,6 +177,8 @@
                 worker.is_draining = True
                 self._actions.log("worker_draining", worker_id)
         self._hold_reported_workers(now)
+        for worker_id in self._workers.former.record_read(requested_at):
+            self._actions.log("expected_worker_missing", worker_id)
         self._place(now)
         return self._actions.drain()
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/former_workers.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/former_workers.py
@@ -17,14 +17,13 @@
     ----------
     token, former_token : int
         Fencing tokens of this holder and of the one before; 0 if there was none.
-    since : datetime.datetime
-        When this daemon became the holder.
     """
 
-    def __init__(self, token: int, former_token: int, since: datetime.datetime) -> None:
+    def __init__(self, token: int, former_token: int) -> None:
         self.token = token
         self.former_token = former_token
-        self.since = since
+        # First read of the store; it may have been away since the takeover.
+        self._read_at: datetime.datetime | None = None
         self.is_known = not former_token
         self.expected: set[str] = set()
         self._held: set[str] = set()
@@ -42,6 +41,16 @@
         self._held.add(worker_id)
         self.expected.discard(worker_id)
 
+    def record_read(self, requested_at: datetime.datetime) -> set[str]:
+        """Return and forget the expected workers if they count as gone by a read."""
+        if self._read_at is None:
+            self._read_at = requested_at
+        if requested_at - self._read_at <= held_worker.MISSING_TIMEOUT:
+            return set()
+        self.is_known = True
+        gone, self.expected = self.expected, set()
+        return gone
+
 
 class FormerWorkers:
     """Newest set of workers that each data centre's holders have told of.
@@ -68,11 +77,9 @@
                 told = told._replace(workers=told.workers | known.workers)
         self._told[told.data_centre] = told
 
-    def start_holding(
-        self, data_centre: str, token: int, former_token: int, now: datetime.datetime
-    ) -> None:
+    def start_holding(self, data_centre: str, token: int, former_token: int) -> None:
         """Expect what the earlier holders of a data centre have told of."""
-        tenure = _Tenure(token, former_token, now)
+        tenure = _Tenure(token, former_token)
         self._tenures[data_centre] = tenure
         told = self._told.get(data_centre)
         if told is not None:
@@ -89,15 +96,10 @@
     def record_read(self, requested_at: datetime.datetime) -> list[str]:
         """Return and forget the workers that count as gone by a read of the store.
 
-        Those are the ones that are missing there for ``MISSING_TIMEOUT``.
+        Those are the ones that no read has shown for ``MISSING_TIMEOUT``.
         """
-        gone: list[str] = []
-        for tenure in self._tenures.values():
-            if requested_at - tenure.since > held_worker.MISSING_TIMEOUT:
-                gone += tenure.expected
-                tenure.expected.clear()
-                tenure.is_known = True
-        return sorted(gone)
+        gone = (x.record_read(requested_at) for x in self._tenures.values())
+        return sorted(set[str]().union(*gone))
 
     def expected(self, data_centre: str) -> frozenset[str]:
         """Return the workers of a held data centre that the store lacks so far."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -36,7 +36,7 @@
         self, data_centre: str, token: int, now: datetime.datetime, former_token: int
     ) -> None:
         """Record the token of a data centre that this daemon holds from now on."""
-        self.former.start_holding(data_centre, token, former_token, now)
+        self.former.start_holding(data_centre, token, former_token)
         if now - self._read_at > held_worker.MISSING_TIMEOUT:
             self._drop_reports(data_centre, self.former.expected(data_centre))
         self.tokens[data_centre] = token
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -889,6 +889,22 @@
         self.record_worker_set(7, "w-0")
         self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
 
+    def test_worker_that_stays_away_keeps_no_shard_waiting(self):
+        self.record_worker_set(7, "w-0", "w-1")
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        for _ in range(5):
+            self.broker.handle_reports([make_report(0)], self.now)
+            self.poll(make_report(0))
+            self.clock.advance(MS(700))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        actions = self.broker.handle_reports([make_report(0)], self.now)
+        self.assertEqual(1, len(self.starts(actions)))
+        [told] = self.broker.worker_sets()
+        self.assertEqual({"w-0", "w-1"}, told.workers)
+        self.broker.handle_reports([make_report(0)], self.now)
+        [told] = self.broker.worker_sets()
+        self.assertEqual({"w-0"}, told.workers)
+
     def test_new_shard_does_not_wait_for_workers_of_the_earlier_holder(self):
         self.record_worker_set(7, "w-0", "w-1")
         self.broker.start_holding(HOME, 9, self.now, 7)
--- a/libs/carawaysail_holding/tests/test_former_workers.py
+++ b/libs/carawaysail_holding/tests/test_former_workers.py
@@ -24,7 +24,7 @@
         self.former = former_workers.FormerWorkers()
 
     def start_holding(self, token=7, former_token=5):
-        self.former.start_holding(HOME, token, former_token, self.clock.now())
+        self.former.start_holding(HOME, token, former_token)
 
     def assert_expected(self, *workers, are_known=True):
         self.assertEqual(frozenset(workers), self.former.expected(HOME))
@@ -63,9 +63,12 @@
         self.start_holding()
         self.assert_expected("w-0", "w-1", are_known=False)
 
-    def test_worker_that_stays_away_counts_as_gone(self):
+    # The store may have been away since the takeover; entries take two seconds then.
+    def test_worker_counts_as_gone_a_while_after_the_first_read(self):
         self.former.record(make_set(4, "w-0"))
         self.start_holding()
+        self.clock.advance(clock.milliseconds(60_000))
+        self.assertEqual([], self.former.record_read(self.clock.now()))
         self.clock.advance(held_worker.MISSING_TIMEOUT)
         self.assertEqual([], self.former.record_read(self.clock.now()))
         self.clock.advance(clock.milliseconds(1))
