--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -156,16 +156,15 @@
             Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        complete_at = requested_at if is_linearizable else held_worker.NEVER
-        for data_centre in self._workers.record_reports(reports, complete_at):
+        for data_centre in self._workers.record_reports(
+            reports, requested_at, is_linearizable
+        ):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
                 workers=self._workers.count_reported(data_centre),
                 read_ms=_ms_between(requested_at, now),
             )  # fmt: skip
-        for worker_id in self._workers.former.record_read(requested_at):
-            self._actions.log("expected_worker_missing", worker_id)
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -181,6 +180,8 @@
                 worker.is_draining = True
                 self._actions.log("worker_draining", worker_id)
         self._hold_reported_workers(now)
+        for worker_id in self._workers.former.record_read(requested_at):
+            self._actions.log("expected_worker_missing", worker_id)
         self._place(now)
         return self._actions.drain()
 
