A statement that withdraws a shard does not renew its gateway's word

A gateway's word counts from its newest statement, also for the shard that this one no longer lists. So the lease of a run that was being stopped could be extended for longest_unconfirmed after the withdrawal instead of after the last statement that asked for it: if the withdrawal was lost with its connection and the stop was lost too, the run outlasted the pause after which its client sends the job again, and a former holder's run the time that a new one waits.

The statement before, or the submission, counts for such a shard.

test_withdrawal_by_a_statement_does_not_renew_it failed before: 1,501 ms after the gateway's last word instead of 1,165.5 ms. The variant of finish in the model's test of its checker passes the new argument on.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -674,6 +674,7 @@
         sent_at : datetime.datetime, optional
             Earliest instant at which it can have been sent; ``now`` by default.
         """
+        stated_at = self._gateways.waits_until(gateway, held_worker.NEVER)
         if not self._gateways.record_statement(gateway, statement, sent_at or now):
             return self._actions.drain()
         self._stop_unclaimed_runs(now)
@@ -684,7 +685,9 @@
             if self._gateways.is_withdrawn(gateway, shard.submission)
         ]
         for shard in withdrawn:
-            self._jobs.finish(shard, outcome, now)
+            # This statement does not show until when it was waited for.
+            wanted_until = max(shard.submitted_at, stated_at)
+            self._jobs.finish(shard, outcome, now, wanted_until=wanted_until)
         if withdrawn:
             self._place(now)
         return self._actions.drain()
--- a/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/job_table.py
@@ -247,10 +247,24 @@
         shard: shard_state.ShardState,
         outcome: jobs.JobOutcome,
         now: datetime.datetime,
+        wanted_until: datetime.datetime | None = None,
     ) -> None:
-        """Remove a shard, stop its runs and send its outcome to the gateway."""
+        """Remove a shard, stop its runs and send its outcome to the gateway.
+
+        Parameters
+        ----------
+        shard : shard_state.ShardState
+            The shard.
+        outcome : jobs.JobOutcome
+            Its outcome.
+        now : datetime.datetime
+            Present instant.
+        wanted_until : datetime.datetime, optional
+            Until when its gateway is known to have waited for it; by default what it
+            has last said.
+        """
         self.remove(shard)
-        wanted_until = self.waits_until(shard)
+        wanted_until = wanted_until or self.waits_until(shard)
         for state in shard.tasks.values():
             if state.last_run_number:
                 self.outcomes.record_run_number(state.task, state.last_run_number, now)
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -1267,6 +1267,18 @@
             self.broker.tick(self.now)
         self.assertIsNone(lease_ms)
 
+    # The statement that ended a shard counted as word of its client: if the stop was
+    # lost, the run outlasted the pause after which the client sends its job again.
+    def test_withdrawal_by_a_statement_does_not_renew_it(self):
+        self.clock.advance(MS(500))
+        self.state(1)
+        self.broker.handle_stop_result(
+            "w-0", "1", self.start.run, runs.OrderResult.NO_ANSWER, self.now
+        )
+        lease_ms = self.poll_lease_ms()
+        since_ms = clock.to_milliseconds(self.now - self.submitted_at)
+        self.assertAlmostEqual(self.LONGEST_MS, since_ms + lease_ms, 2)
+
     def test_start_does_not_extend_the_lease_of_other_runs_beyond_their_end(self):
         self.clock.advance(MS(500))
         [start] = self.starts(self.submit(self.make(2)))
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -255,10 +255,10 @@
         self.assert_violated("nothing on draining workers", run_fault("workers_drain"))
 
     def test_broker_that_refuses_started_jobs(self):
-        def finish(self, job, outcome, now, real=job_table.JobTable.finish):
+        def finish(self, job, outcome, now, real=job_table.JobTable.finish, **fields):
             if outcome.verdict is jobs.Verdict.UNKNOWN:
                 outcome = outcome._replace(verdict=jobs.Verdict.REFUSED)
-            real(self, job, outcome, now)
+            real(self, job, outcome, now, **fields)
 
         self.replace(job_table.JobTable, "finish", finish)
         # Otherwise the gateway knows of the runs, and does not believe the refusal.
