--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -810,13 +810,15 @@
         started_on: set[str] = set()
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            if self._may_run_on(shard, state) or not candidates_of.of(state):
+            if not candidates_of.of(state):
                 continue
             chosen = self._placer.choose(shard, state, candidates_of, pool, queued, now)
             if chosen is None:
                 queued += 1
-            elif not self._workers.is_on_any_worker(state.task) and self._order_start(
-                shard, state, chosen, now
+            elif (
+                not self._workers.is_on_any_worker(state.task)
+                and not self._may_run_on(shard, state)
+                and self._order_start(shard, state, chosen, now)
             ):
                 candidates_of.record_start(state, chosen)
                 started_on.add(chosen.worker.report.worker_id)
