Model: workers' leases as in the protocol

A simulated worker took no lease end from a start that it refuses as outdated, nor from one that repeats a running run, measured its lease on a perfect clock, and needed 30 ms for a stop. The protocol lets an outdated start extend the lease, the clock be 2% slow, and a stop take stop_ms (50 ms). Found by reading workers.py against PROTOCOL.md, Running tasks; the two new tests fail on the model before.

--- a/libs/carawaysail_model/src/carawaysail_model/workers.py
+++ b/libs/carawaysail_model/src/carawaysail_model/workers.py
@@ -12,8 +12,8 @@
 from carawaysail_model import engine, history
 from carawaysail_types import clock, jobs, runs
 
-STOP_DELAY = clock.milliseconds(30)
-"""Time from a stop order to the end of the run."""
+STOP_DELAY = clock.milliseconds(50)
+"""Time from a stop order to the end of the run: the longest that is allowed."""
 
 Respond = collections.abc.Callable[[typing.Any], None]
 
@@ -52,6 +52,8 @@
         Since when runs make no progress; ``None`` if they do.
     draining_since : datetime.datetime or None
         When the worker began to drain; ``None`` if it does not drain.
+    clock_rate : float
+        Rate of the worker's own clock, which measures its lease; may be 2% slow.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.is_reachable = True
         self.stalled_since: datetime.datetime | None = None
         self.draining_since: datetime.datetime | None = None
+        self.clock_rate = 1.0
         self._engine = event_engine
         self._history = run_history
         self._task_demand = task_demand
@@ -97,25 +100,26 @@
 
     def _clock(self) -> datetime.timedelta:
         """Return the worker's own clock: the time since its incarnation began."""
-        return self._engine.now() - self._started_at
+        return (self._engine.now() - self._started_at) * self.clock_rate
 
     # Orders
 
     def start(self, order: broker_messages.StartRun) -> runs.OrderResult:
         """Start a run unless its token, its number or its lease is outdated.
 
-        A repeated order for a run that is running is accepted.
+        A repeated order for a run that is running is accepted. Every order that is not
+        fenced extends the lease, also if its run is outdated.
         """
         if order.token < self._highest_token:
             return runs.OrderResult.FENCED
         self._highest_token = order.token
+        self._extend_lease(order.lease_end)
         if order.run in self._running:
             return runs.OrderResult.ACCEPTED
         if order.run.number <= self._highest_numbers.get(order.run.task, 0):
             return runs.OrderResult.STALE_RUN
         if order.lease_end <= self._clock():
             return runs.OrderResult.EXPIRED
-        self._extend_lease(order.lease_end)
         resources, base_time = self._task_demand(order.run.task)
         marker = object()
         run_time = (
@@ -215,7 +219,10 @@
 
     def _extend_lease(self, expires: datetime.timedelta) -> None:
         """Extend the lease to a time of the worker's own clock; never shorten it."""
-        end = min(self._started_at + expires, self._engine.now() + MAX_LEASE)
+        end = min(
+            self._started_at + expires / self.clock_rate,
+            self._engine.now() + MAX_LEASE / self.clock_rate,
+        )
         self._lease_end = max(self._lease_end, end)
         self._engine.at(self._lease_end, self._expire_runs)
 
@@ -244,7 +251,7 @@
 
 
 MAX_LEASE = clock.milliseconds(1000)
-"""A worker limits its lease to this time from the order that extends it."""
+"""A worker limits its lease to this time, by its own clock, from each extension."""
 
 MAX_DRAIN_NOTICE_DELAY = clock.milliseconds(2000)
 """Brokers must know by then that a worker drains; later starts are violations."""
--- a/libs/carawaysail_model/tests/test_model.py
+++ b/libs/carawaysail_model/tests/test_model.py
@@ -314,10 +314,35 @@
             runs.OrderResult.EXPIRED, self.start(worker, task, expires_s=0)
         )
 
-    def test_run_ends_when_lease_is_not_renewed(self):
-        simulation, worker, task = self.make()
+    def record_ends(self, simulation):
+        """Return a list that receives the arguments of each end of a run."""
         ends = []
         self.patch(simulation.history, "record_end", lambda *args: ends.append(args))
+        return ends
+
+    def test_outdated_start_extends_the_lease(self):
+        simulation, worker, task = self.make()
+        ends = self.record_ends(simulation)
+        self.start(worker, task, 3, expires_s=0.3)
+        self.assertEqual(runs.OrderResult.STALE_RUN, self.start(worker, task, 2))
+        simulation.engine.run(datetime.timedelta(seconds=0.9))
+        self.assertEqual([], ends)
+        simulation.engine.run(datetime.timedelta(seconds=0.2))
+        self.assertEqual(1, len(ends))
+
+    def test_lease_lasts_longer_on_a_slow_clock(self):
+        simulation, worker, task = self.make()
+        worker.clock_rate = 0.98
+        ends = self.record_ends(simulation)
+        self.start(worker, task)
+        simulation.engine.run(datetime.timedelta(seconds=1.01))
+        self.assertEqual([], ends)
+        simulation.engine.run(datetime.timedelta(seconds=0.02))
+        self.assertEqual(1, len(ends))
+
+    def test_run_ends_when_lease_is_not_renewed(self):
+        simulation, worker, task = self.make()
+        ends = self.record_ends(simulation)
         self.start(worker, task)
         simulation.engine.run(datetime.timedelta(seconds=2))
         expired = runs.RunResult.LEASE_EXPIRED
