Model: links to workers, slow daemons, and clients that send jobs again

The model could not play a takeover that two daemons see differently: a worker was reachable for all daemons or for none, a daemon could not reach the store or not apart from its data centre, a suspended daemon handled what had waited in the order of arrival, and clients sent each job once.

- A link between one daemon and one worker may be slow, held up or cut in each direction, and calls may be carried out late.
- A VM can be cut off from the other daemons and the store, workers can be missing from the store's list, and a daemon can read a stale list as it becomes holder.
- A daemon that was suspended, or is slow, reads its sockets in no particular order, the ends of clients' connections last; its observer knows what waits.
- Clients break connections, and send a job again, if Site.attempts is above 1.
- A read of the reports begins as soon as they are needed, as in ReportsTask.
- History checks that no run is left when a client may send its job again, that none starts long after its client has left, and that a run is over which its holder takes for lost with its lease; it can keep a timeline of each job.

--- a/libs/carawaysail_model/src/carawaysail_model/history.py
+++ b/libs/carawaysail_model/src/carawaysail_model/history.py
@@ -24,11 +24,40 @@
     at: datetime.datetime
 
 
+class Entry(typing.NamedTuple):
+    """An entry of the timeline of a job.
+
+    Parameters
+    ----------
+    at : datetime.datetime
+        When it happened.
+    where : str
+        The VM, worker or client.
+    name : str
+        What happened.
+    fields : dict
+        Further values, by name.
+    """
+
+    at: datetime.datetime
+    where: str
+    name: str
+    fields: dict[str, typing.Any]
+
+
 class History:
     """Records starts and ends of runs and job outcomes, and checks each at once.
 
+    Parameters
+    ----------
+    max_start_delay : datetime.timedelta
+        Time after the end of a client's last attempt in which its tasks may start.
+
     Attributes
     ----------
+    timelines : dict of str to list of Entry, or None
+        Timeline by job, worker or data centre; ``None`` unless it is to be kept.
+    ----------
     violations : list of Violation
         Violations in the order in which they were observed.
     starts : int
@@ -38,11 +67,18 @@
         to its worker, which otherwise forgets it in a crash.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, max_start_delay: datetime.timedelta = datetime.timedelta.max
+    ) -> None:
         self.violations: list[Violation] = []
+        self.timelines: dict[str, list[Entry]] | None = None
         self.starts = 0
         self.unacknowledged: list[str] = []
-        self._running: dict[runs.Task, set[str]] = {}
+        self._max_start_delay = max_start_delay
+        # By task: the run number and the worker of each run.
+        self._running: dict[runs.Task, set[tuple[int, str]]] = {}
+        # When the last attempt of a client ended; absent while one is under way.
+        self._attempt_ends: dict[str, datetime.datetime] = {}
         self._started_jobs: set[str] = set()
         self._done: dict[str, set[runs.Task]] = {}
         self._acknowledged: dict[str, set[runs.Task]] = {}
@@ -77,11 +113,15 @@
         others = self._running.setdefault(run.task, set())
         if others:
             self.violations.append(Violation("one run at a time", str(run.task), now))
-        others.add(worker_id)
+        others.add((run.number, worker_id))
+        ended_at = self._attempt_ends.get(run.task.job_id)
+        if ended_at is not None and now - ended_at > self._max_start_delay:
+            violation = Violation("no start without a client", str(run.task), now)
+            self.violations.append(violation)
 
     def record_end(self, run: runs.Run, worker_id: str, result: runs.RunResult) -> None:
         """Record a run that ends; its task is done only if the result is ``DONE``."""
-        self._running.get(run.task, set()).discard(worker_id)
+        self._running.get(run.task, set()).discard((run.number, worker_id))
         if result is runs.RunResult.DONE:
             self._done.setdefault(run.task.job_id, set()).add(run.task)
 
@@ -89,6 +129,45 @@
         """Record that a worker drops a run that is done, since it was acknowledged."""
         self._acknowledged.setdefault(run.task.job_id, set()).add(run.task)
 
+    def record_attempt(self, job_id: str) -> None:
+        """Record that a client sends its job."""
+        self._attempt_ends.pop(job_id, None)
+
+    def record_attempt_end(self, job_id: str, now: datetime.datetime) -> None:
+        """Record that an attempt of a client ends without an answer."""
+        self._attempt_ends[job_id] = now
+
+    def check_runs_over(self, job_id: str, now: datetime.datetime) -> None:
+        """Check that no run of a job is left, as its client may send it again now."""
+        for task, running in self._running.items():
+            if task.job_id == job_id and running:
+                violation = Violation("runs end before resends", str(task), now)
+                self.violations.append(violation)
+
+    def check_lost(self, run_name: str, worker_id: str, now: datetime.datetime) -> None:
+        """Check that a run has ended that its holder takes for lost with its lease.
+
+        Parameters
+        ----------
+        run_name : str
+            The run, as in the decision log.
+        worker_id : str
+            Its worker.
+        now : datetime.datetime
+            Current time.
+        """
+        for task, running in self._running.items():
+            if any(
+                worker_id == on and run_name == f"{task}#{number}"
+                for number, on in running
+            ):
+                self.violations.append(Violation("lost runs are over", str(task), now))
+
+    def record_entry(self, subject: str, entry: Entry) -> None:
+        """Add an entry to a timeline, if timelines are kept."""
+        if self.timelines is not None:
+            self.timelines.setdefault(subject, []).append(entry)
+
     def record_start_on_draining(self, worker_id: str, now: datetime.datetime) -> None:
         """Record a violation: a run started long after its worker began to drain."""
         self.violations.append(Violation("nothing on draining workers", worker_id, now))
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -3,11 +3,12 @@
 import collections
 import collections.abc
 import datetime
+import random
 import typing
 
 from carawaysail_fleet import decision_loop, handlers, messages, ports
 from carawaysail_holding import broker_messages
-from carawaysail_model import engine, store, workers
+from carawaysail_model import engine, links, store, workers
 from carawaysail_streams import transport
 from carawaysail_types import clock, daemons, jobs, runs
 
@@ -21,6 +22,19 @@
 POLL_TIMEOUT_MARGIN = clock.milliseconds(250)
 """Timeout of a poll, beyond the time for which the worker may delay its reply."""
 
+MAX_CATCH_UP = clock.milliseconds(30)
+"""Longest time from the end of a suspension until the daemon has seen which of its
+clients have left meanwhile; what other daemons have sent is handled before."""
+
+MAX_LATE_EXECUTION = clock.milliseconds(3000)
+MIN_LATE_EXECUTION = clock.milliseconds(100)
+"""Times after which a worker executes a call that got no answer."""
+
+LATE_EXECUTION_SHARE = 0.3
+"""Share of the calls on a link that are executed late while that may happen."""
+
+CLIENT_MESSAGES = (messages.JobPosted, messages.ClientLeft)
+
 
 class Network(typing.Protocol):
     """Daemons and workers by name, and the delays between them."""
@@ -34,6 +48,9 @@
     def worker(self, worker_id: str) -> workers.Worker:
         """Return a worker by its identifier."""
 
+    def worker_link(self, vm: str, worker_id: str) -> links.Link:
+        """Return the link between a daemon and a worker."""
+
 
 # Dependencies of the decision loop: they forward calls to the node, or ignore them.
 
@@ -65,6 +82,8 @@
 
     def start(self, order: broker_messages.StartRun) -> None:
         self._node.send_order(order, workers.Worker.start, messages.StartResultReceived)
+        if self._node.on_start_order is not None:
+            self._node.on_start_order()
 
     def stop(self, order: broker_messages.StopRun) -> None:
         self._node.send_order(order, workers.Worker.stop, messages.StopResultReceived)
@@ -92,7 +111,9 @@
         self._node = node
 
     def set_needed(self, is_needed: bool) -> None:
-        self._node.needs_reports = is_needed
+        was_needed, self._node.needs_reports = self._node.needs_reports, is_needed
+        if is_needed and not was_needed:
+            self._node.refresh_reports()
 
     def refresh(self) -> None:
         self._node.refresh_reports()
@@ -129,6 +150,31 @@
         pass
 
 
+class _Observer:
+    """Knows up to which instant the node has handled all that arrived."""
+
+    def __init__(self, node: "Node", source: clock.Clock) -> None:
+        self.clock = source
+        self._node = node
+
+    def arrived(self, turns: int = 1) -> datetime.datetime:
+        return self._node.handled_until or self.clock.now()
+
+    def count(self) -> int:
+        return 0
+
+
+class _DecisionLoop(decision_loop.DecisionLoop):
+    """A decision loop whose decisions are recorded instead of logged."""
+
+    on_decision: collections.abc.Callable[[str, str, dict[str, typing.Any]], None]
+
+    def log_decision(
+        self, name: str, subject: str, fields: dict[str, typing.Any]
+    ) -> None:
+        self.on_decision(name, subject, fields)
+
+
 class Node:
     """One simulated daemon.
 
@@ -149,6 +195,8 @@
     on_failure : callable
         Receives the kind of each message, action or timed step that raises an
         exception.
+    on_decision : callable
+        Receives name, subject and fields of each entry of the decision log.
     random_state : int
         Seed of the decision loop.
 
@@ -158,8 +206,17 @@
         Whether the daemon runs or is suspended; False once it is killed.
     frozen_until : datetime.datetime
         Until when the daemon is suspended; the past if it is not.
+    handled_until : datetime.datetime or None
+        Since when messages wait that have arrived while the daemon was suspended or
+        slow; ``None`` if none do.
     needs_reports : bool
         Whether the decision loop needs the workers' reports.
+    stale_reports : tuple of runs.WorkerReport or None
+        What its reads return until it becomes a holder, and the read that begins just
+        then in place of a fresh one if it reads the reports already; ``None`` if its
+        reads are fresh.
+    on_start_order : callable or None
+        Called after each order that starts a run was sent, before anything else is.
     """
 
     def __init__(
@@ -171,22 +228,35 @@
         shared_store: store.Store,
         on_outcome: collections.abc.Callable[[int, jobs.JobOutcome], None],
         on_failure: collections.abc.Callable[[str], None],
+        on_decision: collections.abc.Callable[[str, str, dict[str, typing.Any]], None],
         random_state: int,
     ) -> None:
         self.me = me
         self.is_alive = True
         self.frozen_until = event_engine.now()
+        self.handled_until: datetime.datetime | None = None
         self.needs_reports = False
+        self.stale_reports: tuple[runs.WorkerReport, ...] | None = None
+        self.on_start_order: collections.abc.Callable[[], None] | None = None
         self.on_outcome = on_outcome
         self.on_failure = on_failure
         self._connected: dict[str, daemons.Daemon] = {}
+        # Messages that wait while the daemon is suspended or slow.
+        self._waiting: list[messages.Message] = []
+        self._is_catching_up = False
+        self._skips_refresh = False
+        self._slow_until = event_engine.now()
+        self._longest_turn = datetime.timedelta()
+        self._random = random.Random(random_state)
         self._engine = event_engine
         self._network = network
         self._store = shared_store
-        self.decision_loop = decision_loop.DecisionLoop(
+        self.decision_loop = _DecisionLoop(
             cfg, me, typing.cast(typing.Any, self), event_engine.clock,
             lambda peer: _PeerStream(self, peer), random_state,
+            _Observer(self, event_engine.clock),
         )  # fmt: skip
+        self.decision_loop.on_decision = on_decision
         dependencies: typing.Any = decision_loop.Dependencies(
             *(
                 typing.cast(typing.Any, x)
@@ -210,12 +280,101 @@
     def _handle(self, message: messages.Message) -> None:
         if not self.is_alive:
             return
-        if self._engine.now() < self.frozen_until:
-            self._engine.at(self.frozen_until, lambda: self._handle(message))
+        if self.handled_until is not None:
+            self._waiting.append(message)
             return
         self.decision_loop.handle(message)
         self.decision_loop.tick()
 
+    def freeze(self, duration: datetime.timedelta) -> None:
+        """Suspend the daemon; its messages and timers wait until the end."""
+        now = self._engine.now()
+        self.frozen_until = max(self.frozen_until, now + duration)
+        if self.handled_until is None:
+            self.handled_until = now
+        self._engine.at(self.frozen_until, self._thaw)
+
+    def _thaw(self) -> None:
+        if self.is_alive and self._engine.now() >= self.frozen_until:
+            self.decision_loop.tick()
+            self._catch_up()
+
+    def slow_down(
+        self, duration: datetime.timedelta, longest_turn: datetime.timedelta
+    ) -> None:
+        """Let messages wait for the end of a turn, while timers run in time.
+
+        Parameters
+        ----------
+        duration : datetime.timedelta
+            How long the daemon is slow.
+        longest_turn : datetime.timedelta
+            Longest time from one look at the sockets to the next.
+        """
+        self._slow_until = self._engine.now() + duration
+        self._longest_turn = longest_turn
+        if self.handled_until is None:
+            self._begin_turn()
+
+    def _begin_turn(self) -> None:
+        now = self._engine.now()
+        self.handled_until = now
+        length = self._longest_turn * self._random.uniform(0.1, 1.0)
+        self._engine.after(length, self._end_turn)
+
+    def _end_turn(self) -> None:
+        if self.is_alive and self._engine.now() >= self.frozen_until:
+            self._catch_up()
+
+    def _catch_up(self) -> None:
+        """Handle the messages that wait; sockets are read in no particular order.
+
+        The end of a client's connection takes a turn more than a message to be seen.
+        """
+        if self._is_catching_up:
+            return
+        self._is_catching_up = True
+        waiting, self._waiting = self._waiting, []
+        of_clients: list[messages.Message] = [
+            x for x in waiting if isinstance(x, CLIENT_MESSAGES)
+        ]
+        by_source: dict[typing.Any, list[messages.Message]] = {}
+        for message in waiting:
+            if not isinstance(message, CLIENT_MESSAGES):
+                by_source.setdefault(_source(message), []).append(message)
+        sources = list(by_source.values())
+        self._random.shuffle(sources)
+        self._handle_all([x for source in sources for x in source])
+        self._engine.after(
+            MAX_CATCH_UP * self._random.random(),
+            lambda: self._finish_catching_up(of_clients),
+        )
+
+    def _handle_all(self, waiting: list[messages.Message]) -> None:
+        for message in waiting:
+            if self.is_alive:
+                self.decision_loop.handle(message)
+                self.decision_loop.tick()
+
+    def _finish_catching_up(self, waiting: list[messages.Message]) -> None:
+        """Handle messages, and then those that have come meanwhile, until none wait."""
+        if self._engine.now() < self.frozen_until:
+            self._is_catching_up = False
+            self._waiting = [*waiting, *self._waiting]
+            return
+        self._handle_all(waiting)
+        if waiting or self._waiting:
+            # What the daemon sends to itself comes as an event of its own.
+            waiting, self._waiting = self._waiting, []
+            self._engine.after(
+                datetime.timedelta(), lambda: self._finish_catching_up(waiting)
+            )
+            return
+        self._is_catching_up = False
+        self.handled_until = None
+        if self._engine.now() < self._slow_until:
+            self._begin_turn()
+
     def _tick(self) -> None:
         if not self.is_alive:
             return
@@ -233,7 +392,7 @@
         A dead daemon refuses the connection; a later incarnation drops the message.
         """
         delay = self._network.delay(self.me.vm, peer.vm)
-        if delay is None:
+        if delay is None or not self.is_alive:
             return
 
         def deliver() -> None:
@@ -275,46 +434,111 @@
             Makes the message from worker, run and result. The result is ``NO_ANSWER``,
             after a timeout, if the worker cannot be reached.
         """
-        worker_id = order.worker.worker_id
-        delay = self._network.delay(self.me.vm, worker_id)
-        worker = self._network.worker(worker_id)
-        if delay is None or not worker.is_reachable:
-            timed_out = make_message(
-                order.worker, order.run, runs.OrderResult.NO_ANSWER
-            )
-            self._engine.after(ORDER_TIMEOUT, lambda: self.put(timed_out))
-            return
+        timed_out = make_message(order.worker, order.run, runs.OrderResult.NO_ANSWER)
 
-        def deliver() -> None:
+        def execute(
+            worker: workers.Worker,
+            respond: collections.abc.Callable[[messages.Message], None],
+        ) -> None:
             result = method(worker, order)
-            message = make_message(order.worker, order.run, result)
-            self._engine.after(delay, lambda: self.put(message))
+            respond(make_message(order.worker, order.run, result))
 
-        self._engine.after(delay, deliver)
+        self._call(order.worker.worker_id, execute, timed_out, ORDER_TIMEOUT)
 
     def poll(self, order: broker_messages.PollWorker) -> None:
         """Poll a worker; its status reaches the decision loop as a message.
 
-        If the worker cannot be reached, the message has ``NO_ANSWER`` and comes after a
-        timeout.
+        If there is no status in time, the message has ``NO_ANSWER``.
         """
-        worker_id = order.worker.worker_id
-        delay = self._network.delay(self.me.vm, worker_id)
-        worker = self._network.worker(worker_id)
         polled_at = self._engine.now()
-        if delay is None or not worker.is_reachable:
-            timed_out = messages.WorkerStatusReceived(
-                order.worker, runs.OrderResult.NO_ANSWER, polled_at
+        timed_out = messages.WorkerStatusReceived(
+            order.worker, runs.OrderResult.NO_ANSWER, polled_at
+        )
+
+        def execute(
+            worker: workers.Worker,
+            respond: collections.abc.Callable[[messages.Message], None],
+        ) -> None:
+            worker.poll(
+                order,
+                lambda status: respond(
+                    messages.WorkerStatusReceived(order.worker, status, polled_at)
+                ),
             )
-            wait = order.wait + POLL_TIMEOUT_MARGIN
-            self._engine.after(wait, lambda: self.put(timed_out))
-            return
 
-        def respond(status: runs.WorkerStatus | runs.OrderResult) -> None:
-            message = messages.WorkerStatusReceived(order.worker, status, polled_at)
-            self._engine.after(delay, lambda: self.put(message))
+        timeout = order.wait + POLL_TIMEOUT_MARGIN
+        self._call(order.worker.worker_id, execute, timed_out, timeout)
 
-        self._engine.after(delay, lambda: worker.poll(order, respond))
+    def _call(
+        self,
+        worker_id: str,
+        execute: collections.abc.Callable[
+            [
+                workers.Worker,
+                collections.abc.Callable[[messages.Message], None],
+            ],
+            None,
+        ],
+        timed_out: messages.Message,
+        timeout: datetime.timedelta,
+    ) -> None:
+        """Call a worker; one message reaches the decision loop.
+
+        A call that gets no answer may have been executed, or is executed later.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker.
+        execute : callable
+            Executes the call on the worker and passes on its response.
+        timed_out : messages.Message
+            The message without a response in time.
+        timeout : datetime.timedelta
+            How long to wait for the response.
+        """
+        delay = self._network.delay(self.me.vm, worker_id)
+        worker = self._network.worker(worker_id)
+        link = self._network.worker_link(self.me.vm, worker_id)
+        now = self._engine.now()
+        is_over = False
+
+        def expire() -> None:
+            nonlocal is_over
+            if not is_over:
+                is_over = True
+                self.put(timed_out)
+
+        def receive(message: messages.Message) -> None:
+            nonlocal is_over
+            if not is_over:
+                is_over = True
+                self.put(message)
+
+        def respond(message: messages.Message) -> None:
+            if delay is None or not worker.is_reachable:
+                return
+            arrival = link.responses.arrival(self._engine.now(), delay)
+            if arrival is not None:
+                self._engine.at(arrival, lambda: receive(message))
+
+        def deliver() -> None:
+            if worker.is_reachable:
+                execute(worker, respond)
+
+        self._engine.after(timeout, expire)
+        if delay is None or not worker.is_reachable:
+            return
+        arrival = link.requests.arrival(now, delay)
+        if arrival is None:
+            return
+        is_late = link.late_until is not None and now < link.late_until
+        if is_late and self._random.random() < LATE_EXECUTION_SHARE:
+            longest = MAX_LATE_EXECUTION - MIN_LATE_EXECUTION
+            arrival += MIN_LATE_EXECUTION + longest * self._random.random()
+            self._engine.at(arrival, lambda: execute(worker, _ignore))
+            return
+        self._engine.at(arrival, deliver)
 
     # The store
 
@@ -325,16 +549,26 @@
         """
 
         def deliver() -> None:
-            if self._store.is_reachable_from(self.me.data_centre) and self.is_alive:
+            if self._store.is_reachable(self.me) and self.is_alive:
                 holder = self._store.claim(self.me, data_centre, token)
                 self.put(messages.ClaimResultReceived(data_centre, holder))
+                if holder is not None and holder.incarnation == self.me.incarnation:
+                    self._read_stale_reports()
 
         self._engine.after(STORE_LATENCY, deliver)
 
+    def _read_stale_reports(self) -> None:
+        """Read reports that are stale, in place of the fresh read that is due."""
+        if self.stale_reports is not None and self.needs_reports:
+            now = self._engine.now()
+            self.put(messages.ReportsRead(self.stale_reports, frozenset(), now))
+            self._skips_refresh = True
+        self.stale_reports = None
+
     def _read_members(self) -> None:
         now = self._engine.now()
         is_running = self.is_alive and now >= self.frozen_until
-        if self._store.is_reachable_from(self.me.data_centre) and is_running:
+        if self._store.is_reachable(self.me) and is_running:
             self._store.renew(self.me, now)
             registered = self._store.live_daemons(now)
             self.put(
@@ -345,6 +579,9 @@
 
     def refresh_reports(self) -> None:
         """Read the workers' reports now, in addition to the regular reads."""
+        if self._skips_refresh:
+            self._skips_refresh = False
+            return
         self._engine.after(STORE_LATENCY, self._read_reports_once)
 
     def _read_reports(self) -> None:
@@ -358,12 +595,30 @@
         Reports of workers that cannot reach the store are missing.
         """
         now = self._engine.now()
-        is_store_reachable = self._store.is_reachable_from(self.me.data_centre)
+        is_store_reachable = self._store.is_reachable(self.me)
         if is_store_reachable and self.needs_reports and self.is_alive:
-            reports = tuple(
-                x
-                for x in self._store.reports.values()
-                if self._store.is_reachable_from(x.data_centre)
-            )
+            reports = self.stale_reports or self._store.visible_reports()
             live_data_centres = frozenset(x.data_centre for x in reports)
             self.put(messages.ReportsRead(reports, live_data_centres, now))
+
+
+def _source(message: messages.Message) -> typing.Any:
+    """Return what identifies the connection that a message has come on."""
+    if isinstance(message, messages.PeerMessagesReceived):
+        return message.sender.vm
+    if isinstance(message, messages.ConnectionAccepted):
+        return message.sender.vm
+    if isinstance(message, messages.StreamOpened | messages.ConnectionRefused):
+        return message.peer.vm
+    if isinstance(
+        message,
+        messages.WorkerStatusReceived
+        | messages.StartResultReceived
+        | messages.StopResultReceived,
+    ):
+        return message.worker.worker_id
+    return "store"
+
+
+def _ignore(message: messages.Message) -> None:
+    """Drop a response: nobody waits for it."""
--- a/libs/carawaysail_model/src/carawaysail_model/sites.py
+++ b/libs/carawaysail_model/src/carawaysail_model/sites.py
@@ -10,7 +10,7 @@
 
 from carawaysail_fleet import messages, ports
 from carawaysail_holding import broker_messages, policies
-from carawaysail_model import engine, history, nodes, store, workers
+from carawaysail_model import engine, history, links, nodes, store, workers
 from carawaysail_types import clock, daemons, jobs, runs
 
 SERVICE = "desk"
@@ -84,6 +84,12 @@
         Standard deviation of the logarithm of jobs' mean run times.
     tail : float
         Share of jobs whose tasks take ``TAIL_FACTOR`` times as long.
+    attempts : int
+        Number of times that a client sends its job at most. If it is above 1, clients
+        notice broken connections, and a job whose attempt has ended without an answer,
+        or as unknown, is sent again.
+    clock_drift : float
+        Largest share by which the clocks of workers are slow.
     order, choice, admission : str
         Names of the policies.
     """
@@ -107,6 +113,8 @@
     estimate_spread: float = 0.4
     length_spread: float = 0.4
     tail: float = 0.03
+    attempts: int = 1
+    clock_drift: float = 0.0
     order: str = "latest_start"
     choice: str = "fit_to_due"
     admission: str = "yielding"
@@ -205,6 +213,9 @@
     job: jobs.Job
     arrival: Arrival
     kind: Kind
+    attempt: int = 1
+    # The daemon that it was sent to; the connection ends with its incarnation.
+    node: nodes.Node | None = None
 
 
 class Simulation:
@@ -235,21 +246,27 @@
         Further factors of the arrival rates, by name of the kind.
     cuts : set of frozenset of str
         Pairs of data centres without a connection.
-    cut_links : set of (str, str)
-        Pairs of sending and receiving VM without a connection.
+    cut_links : collections.Counter of (str, str)
+        Pairs of sending and receiving VM without a connection, with the number of
+        faults that cut them.
+    fault_random : random.Random
+        Source of the random values of faults.
     """
 
     def __init__(self, site: Site, random_state: int) -> None:
         self.site = site
         self.engine = engine.Engine()
         self.store = store.Store()
-        self.history = history.History()
+        terms = broker_messages.Terms()
+        self.history = history.History(terms.retransmit - terms.stop)
         self.served: list[Served] = []
         self.arrivals: list[Arrival] = []
         self.rate_factor = 1.0
         self.kind_factors: dict[str, float] = {}
         self.cuts: set[frozenset[str]] = set()
-        self.cut_links: set[tuple[str, str]] = set()
+        self.cut_links: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.fault_random = random.Random(f"faults of {random_state}")
+        self._terms = terms
         self._random = random.Random(random_state)
         self._true_demands: dict[
             str, tuple[jobs.Resources, list[datetime.timedelta]]
@@ -257,6 +274,9 @@
         self._pending: dict[int, _PendingJob] = {}
         self._last_reply_id = 0
         self._workers = dict(self._make_workers())
+        for worker in self._workers.values():
+            worker.clock_rate = 1.0 - site.clock_drift * self.fault_random.random()
+        self._worker_links: dict[tuple[str, str], links.Link] = {}
         self._nodes: dict[str, nodes.Node] = {}
         self._incarnations = collections.Counter[str]()
         for number in range(site.daemons):
@@ -302,13 +322,14 @@
         data_centres = tuple(f"dc-{x}" for x in range(self.site.places))
         cfg = ports.Settings(
             vm, data_centre, "", "", me.address, "", data_centres,
-            broker_messages.Terms(), clock.milliseconds(6000),
+            self._terms, clock.milliseconds(6000),
             policies.PolicyNames(self.site.order, self.site.choice),
             self.site.admission,
         )  # fmt: skip
         node = nodes.Node(
             me, cfg, self.engine, self, self.store, self._on_outcome,
             lambda kind: self.history.record_failure(kind, self.engine.now()),
+            lambda *entry: self._record_entry(vm, *entry),
             self._random.randrange(1 << 30),
         )  # fmt: skip
         self._nodes[vm] = node
@@ -316,11 +337,29 @@
 
     def kill(self, vm: str) -> None:
         """Kill the daemon of a VM; connections to it are refused from now on."""
-        self._nodes[vm].is_alive = False
+        node = self._nodes[vm]
+        node.is_alive = False
+        self._record_entry(vm, "killed", vm, {})
+        if self.site.attempts > 1:
+            for reply_id, pending in list(self._pending.items()):
+                if pending.node is node:
+                    self._end_attempt(reply_id)
+
+    def _record_entry(
+        self, where: str, name: str, subject: str, fields: dict[str, typing.Any]
+    ) -> None:
+        if name == "lease_lost" and fields["token"] in self._present_tokens():
+            now = self.engine.now()
+            self.history.check_lost(fields["run"], fields["worker"], now)
+        entry = history.Entry(self.engine.now(), where, name, fields)
+        self.history.record_entry(subject, entry)
+
+    def _present_tokens(self) -> set[int]:
+        return {x.token for x in self.store.holders.values()}
 
     def freeze(self, vm: str, duration: datetime.timedelta) -> None:
         """Suspend the daemon of a VM; its messages and timers wait until the end."""
-        self._nodes[vm].frozen_until = self.engine.now() + duration
+        self._nodes[vm].freeze(duration)
 
     def leave(self, vm: str) -> None:
         """Ask the daemon of a VM to shut down gracefully."""
@@ -356,7 +395,8 @@
     def delay(self, first: str, second: str) -> datetime.timedelta | None:
         """Return the one-way delay between two VMs or workers; ``None`` if cut."""
         data_centres = {self._data_centre_of(first), self._data_centre_of(second)}
-        if frozenset(data_centres) in self.cuts or (first, second) in self.cut_links:
+        is_cut = self.cut_links[first, second] > 0
+        if is_cut or frozenset(data_centres) in self.cuts:
             return None
         return LOCAL_DELAY if len(data_centres) == 1 else REMOTE_DELAY
 
@@ -393,15 +433,64 @@
             places = [self._data_centre_of(x) for x in (first, second)]
             if places.count(data_centre) != 1:
                 continue
-            self.cut_links.add((first, second))
+            self.cut_links[first, second] += 1
             self.engine.after(
                 longest * self._random.random(),
                 functools.partial(self._reopen, first, second),
             )
 
+    def isolate(
+        self, vm: str, duration: datetime.timedelta, hears_others: bool = False
+    ) -> None:
+        """Cut a VM off from the other daemons and the store, not from its workers.
+
+        Parameters
+        ----------
+        vm : str
+            The VM.
+        duration : datetime.timedelta
+            How long it is cut off.
+        hears_others : bool
+            Whether messages of the others still arrive.
+        """
+        pairs = []
+        for other in self._nodes:
+            if other != vm:
+                pairs.append((vm, other))
+                if not hears_others:
+                    pairs.append((other, vm))
+        self._cut_for(pairs, duration)
+        self.store.cut_vms[vm] += 1
+
+        def reach_store() -> None:
+            self.store.cut_vms[vm] -= 1
+
+        self.engine.after(duration, reach_store)
+
+    def cut_between(
+        self, first: str, second: str, duration: datetime.timedelta
+    ) -> None:
+        """Cut the connections between two VMs for some time."""
+        self._cut_for([(first, second), (second, first)], duration)
+
+    def _cut_for(
+        self, pairs: list[tuple[str, str]], duration: datetime.timedelta
+    ) -> None:
+        self.cut_links.update(pairs)
+
+        def reopen() -> None:
+            for sender, receiver in pairs:
+                self._reopen(sender, receiver)
+
+        self.engine.after(duration, reopen)
+
+    def worker_link(self, vm: str, worker_id: str) -> links.Link:
+        """Return the link between a daemon and a worker."""
+        return self._worker_links.setdefault((vm, worker_id), links.Link())
+
     def _reopen(self, sender: str, receiver: str) -> None:
         """Reopen the stream of one daemon to another; both notice it."""
-        self.cut_links.discard((sender, receiver))
+        self.cut_links[sender, receiver] -= 1
         for vm, peer in ((sender, receiver), (receiver, sender)):
             if self.node(vm) is not None:
                 self._nodes[vm].put(messages.StreamOpened(self._nodes[peer].me))
@@ -497,7 +586,10 @@
         node = self._random.choice(ready)
         self._last_reply_id += 1
         reply_id = self._last_reply_id
-        self._pending[reply_id] = pending
+        self._pending[reply_id] = pending._replace(node=node)
+        job_id = pending.job.job_id
+        self.history.record_attempt(job_id)
+        self._record_entry(node.me.vm, "posted", job_id, {"attempt": pending.attempt})
         queue = jobs.Queue(
             pending.kind.name, "", "", SERVICE, pending.kind.priority, 3,
             self.site.stretch, clock.milliseconds(self.site.objective_ms),
@@ -511,15 +603,57 @@
         )
 
     def _on_client_timeout(self, reply_id: int) -> None:
+        if self.site.attempts > 1:
+            self.leave_client(reply_id)
+        else:
+            self._end_attempt(reply_id)
+
+    def waiting_clients(self, vm: str) -> list[int]:
+        """Return the identifiers of the replies that clients of a VM wait for."""
+        node = self._nodes[vm]
+        return [k for k, v in self._pending.items() if v.node is node]
+
+    def leave_client(self, reply_id: int) -> None:
+        """Let a client break its connection, if it still waits."""
+        pending = self._pending.get(reply_id)
+        if pending is None or pending.node is None:
+            return
+        pending.node.put(messages.ClientLeft(pending.job.job_id, reply_id))
+        self._end_attempt(reply_id)
+
+    def _end_attempt(self, reply_id: int) -> None:
+        """End an attempt without an answer; its client may send the job again."""
         pending = self._pending.pop(reply_id, None)
-        if pending is not None:
+        if pending is None:
+            return
+        if self.site.attempts == 1:
             self._record(pending, jobs.JobOutcome(jobs.Verdict.UNKNOWN))
+            return
+        job_id = pending.job.job_id
+        self.history.record_attempt_end(job_id, self.engine.now())
+        self._record_entry("client", "attempt_ended", job_id, {})
+
+        def resend() -> None:
+            self.history.check_runs_over(job_id, self.engine.now())
+            if pending.attempt < self.site.attempts:
+                self._send(pending._replace(attempt=pending.attempt + 1))
+            else:
+                self._record(pending, jobs.JobOutcome(jobs.Verdict.UNKNOWN))
+
+        self.engine.after(self._terms.retransmit, resend)
 
     def _on_outcome(self, reply_id: int, outcome: jobs.JobOutcome) -> None:
-        pending = self._pending.pop(reply_id, None)
+        pending = self._pending.get(reply_id)
         if pending is None:
             return
-        self.history.record_outcome(pending.job, outcome, self.engine.now())
+        if self.site.attempts > 1 and outcome.verdict is jobs.Verdict.UNKNOWN:
+            self._end_attempt(reply_id)
+            return
+        del self._pending[reply_id]
+        is_refusal = outcome.verdict is jobs.Verdict.REFUSED
+        if pending.attempt == 1 or not is_refusal:
+            # Earlier attempts of a refused one may have run.
+            self.history.record_outcome(pending.job, outcome, self.engine.now())
         self._record(pending, outcome)
 
     def _record(self, pending: _PendingJob, outcome: jobs.JobOutcome) -> None:
--- a/libs/carawaysail_model/src/carawaysail_model/store.py
+++ b/libs/carawaysail_model/src/carawaysail_model/store.py
@@ -1,5 +1,7 @@
 """Model of the store: daemons, holder records and reports, without its protocol."""
 
+import collections
+import collections.abc
 import datetime
 import itertools
 
@@ -22,6 +24,13 @@
         Latest holder record of each data centre.
     reports : dict of str to runs.WorkerReport
         Latest report of each worker, by its identifier.
+    cut_vms : collections.Counter of str
+        VMs that cannot reach the store, though their data centre can, with the number
+        of faults that cut them off.
+    unlisted : collections.Counter of str
+        Workers whose report is missing, with the number of faults that hide it.
+    on_claim : list of callable
+        Called with each new holder record.
     """
 
     def __init__(self) -> None:
@@ -30,12 +39,30 @@
         self._renewed: dict[str, tuple[daemons.Daemon, datetime.datetime]] = {}
         self.holders: dict[str, daemons.Holder] = {}
         self.reports: dict[str, runs.WorkerReport] = {}
+        self.cut_vms: collections.Counter[str] = collections.Counter()
+        self.unlisted: collections.Counter[str] = collections.Counter()
+        self.on_claim: list[collections.abc.Callable[[daemons.Holder], None]] = []
         self._revisions = itertools.count(2)
 
     def is_reachable_from(self, data_centre: str) -> bool:
         """Return whether calls from a data centre reach the store and it answers."""
         return self.is_up and data_centre not in self.cut_data_centres
 
+    def is_reachable(self, daemon: daemons.Daemon) -> bool:
+        """Return whether calls of a daemon reach the store and it answers."""
+        return self.is_reachable_from(daemon.data_centre) and (
+            self.cut_vms[daemon.vm] <= 0
+        )
+
+    def visible_reports(self) -> tuple[runs.WorkerReport, ...]:
+        """Return the reports of the workers that can reach the store."""
+        return tuple(
+            x
+            for x in self.reports.values()
+            if self.is_reachable_from(x.data_centre)
+            and not self.unlisted[x.worker_id] > 0
+        )
+
     def renew(self, daemon: daemons.Daemon, now: datetime.datetime) -> None:
         """Renew the lease of a daemon's entry; create the entry if there is none."""
         self._renewed[daemon.vm] = (daemon, now)
@@ -70,4 +97,6 @@
             data_centre, me.vm, me.incarnation, next(self._revisions)
         )
         self.holders[data_centre] = claimed
+        for notify in list(self.on_claim):
+            notify(claimed)
         return claimed
--- a/libs/carawaysail_model/src/carawaysail_model/workers.py
+++ b/libs/carawaysail_model/src/carawaysail_model/workers.py
@@ -131,12 +131,20 @@
             resources, marker, self._engine.now(), run_time
         )
         self._highest_numbers[order.run.task] = order.run.number
-        self._record_start(order.run)
+        self._record_start(order.run, order.token)
         result = runs.RunResult.FAILED if self.fails_all else runs.RunResult.DONE
         self._engine.after(run_time, lambda: self._end_run(order.run, marker, result))
         return runs.OrderResult.ACCEPTED
 
-    def _record_start(self, run: runs.Run) -> None:
+    def _record_entry(self, run: runs.Run, name: str, **fields: typing.Any) -> None:
+        lease_ms = clock.to_milliseconds(self._lease_end - self._engine.now())
+        fields |= {"run": run.number, "task": run.task.number}
+        fields["lease_ms"] = round(lease_ms)
+        entry = history.Entry(self._engine.now(), self.report.worker_id, name, fields)
+        self._history.record_entry(run.task.job_id, entry)
+
+    def _record_start(self, run: runs.Run, token: int) -> None:
+        self._record_entry(run, "started", token=token)
         used = jobs.NO_RESOURCES
         for running in self._running.values():
             used = used.plus(running.resources)
@@ -243,6 +251,7 @@
             return
         del self._running[run]
         self._history.record_end(run, self.report.worker_id, result)
+        self._record_entry(run, "ended", how=result.value)
         self._last_sequence += 1
         self._finished_runs.append(runs.FinishedRun(self._last_sequence, run, result))
         waiting, self._waiting_polls = self._waiting_polls, []
