--- a/libs/carawaysail_model/src/carawaysail_model/main.py
+++ b/libs/carawaysail_model/src/carawaysail_model/main.py
@@ -4,6 +4,8 @@
   model [--settings FILE] [--seed N]... [--fault NAME]... [--rate X] [--seconds S]
         [--policy KIND=NAME]... [--burst KIND=X]... [--sweep FIELD=LIST]
         [--plot FILE] [--sizes]
+  model --takeovers [--seed N]... [--seeds RANGE] [--fault NAME]... [--processes N]
+        [--timelines]
   model --list
 
 Options:
@@ -19,9 +21,17 @@
                       print one line for each; "rate" and the policies are fields too.
   --plot FILE         Write a PNG of the shares of jobs, by seed or swept value.
   --sizes             Print a line for each kind and size class of jobs instead.
+  --takeovers         Play random sequences of faults around takeovers on a small site,
+                      and print a line for each seed that violates an invariant; drawn
+                      from the given faults only, if there are any.
+  --seeds RANGE       Seeds of takeovers, as FIRST-LAST, instead of --seed.
+  --processes N       Number of processes that play takeovers [default: 1].
+  --timelines         Print what happened to the jobs of the violations as well.
   --list              List faults and policies.
 """
 
+import collections
+import collections.abc
 import json
 import sys
 import typing
@@ -30,7 +40,7 @@
 import json5
 
 from carawaysail_holding import job_admission, policies
-from carawaysail_model import faults, results, sites, sizes
+from carawaysail_model import faults, results, sites, sizes, takeovers
 from carawaysail_types import clock, errors
 
 
@@ -160,6 +170,40 @@
     figure.savefig(path)
 
 
+def play_takeovers(args: dict[str, typing.Any]) -> int:
+    """Play sequences of faults around takeovers; return the number of broken seeds.
+
+    Raises
+    ------
+    errors.BadInputError
+        If the range of seeds is not valid.
+    """
+    seeds: collections.abc.Iterable[int] = [int(x) for x in args["--seed"]]
+    if args["--seeds"]:
+        first, _, last = args["--seeds"].partition("-")
+        try:
+            seeds = range(int(first), int(last) + 1)
+        except ValueError as exc:
+            raise errors.BadInputError("--seeds", args["--seeds"], "1-500") from exc
+    names = tuple(args["--fault"])
+    for name in names:
+        faults.faults.get(name)
+    broken = played = 0
+    for finding in takeovers.search(seeds, names, int(args["--processes"])):
+        played += 1
+        if not finding.violations:
+            continue
+        broken += 1
+        counts = collections.Counter(x.invariant for x in finding.violations)
+        print(json.dumps({"seed": finding.seed, **counts}), flush=True)
+        if args["--timelines"]:
+            print(
+                "\n".join(takeovers.describe(takeovers.play(finding.seed, True, names)))
+            )
+    print(json.dumps({"played": played, "broken": broken}))
+    return broken
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the command; return the exit status.
 
@@ -176,6 +220,8 @@
         print("admission:", ", ".join(job_admission.admission_policies.names()))
         return 0
     try:
+        if args["--takeovers"]:
+            return 1 if play_takeovers(args) else 0
         site = load_site(args["--settings"], args["--policy"])
         if args["--sizes"]:
             for size_row in size_rows(site, args):
