--- a/libs/carawaysail_model/src/carawaysail_model/main.py
+++ b/libs/carawaysail_model/src/carawaysail_model/main.py
@@ -4,8 +4,7 @@
   model [--settings FILE] [--seed N]... [--fault NAME]... [--rate X] [--seconds S]
         [--policy KIND=NAME]... [--burst KIND=X]... [--sweep FIELD=LIST]
         [--plot FILE] [--sizes]
-  model --takeovers [--seed N]... [--seeds RANGE] [--fault NAME]... [--processes N]
-        [--timelines]
+        [--takeovers] [--seeds RANGE] [--processes N] [--timelines]
   model --list
 
 Options:
