--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -52,6 +52,16 @@
 MIN_WAIT = clock.milliseconds(1)
 """Shortest wait for messages, also if a tick is overdue."""
 
+MAX_KNOWN_AGE = clock.milliseconds(200)
+"""Time for which clients may have left unnoticed; beyond, the loop reads before it
+decides anything."""
+
+CATCH_UP_TURNS = turns.MAX_TURNS + 2
+"""Turns of the event loop after which a pause does not count any more."""
+
+MAX_CATCH_UP = clock.milliseconds(100)
+"""Longest time for these turns, as heartbeats wait for them."""
+
 MAX_INBOX_MESSAGES = 20_000
 """Size of the inbox; without effect while all messages are added by ``Inbox.put``."""
 
@@ -154,7 +164,7 @@
         self.broker = broker.Broker(cfg.terms, cfg.policy_names)
         self.gateway = gateway.Gateway(me, cfg.admission, random_state)
         self.election = holder_election.HolderElection(me, cfg.data_centres, now)
-        self.broker.gateway_timeout = self.election.suspect_after()
+        self._set_gateway_pace()
         self.configuration: jobs.Configuration | None = None
         self.is_leaving = False
         self.has_ended = asyncio.Event()
@@ -175,6 +185,8 @@
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
+        # Brokers that may have refused a submission since this daemon knew too little.
+        self._resubmit_to: set[daemons.Daemon] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
         """Set the components that the decision loop calls."""
@@ -191,6 +203,8 @@
         while True:
             wait_s = self.max_wait().total_seconds()
             received = await self.inbox.drain(wait_s)
+            if self._is_behind():
+                received = await self._catch_up(received)
             is_failed, next_tick = False, self._next_tick()
             if self.clock.now() >= next_tick:
                 is_failed, next_tick = not self.tick(), self._next_tick()
@@ -202,6 +216,43 @@
             if is_failed:
                 await asyncio.sleep(BUSY_TICK_INTERVAL.total_seconds())
 
+    def _is_behind(self) -> bool:
+        return self.known_age_ms() > clock.to_milliseconds(MAX_KNOWN_AGE)
+
+    async def _catch_up(
+        self, received: list[messages.Message]
+    ) -> list[messages.Message]:
+        """Read what has come during a pause; handle the ends of clients before it.
+
+        Parameters
+        ----------
+        received : list of messages.Message
+            Messages that have been received and not handled.
+
+        Returns
+        -------
+        list of messages.Message
+            Messages that are left to handle.
+        """
+        until = self.clock.now() + MAX_CATCH_UP
+        for _ in range(CATCH_UP_TURNS):
+            await asyncio.sleep(0)
+            if not self._is_behind() or self.clock.now() >= until:
+                break
+        received = [*received, *await self.inbox.drain(0.0)]
+        left = set()
+        for message in received:
+            if isinstance(message, messages.ClientLeft):
+                self.handle(message)
+                left.add(message.reply_id)
+        # A job whose client has left as well is not begun.
+        return [
+            x
+            for x in received
+            if not isinstance(x, messages.ClientLeft | messages.JobPosted)
+            or x.reply_id not in left
+        ]
+
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
         return max(MIN_WAIT, self._next_tick() - self.clock.now())
@@ -282,9 +333,7 @@
         self._delay_ms += DELAY_WEIGHT * (late_ms - self._delay_ms)
         self._last_tick = now
         # Disconnects of clients that came before have been read and handled.
-        self.broker.record_own_gateway(
-            self._own_id, self._observer.arrived(turns.MAX_TURNS)
-        )
+        self.broker.record_own_gateway(self._own_id, self._observer.handled_until())
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
         if now >= self._next_slow_tick:
             self._next_slow_tick = now + self._slow_tick_interval
@@ -377,18 +426,47 @@
         """Send a message to another daemon on each connection to it."""
         self._links.send_on_all(peer, message)
 
+    def broadcast(self, message: stream_messages.Message) -> None:
+        """Send a message to all other daemons that there is a connection to."""
+        self._links.broadcast(message)
+
+    def tell_workers(self, peer: daemons.Daemon) -> None:
+        """Tell a daemon which workers may get orders of this one."""
+        for worker_set in self.broker.worker_sets():
+            self.send(peer, stream_messages.HeldWorkers(worker_set))
+
     def restate_shards(self, peer: daemons.Daemon, now: datetime.datetime) -> None:
         """Submit a daemon's open shards again, and state that it has no others."""
         self.perform(self.gateway.resend_shards(peer), now)
         self.perform(self.gateway.state_shards([peer]), now)
 
+    def record_submission(self, peer: daemons.Daemon, known_age_ms: float) -> None:
+        """Record a submission; it is repeated if its broker may find it too old.
+
+        Parameters
+        ----------
+        peer : daemons.Daemon
+            The daemon that it was sent to.
+        known_age_ms : float
+            Time since its client certainly waited, in milliseconds.
+        """
+        interval = self.election.pace().heartbeat_interval
+        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
+            self._resubmit_to.add(peer)
+
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
         self._slow_tick_interval = self._find_slow_tick_interval()
-        self.broker.gateway_timeout = self.election.suspect_after()
+        self._set_gateway_pace()
         self.gateway.record_gateway_count(self.election.fleet_size())
 
+    def _set_gateway_pace(self) -> None:
+        """Give the broker the times in which gateways state that they wait."""
+        pace = self.election.pace()
+        self.broker.gateway_timeout = pace.suspect_after()
+        self.broker.statement_interval = pace.heartbeat_interval
+
     def _find_slow_tick_interval(self) -> datetime.timedelta:
         return self.election.pace().heartbeat_interval / TICKS_PER_HEARTBEAT
 
@@ -411,6 +489,8 @@
                 self._sent_loads, round(self._delay_ms), self._clock_ms(now)
             )
             connection.send(load)
+        for worker_set in self.broker.worker_sets():
+            connection.send(stream_messages.HeldWorkers(worker_set))
 
     def forget(self, sender: daemons.Daemon, connection: peer_links.Connection) -> None:
         """Drop a connection that another daemon had opened and that has ended."""
@@ -457,6 +537,11 @@
             return self._clock_ms(self.clock.now())
         return self._peer_clocks_ms.get(peer)
 
+    def known_age_ms(self) -> float:
+        """Return for how long clients may have left unnoticed, in milliseconds."""
+        age = self.clock.now() - self._observer.handled_until()
+        return round(max(0.0, clock.to_milliseconds(age)), 3)
+
     def _record_peer_clock(self, peer: daemons.Daemon, clock_ms: float) -> None:
         known_ms = self._peer_clocks_ms.get(peer, 0.0)
         self._peer_clocks_ms[peer] = max(known_ms, clock_ms)
@@ -496,9 +581,10 @@
 
         A holder that is not newer than the recorded one changes nothing.
         """
+        data_centre = holder.data_centre
+        former = self.election.holder(data_centre)
         if not self.election.record_holder(holder, now):
             return
-        data_centre = holder.data_centre
         logs.log_event(
             "tenure",
             "Holder.",
@@ -507,7 +593,12 @@
             token=holder.token,
         )
         if self.election.is_own(holder):
-            self.perform(self.broker.start_holding(data_centre, holder.token, now), now)
+            # A claim replaces the holder that is known here, or fails.
+            former_token = former.token if former is not None else 0
+            actions = self.broker.start_holding(
+                data_centre, holder.token, now, former_token
+            )
+            self.perform(actions, now)
             self.dependencies.reports.refresh()
         elif data_centre in self.broker.tokens():
             self.perform(self.broker.stop_holding(data_centre), now)
@@ -581,6 +672,9 @@
         pace = self.election.pace()
         self._next_heartbeat = now + pace.heartbeat_interval
         self.perform(self.gateway.state_shards(), now)
+        resubmit_to, self._resubmit_to = self._resubmit_to, set()
+        for peer in resubmit_to:
+            self.perform(self.gateway.resend_shards(peer), now)
         heartbeat = self._heartbeat(self._is_refresh_due(), now)
         self._heartbeat_count += 1
         has_news = heartbeat.is_leaving or bool(heartbeat.holders)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -130,9 +130,10 @@
 ) -> None:
     for data_centre in message.live_data_centres:
         loop.election.record_worker_report(data_centre, now)
-    loop.perform(
-        loop.broker.handle_reports(message.reports, now, message.requested_at), now
+    actions = loop.broker.handle_reports(
+        message.reports, now, message.requested_at, message.is_linearizable
     )
+    loop.perform(actions, now)
     loop.dependencies.workers.close_except(loop.broker.worker_ids())
 
 
@@ -164,6 +165,7 @@
     message: messages.StreamOpened,
     now: datetime.datetime,
 ) -> None:
+    loop.tell_workers(message.peer)
     loop.restate_shards(message.peer, now)
 
 
@@ -265,7 +267,10 @@
         message.token,
     )
     echoed_at = loop.clock_instant(message.echo_ms)
-    actions = loop.broker.submit(submission, _gateway_id(sent), now, sent_at, echoed_at)
+    known_at = sent_at - clock.milliseconds(message.known_age_ms)
+    actions = loop.broker.submit(
+        submission, _gateway_id(sent), now, known_at, echoed_at
+    )
     loop.perform(actions, now)
 
 
@@ -295,8 +300,9 @@
 def _handle_waiting_shards(
     loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
 ) -> None:
+    known_at = sent.sent_at - clock.milliseconds(sent.content.known_age_ms)
     actions = loop.broker.handle_statement(
-        _gateway_id(sent), sent.content.statement, now, sent.sent_at
+        _gateway_id(sent), sent.content.statement, now, known_at
     )
     loop.perform(actions, now)
 
@@ -311,6 +317,13 @@
     )
 
 
+@decision_loop.handlers.register("HeldWorkers")
+def _handle_held_workers(
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
+) -> None:
+    loop.perform(loop.broker.record_worker_set(sent.content.worker_set), now)
+
+
 @decision_loop.handlers.register("Outcome")
 def _handle_outcome(
     loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
@@ -406,6 +419,15 @@
     _send_to_gateway(loop, shard_id.gateway, message)
 
 
+@decision_loop.action_handlers.register("TellWorkers")
+def _perform_tell_workers(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.TellWorkers,
+    now: datetime.datetime,
+) -> None:
+    loop.broadcast(stream_messages.HeldWorkers(action.worker_set))
+
+
 def _send_to_gateway(
     loop: decision_loop.DecisionLoop,
     gateway_id: broker_messages.GatewayId,
@@ -454,8 +476,13 @@
     age_ms = clock.to_milliseconds(now - submission.arrived)
     remaining_ms = clock.to_milliseconds(submission.deadline - now)
     echo_ms = loop.peer_clock_ms(action.daemon)
-    message = stream_messages.submit(submission, age_ms, remaining_ms, echo_ms)
+    # The client waited when its request arrived, however late that was read.
+    known_age_ms = min(age_ms, loop.known_age_ms())
+    message = stream_messages.submit(
+        submission, age_ms, remaining_ms, echo_ms, known_age_ms
+    )
     loop.send(action.daemon, message)
+    loop.record_submission(action.daemon, known_age_ms)
 
 
 @decision_loop.action_handlers.register("SendWithdrawal")
@@ -473,7 +500,8 @@
     action: gateway.SendStatement,
     now: datetime.datetime,
 ) -> None:
-    loop.send_on_all(action.daemon, stream_messages.WaitingShards(action.statement))
+    message = stream_messages.WaitingShards(action.statement, loop.known_age_ms())
+    loop.send_on_all(action.daemon, message)
 
 
 @decision_loop.action_handlers.register("Answer")
--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -73,6 +73,17 @@
         self._site.under_way.append((self._me, message))
 
 
+class Observer:
+    """Observer of a daemon's event loop; it reads nothing after ``stuck_since``."""
+
+    def __init__(self, source):
+        self.clock = source
+        self.stuck_since = None
+
+    def handled_until(self):
+        return self.stuck_since or self.clock.now()
+
+
 class TwoDaemonsCase(testtools.TestCase):
     """Shared fixtures: a gateway, and a broker that holds one worker."""
 
@@ -87,6 +98,7 @@
         self.held_up = None
         self.workers = {x: Component() for x in (GATEWAY, BROKER)}
         self.replies = {x: Component() for x in (GATEWAY, BROKER)}
+        self.observers = {x: Observer(self.clock) for x in (GATEWAY, BROKER)}
         self.loops = {x: self.make_loop(x) for x in (GATEWAY, BROKER)}
         self.open_connections()
         holder = daemons.Holder("away", BROKER.vm, BROKER.incarnation, 5)
@@ -107,8 +119,9 @@
             broker_messages.Terms(), MS(6000),
         )  # fmt: skip
         loop = decision_loop.DecisionLoop(
-            cfg, me, Inbox(self, me), self.clock, lambda peer: Link(self, peer)
-        )
+            cfg, me, Inbox(self, me), self.clock, lambda peer: Link(self, peer),
+            observer=self.observers[me],
+        )  # fmt: skip
         loop.set_dependencies(
             decision_loop.Dependencies(
                 self.workers[me], Component(), Component(), self.replies[me],
@@ -276,6 +289,69 @@
         self.assertEqual([], self.orders("start", GATEWAY))
 
 
+class TestKilledHolder(TwoDaemonsCase):
+    """A holder that is killed right after a start; the gateway's daemon is the next."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = WORKER._replace(worker_id="w-1", address="w-1:1")
+
+    def start_and_kill(self):
+        """Let the holder start a task, and end before it can tell its gateway."""
+        self.held_up = []
+        self.post()
+        to_broker, self.held_up = self.held_up, None
+        for _, message in to_broker:
+            self.pass_message(BROKER, message, self.now)
+        self.under_way.clear()
+        self.frozen[BROKER] = self.now
+        [start] = self.orders("start")
+        self.loops[GATEWAY].handle(messages.ConnectionRefused(BROKER))
+        return start.run
+
+    def succeed(self, *workers):
+        """Let the gateway's daemon become the holder, and read a list of workers."""
+        holder = daemons.Holder("away", GATEWAY.vm, GATEWAY.incarnation, 6)
+        self.loops[GATEWAY].record_holder(holder, self.now)
+        self.read_reports(GATEWAY, *workers)
+        self.deliver()
+
+    # The entry of the worker had expired while the store was down.
+    def test_task_on_a_worker_that_the_list_lacks_is_not_started_again(self):
+        run = self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(500)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.loops[GATEWAY].handle(
+            messages.ReportsRead((self.other, WORKER), frozenset({"away"}), self.now)
+        )
+        self.report_status(run, daemon=GATEWAY)
+        self.pass_time(100)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.assertEqual([], self.orders("stop", GATEWAY))
+
+    def test_daemon_that_has_just_started_is_told_of_the_workers(self):
+        self.loops[GATEWAY] = self.make_loop(GATEWAY)
+        self.open_connections()
+        self.pass_time(200)
+        self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(500)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        expected = self.loops[GATEWAY].broker.worker_sets()[0].workers
+        self.assertEqual({"w-0", "w-1"}, expected)
+
+    # A worker that was told of and that answers without the run keeps no task waiting.
+    def test_task_starts_once_all_workers_have_answered(self):
+        self.start_and_kill()
+        self.succeed(self.other)
+        self.pass_time(200)
+        self.assertEqual([], self.orders("start", GATEWAY))
+        self.read_reports(GATEWAY, self.other, WORKER)
+        self.pass_time(100)
+        self.assertEqual(1, len(self.orders("start", GATEWAY)))
+
+
 class TestFrozenBroker(TwoDaemonsCase):
     """A broker that stands still while shards are submitted and withdrawn."""
 
@@ -327,6 +403,58 @@
         self.assertEqual([run], [x.run for x in self.orders("stop")])
 
 
+class TestLateGateway(TwoDaemonsCase):
+    """A gateway that goes on, but has not read what its clients sent of late."""
+
+    def stop_reading(self, duration_ms):
+        self.observers[GATEWAY].stuck_since = self.now
+        self.pass_time(duration_ms)
+
+    def lease_ms(self, run):
+        """Return for how long the next poll of the worker extends its lease."""
+        self.report_status(run)
+        lease_end = self.orders("poll")[-1].lease_end
+        # The worker's clock shows 10 s in each status.
+        return lease_end and clock.to_milliseconds(lease_end - MS(10_000))
+
+    # Its statements renewed the lease for clients that may have left long ago.
+    def test_lease_counts_from_what_it_has_read(self):
+        run = self.post_job()
+        self.stop_reading(400)
+        longest_ms = 1250 / 1.02 - 60
+        self.assertAlmostEqual(longest_ms - 400, self.lease_ms(run), 2)
+
+    def test_its_runs_are_stopped_if_it_reads_nothing(self):
+        run = self.post_job()
+        self.stop_reading(640)
+        self.assertEqual([run], [x.run for x in self.orders("stop")])
+
+    # Its new holder started it beside the client's next attempt.
+    def test_shard_that_it_submits_again_starts_nothing(self):
+        self.is_lossy = True
+        self.post(timeout_ms=9000)
+        self.is_lossy = False
+        self.stop_reading(700)
+        self.open_connections()
+        self.assertEqual([], self.orders("start"))
+
+    # The broker refused it as old, and nobody submitted it again.
+    def test_shard_that_it_submits_again_starts_once_it_has_read(self):
+        self.is_lossy = True
+        self.post(timeout_ms=9000)
+        self.is_lossy = False
+        self.stop_reading(700)
+        self.open_connections()
+        self.observers[GATEWAY].stuck_since = None
+        self.pass_time(160)
+        self.assertEqual(1, len(self.orders("start")))
+
+    def test_job_that_has_just_come_starts_at_once(self):
+        self.stop_reading(700)
+        self.post()
+        self.assertEqual(1, len(self.orders("start")))
+
+
 class TestHeldUpLink(TwoDaemonsCase):
     """A network that delivers what a gateway has sent much later, with no sign of it.
 
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -43,6 +43,8 @@
     gateway_timeout : datetime.timedelta or None
         Time after which shards are ended whose gateway has not said that it still waits
         for them, if clients do not send jobs again sooner; ``None`` for no limit.
+    statement_interval : datetime.timedelta
+        Time between two statements of a gateway; leases leave room for it.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         names: policies.PolicyNames = policies.PolicyNames(),
     ) -> None:
         self.gateway_timeout: datetime.timedelta | None = None
+        self.statement_interval = datetime.timedelta()
         self._terms = terms
         self._job_order = policies.job_order_policies.get(names.order)
         self.estimates = run_time_estimates.RunTimeEstimates()
@@ -83,14 +86,35 @@
         return bool(self._workers.tokens)
 
     def start_holding(
-        self, data_centre: str, token: int, now: datetime.datetime
+        self,
+        data_centre: str,
+        token: int,
+        now: datetime.datetime,
+        former_token: int = 0,
     ) -> list[broker_messages.Action]:
-        """Start to hold a data centre and poll its reported workers."""
+        """Start to hold a data centre and poll its reported workers.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+        token : int
+            Fencing token of this holder.
+        now : datetime.datetime
+            Present instant.
+        former_token : int, optional
+            Fencing token of the holder before; 0 if there was none.
+        """
         self._stop_holding(data_centre)
-        self._workers.start_holding(data_centre, token, now)
+        self._workers.start_holding(data_centre, token, now, former_token)
+        self._actions.log(
+            "holding", data_centre, token=token, former=former_token,
+            expected=sorted(self._workers.former.expected(data_centre)),
+            is_told=self._workers.former.are_known(data_centre),
+        )  # fmt: skip
         self._hold_reported_workers(now)
         for early in self._early.pop(data_centre, token):
-            self._submit(early.submission, early.gateway, now, early.sent_at)
+            self._submit(early.submission, early.gateway, now, early.known_at)
         return self._actions.drain()
 
     def stop_holding(self, data_centre: str) -> list[broker_messages.Action]:
@@ -116,6 +140,7 @@
         reports: collections.abc.Iterable[runs.WorkerReport],
         now: datetime.datetime,
         requested_at: datetime.datetime | None = None,
+        is_linearizable: bool = True,
     ) -> list[broker_messages.Action]:
         """Compare the held workers with a complete read of the store.
 
@@ -127,15 +152,20 @@
             Present instant.
         requested_at : datetime.datetime, optional
             When the read was sent to the store; ``now`` by default.
+        is_linearizable : bool, optional
+            Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        for data_centre in self._workers.record_reports(reports, requested_at):
+        complete_at = requested_at if is_linearizable else held_worker.NEVER
+        for data_centre in self._workers.record_reports(reports, complete_at):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
                 workers=self._workers.count_reported(data_centre),
                 read_ms=_ms_between(requested_at, now),
             )  # fmt: skip
+        for worker_id in self._workers.former.record_read(requested_at):
+            self._actions.log("expected_worker_missing", worker_id)
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -146,7 +176,7 @@
                 continue
             worker.missing_since = None
             if report.incarnation != worker.report.incarnation:
-                self._handle_restart(worker_id)
+                self._handle_restart(worker_id, now)
             elif report.is_draining and not worker.is_draining:
                 worker.is_draining = True
                 self._actions.log("worker_draining", worker_id)
@@ -155,17 +185,39 @@
         return self._actions.drain()
 
     def _hold_reported_workers(self, now: datetime.datetime) -> None:
-        for worker in self._workers.hold_reported(now):
+        added = self._workers.hold_reported(now)
+        self._tell_workers()
+        for worker in added:
             self._poll(worker, now)
 
-    def _handle_restart(self, worker_id: str) -> None:
+    def _tell_workers(self) -> None:
+        """Tell the other daemons of the held workers before these get any order."""
+        for worker_set in self._workers.changed_sets():
+            self._actions.add(broker_messages.TellWorkers(worker_set))
+
+    def record_worker_set(
+        self, worker_set: broker_messages.WorkerSet
+    ) -> list[broker_messages.Action]:
+        """Record which workers may have orders of another holder."""
+        self._workers.former.record(worker_set)
+        self._tell_workers()
+        return self._actions.drain()
+
+    def worker_sets(self) -> list[broker_messages.WorkerSet]:
+        """Return what each daemon has to know of the workers held here."""
+        return self._workers.former.told_here()
+
+    def _handle_restart(self, worker_id: str, now: datetime.datetime) -> None:
         """Drop an incarnation; orders in flight may have reached the next one."""
-        lost, carried_over = self._workers.handle_restart(worker_id)
+        lost, carried_over = self._workers.handle_restart(worker_id, now)
         self._handle_lost_worker(worker_id, "restarted", lost, carried_over)
 
-    def _remove_worker(self, worker_id: str, cause: str) -> None:
+    def _remove_worker(
+        self, worker_id: str, cause: str, now: datetime.datetime
+    ) -> None:
         """Drop an incarnation that has ended for good."""
-        self._handle_lost_worker(worker_id, cause, self._workers.remove(worker_id))
+        lost = self._workers.remove(worker_id, now)
+        self._handle_lost_worker(worker_id, cause, lost)
 
     def _handle_lost_worker(
         self, worker_id: str, cause: str, lost: list[runs.Run], carried_over: int = 0
@@ -193,7 +245,7 @@
         if worker is None or requested_at < worker.held_since:
             return self._actions.drain()
         if status.incarnation != worker.report.incarnation:
-            self._handle_restart(worker_id)
+            self._handle_restart(worker_id, now)
             self._hold_reported_workers(now)
             return self._actions.drain()
         was_silent = worker.health.is_silent
@@ -209,6 +261,9 @@
             self._jobs.requeue_task(run, worker_id)
         for run in changes.inherited:
             self._jobs.record_inherited_run(worker, run, now)
+        for run in changes.confirmed:
+            if not self._jobs.is_present_run(run, worker_id):
+                self._jobs.stop_run(worker, run, now)
         if not had_status:
             self._actions.log(
                 "worker_listed", worker_id, token=worker.ledger.token,
@@ -225,7 +280,18 @@
 
     def _poll(self, worker: held_worker.HeldWorker, now: datetime.datetime) -> None:
         latest = self._latest_lease_end(worker)
-        self._actions.add(worker.next_poll(self._terms, now, latest))
+        lease = self._longest_lease(is_busy=bool(worker.ledger.run_count()))
+        self._actions.add(worker.next_poll(lease, now, latest))
+
+    def _longest_lease(self, is_busy: bool) -> datetime.timedelta:
+        """Return the longest lease that lets tasks of the gateways start under it.
+
+        On an idle worker also those of a gateway that will soon count as lost.
+        """
+        word_age = self.statement_interval
+        if not is_busy:
+            word_age = self.gateway_timeout or self._terms.retransmit
+        return held_worker.longest_lease(self._terms, word_age)
 
     def _latest_lease_end(
         self, worker: held_worker.HeldWorker
@@ -464,7 +530,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
-        sent_at: datetime.datetime | None = None,
+        known_at: datetime.datetime | None = None,
         echoed_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """Admit or refuse a shard.
@@ -482,18 +548,19 @@
             The gateway that submits it.
         now : datetime.datetime
             Present instant.
-        sent_at : datetime.datetime, optional
-            Earliest instant at which it can have been sent if the network did not hold
-            it up; ``now`` by default. An old submission starts nothing: the gateway
-            sends its shards again when it hears from this daemon.
+        known_at : datetime.datetime, optional
+            Instant up to which the gateway knew that a client waits, if the network did
+            not hold the submission up; ``now`` by default. One with old knowledge
+            starts nothing: the gateway sends its shards again when it knows more, or
+            hears from this daemon again.
         echoed_at : datetime.datetime, optional
             Instant on this daemon's clock of which the gateway knew when it sent it;
             ``now`` by default. It is no older than that, whatever the network did.
         """
         longest = held_worker.longest_unconfirmed(self._terms)
         if echoed_at is not None and now - echoed_at > longest:
-            sent_at = min(echoed_at, sent_at or now)
-        self._submit(submission, gateway, now, sent_at or now)
+            known_at = min(echoed_at, known_at or now)
+        self._submit(submission, gateway, now, known_at or now)
         return self._actions.drain()
 
     def _submit(
@@ -501,7 +568,7 @@
         submission: broker_messages.Submission,
         gateway: broker_messages.GatewayId,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> None:
         shard_id = broker_messages.ShardId(
             submission.job.job_id, submission.shard, gateway
@@ -509,14 +576,14 @@
         if now - submission.arrived >= outcome_cache.RETENTION:
             # What became of it may have been forgotten.
             submission = submission._replace(is_resumed=True)
-        if self._repeat_answer(shard_id, submission, now, sent_at):
+        if self._repeat_answer(shard_id, submission, now, known_at):
             return
-        if self._starts_nothing(shard_id, submission, now, sent_at):
+        if self._starts_nothing(shard_id, submission, now, known_at):
             return
         if submission.is_resumed and self._workers.is_future(
             submission.data_centre, submission.token
         ):
-            early = early_submissions.EarlySubmission(submission, gateway, sent_at)
+            early = early_submissions.EarlySubmission(submission, gateway, known_at)
             self._early.add(early)
         elif self._may_have_moved(shard_id, submission):
             token = submission.token
@@ -530,20 +597,38 @@
             self._jobs.admit(shard_id, submission, now)
             shard = self._jobs.get(shard_id)
             if shard is not None:
-                shard.record_submission(submission, sent_at)
+                shard.record_submission(submission, known_at)
+                if submission.is_resumed:
+                    shard.earlier_runs_end = self._earlier_runs_end(now)
                 self._place_shards([shard], now)
 
+    def _earlier_runs_end(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when the runs of earlier holders end, for a shard resumed by now.
+
+        Its gateway tells them nothing of it any more, and runs end before a client that
+        was last known to wait then sends its job again.
+        """
+        return now + self._terms.retransmit
+
+    def _may_miss_runs(
+        self, shard: shard_state.ShardState, now: datetime.datetime
+    ) -> bool:
+        """Return whether a shard may have runs of earlier holders, not known here."""
+        end = shard.earlier_runs_end
+        is_over = end is None or now >= end
+        return not is_over and self._workers.may_miss_runs(shard.submission)
+
     def _repeat_answer(
         self,
         shard_id: broker_messages.ShardId,
         submission: broker_messages.Submission,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> bool:
         """Return whether a shard is in the table, or its outcome was sent again."""
         known = self._jobs.get(shard_id)
         if known is not None:
-            known.record_submission(submission, sent_at)
+            known.record_submission(submission, known_at)
             self._actions.log(
                 "joined", shard_id.job_id, waiter=shard_id.gateway.vm,
                 part=shard_id.shard,
@@ -561,18 +646,18 @@
         shard_id: broker_messages.ShardId,
         submission: broker_messages.Submission,
         now: datetime.datetime,
-        sent_at: datetime.datetime,
+        known_at: datetime.datetime,
     ) -> bool:
         """Return whether a submission was, or may have been, withdrawn before."""
         gateway = shard_id.gateway
         if self._gateways.is_withdrawn(gateway, submission):
             self._actions.log("withdrawn_before", shard_id.job_id, waiter=gateway.vm)
             return True
-        is_old = self._is_overdue(sent_at, now) and not self._gateways.is_own(gateway)
+        is_old = self._is_overdue(known_at, now) and not self._gateways.is_own(gateway)
         if is_old:
             self._actions.log(
                 "old_submission", shard_id.job_id, waiter=gateway.vm,
-                part=shard_id.shard, age_ms=round(clock.to_milliseconds(now - sent_at)),
+                part=shard_id.shard, age_ms=_ms_between(known_at, now),
             )  # fmt: skip
         return is_old
 
@@ -592,7 +677,7 @@
     ) -> bool:
         """Return whether the gateway of a shard may not wait for it any more."""
         return (
-            shard.submitted_at < oldest_valid
+            shard.known_at < oldest_valid
             and self._jobs.waits_until(shard) < oldest_valid
         )
 
@@ -633,7 +718,7 @@
         gateway: broker_messages.GatewayId,
         statement: broker_messages.Statement,
         now: datetime.datetime,
-        sent_at: datetime.datetime | None = None,
+        known_at: datetime.datetime | None = None,
     ) -> list[broker_messages.Action]:
         """End the shards that a gateway does not wait for any more.
 
@@ -645,10 +730,11 @@
             Its statement.
         now : datetime.datetime
             Present instant.
-        sent_at : datetime.datetime, optional
-            Earliest instant at which it can have been sent; ``now`` by default.
+        known_at : datetime.datetime, optional
+            Instant up to which the gateway knew of its clients' disconnects; ``now`` by
+            default.
         """
-        if not self._gateways.record_statement(gateway, statement, sent_at or now):
+        if not self._gateways.record_statement(gateway, statement, known_at or now):
             return self._actions.drain()
         self._stop_unclaimed_runs(now)
         outcome = jobs.JobOutcome(jobs.Verdict.UNKNOWN, jobs.Reason.WITHDRAWN)
@@ -760,7 +846,7 @@
                 roomy[key] = _with_room(in_pool, least)
             if not roomy[key] or self._is_unconfirmed(shard, oldest_valid):
                 continue
-            if submission.is_resumed and self._workers.may_miss_runs(submission):
+            if self._may_miss_runs(shard, now):
                 continue
             if self._place_shard(shard, pools[key], roomy[key], now):
                 accepting = [x for x in roomy[key] if x.accepts(now)]
@@ -808,21 +894,23 @@
     ) -> bool:
         """Order a task to start; return whether the worker's lease allows it.
 
-        A start extends the lease of all runs on the worker.
+        A start extends the lease of all runs on the worker. One granted before, which
+        never shortens, must not outlast what the gateway has last said either.
         """
         worker = chosen.worker
         latest = self._jobs.waits_until(shard) + held_worker.longest_unconfirmed(
             self._terms
         )
+        if worker.leased_until(self._terms) > latest:
+            return False
         of_others = self._latest_lease_end(worker)
         if of_others is not None:
             latest = min(latest, of_others)
-        lease_end = worker.lease_end(self._terms, now, latest)
+        lease_end = worker.extend_lease(self._longest_lease(is_busy=True), now, latest)
         if lease_end is None:
             return False
         run = state.next_run()
         worker.ledger.record_order(run, state.step.resources, now)
-        worker.record_lease_extension(now)
         state.record_placement(run, worker.report.worker_id, now)
         shard.has_ordered_runs = True
         self._actions.log(
@@ -933,10 +1021,10 @@
                 )  # fmt: skip
                 self._jobs.requeue_task(run, worker_id)
             if worker.missing_since is not None:
-                self._remove_worker(worker_id, "missing and silent")
+                self._remove_worker(worker_id, "missing and silent", now)
                 return
         if worker.is_removable(now):
-            self._remove_worker(worker_id, "missing in the store")
+            self._remove_worker(worker_id, "missing in the store", now)
             return
         if worker.ledger.has_status:
             for run in worker.ledger.uncertain():
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -18,6 +18,10 @@
 LEASE_MARGIN = clock.milliseconds(60)
 """Added to the lease, since an extension in flight takes time to arrive."""
 
+SHORTEST_LEASE_SHARE = 1 / 3
+"""Share of ``longest_unconfirmed`` that a lease lasts at least, whatever the age of a
+gateway's word; shorter ones lapse between two polls."""
+
 MISSING_TIMEOUT = clock.milliseconds(3000)
 """A worker counts as gone if the store lacks its report for so long; reports that
 expired while the store was down are back within two seconds."""
@@ -40,6 +44,24 @@
     return (terms.retransmit - terms.stop) / CLOCK_DRIFT_FACTOR - LEASE_MARGIN
 
 
+def longest_lease(
+    terms: broker_messages.Terms, word_age: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the longest lease that is over in time for a gateway's word of some age.
+
+    Parameters
+    ----------
+    terms : broker_messages.Terms
+        Parameters of the deployment.
+    word_age : datetime.timedelta
+        Time since the gateway last said that it waits.
+    """
+    unconfirmed = longest_unconfirmed(terms)
+    return min(
+        terms.lease, max(unconfirmed * SHORTEST_LEASE_SHARE, unconfirmed - word_age)
+    )
+
+
 class HeldWorker:
     """One incarnation of a worker that this daemon holds.
 
@@ -59,7 +81,8 @@
     held_since : datetime.datetime
         When it was held; an answer to a poll sent earlier is not about its ledger.
     lease_counts_from : datetime.datetime
-        Latest instant at which the lease may have been extended.
+        Latest instant at which the lease may have been extended: by an earlier holder
+        until the worker's first answer, from then on by this one.
     confirmed_sequence : int
         Highest sequence number whose acknowledgement the worker has certainly received.
     """
@@ -84,6 +107,8 @@
         self._awaits_extension = False
         self._clock_reading: tuple[datetime.timedelta, datetime.datetime] | None = None
         self.lease_counts_from = now
+        self._granted_until = NEVER
+        self._listed_at: datetime.datetime | None = None
 
     @property
     def report(self) -> runs.WorkerReport:
@@ -104,11 +129,12 @@
         """Return whether the worker can be removed from the worker table.
 
         It can once its report has been missing in the store for ``MISSING_TIMEOUT`` and
-        it has no runs left.
+        it has no runs left, or has never answered: then its lease cannot be known to
+        have expired.
         """
         missing = self.missing_since
         is_overdue = missing is not None and now - missing > MISSING_TIMEOUT
-        return is_overdue and not self.ledger.run_count()
+        return is_overdue and not (self.ledger.has_status and self.ledger.run_count())
 
     def handle_status(
         self,
@@ -132,20 +158,22 @@
             self.confirmed_sequence = self._sent_sequence
         self.run_progress.record_status(status, now)
         self._clock_reading = (status.clock, now)
+        if not self.ledger.has_status:
+            self.lease_counts_from = self._listed_at = now
         return self.ledger.apply_status(status, requested_at)
 
-    def lease_end(
+    def extend_lease(
         self,
-        terms: broker_messages.Terms,
+        lease: datetime.timedelta,
         now: datetime.datetime,
         latest: datetime.datetime | None,
     ) -> datetime.timedelta | None:
-        """Return the end of a lease granted now, on the worker's monotonic clock.
+        """Record that an order which extends the lease is sent.
 
         Parameters
         ----------
-        terms : broker_messages.Terms
-            Parameters of the deployment.
+        lease : datetime.timedelta
+            Longest lease to grant.
         now : datetime.datetime
             Present instant.
         latest : datetime.datetime or None
@@ -154,29 +182,40 @@
         Returns
         -------
         datetime.timedelta or None
-            ``None`` if the lease would be over by now, or until the worker's clock is
-            known from a status.
+            End of the lease on the worker's monotonic clock. ``None`` if it would be
+            over by now, or until the worker's clock is known from a status; then the
+            order must not extend the lease.
         """
         if self._clock_reading is None:
             return None
         worker_clock, read_at = self._clock_reading
-        end = now + terms.lease
+        end = now + lease
         if latest is not None:
             end = min(end, latest)
-        return worker_clock + (end - read_at) if end > now else None
-
-    def record_lease_extension(self, now: datetime.datetime) -> None:
-        """Record that an order which extends the lease is sent."""
+        if end <= now:
+            return None
         self.lease_counts_from = now
+        self._granted_until = max(self._granted_until, end)
+        return worker_clock + (end - read_at)
+
+    def leased_until(self, terms: broker_messages.Terms) -> datetime.datetime:
+        """Return until when the lease may last that was granted so far.
+
+        An earlier holder can have extended it until the worker first answered this one.
+        """
+        if self._listed_at is None:
+            return self._granted_until
+        return max(self._granted_until, self._listed_at + terms.lease)
 
     def is_lease_expired(
         self, terms: broker_messages.Terms, now: datetime.datetime
     ) -> bool:
-        """Return whether the lease has certainly expired on the worker's clock."""
-        return (
-            now
-            >= self.lease_counts_from + terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
-        )
+        """Return whether the lease has certainly expired on the worker's clock.
+
+        Before the worker's first answer, an earlier holder may still extend it.
+        """
+        longest = terms.lease * CLOCK_DRIFT_FACTOR + LEASE_MARGIN
+        return self.ledger.has_status and now >= self.lease_counts_from + longest
 
     def is_newest_poll(self, requested_at: datetime.datetime) -> bool:
         """Return whether no later poll was ordered than the one sent at an instant."""
@@ -192,7 +231,7 @@
 
     def next_poll(
         self,
-        terms: broker_messages.Terms,
+        lease: datetime.timedelta,
         now: datetime.datetime,
         latest: datetime.datetime | None = None,
     ) -> broker_messages.PollWorker:
@@ -203,8 +242,8 @@
 
         Parameters
         ----------
-        terms : broker_messages.Terms
-            Parameters of the deployment.
+        lease : datetime.timedelta
+            Longest lease to grant.
         now : datetime.datetime
             Present instant.
         latest : datetime.datetime, optional
@@ -213,10 +252,8 @@
         is_busy = bool(self.ledger.run_count())
         lease_end = None
         if not self.health.is_silent:
-            lease_end = self.lease_end(terms, now, latest)
+            lease_end = self.extend_lease(lease, now, latest)
         self._awaits_extension = latest is not None and lease_end is None
-        if lease_end is not None:
-            self.record_lease_extension(now)
         wait = BUSY_POLL_WAIT if is_busy else IDLE_POLL_WAIT
         if not self.ledger.has_status or self.health.is_silent:
             wait = clock.milliseconds(0)
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -4,7 +4,7 @@
 import collections.abc
 import datetime
 
-from carawaysail_holding import broker_messages, held_worker, ledger
+from carawaysail_holding import broker_messages, former_workers, held_worker, ledger
 from carawaysail_types import jobs, runs
 
 
@@ -23,16 +23,20 @@
         self._carried_over: dict[str, dict[runs.Run, ledger.Entry]] = {}
         # By worker; the store may still report an incarnation that has ended.
         self._ended_incarnations: dict[str, str] = {}
+        # Removed workers whose present incarnation has not answered this holder.
+        self._unanswered: dict[str, runs.WorkerReport] = {}
         # By data centre: when this daemon became its holder; absent once the reports
         # have been read after that.
         self._awaiting_reports: dict[str, datetime.datetime] = {}
+        self.former = former_workers.FormerWorkers()
 
     # Held data centres
 
     def start_holding(
-        self, data_centre: str, token: int, now: datetime.datetime
+        self, data_centre: str, token: int, now: datetime.datetime, former_token: int
     ) -> None:
         """Record the token of a data centre that this daemon holds from now on."""
+        self.former.start_holding(data_centre, token, former_token, now)
         self.tokens[data_centre] = token
         self._newest_tokens[data_centre] = token
         self._awaiting_reports[data_centre] = now
@@ -48,10 +52,14 @@
     def stop_holding(self, data_centre: str) -> list[str]:
         """Remove the workers of a data centre and return their names."""
         self.tokens.pop(data_centre, None)
+        self.former.stop_holding(data_centre)
         self._awaiting_reports.pop(data_centre, None)
         worker_ids = [x.report.worker_id for x in self.held_in(data_centre)]
         for worker_id in worker_ids:
             self._workers.pop(worker_id).ledger.detach()
+        self._unanswered = {
+            k: v for k, v in self._unanswered.items() if v.data_centre != data_centre
+        }
         return worker_ids
 
     # Worker reports
@@ -59,7 +67,7 @@
     def record_reports(
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
-        requested_at: datetime.datetime,
+        complete_at: datetime.datetime,
     ) -> list[str]:
         """Replace the reports of all workers; return what they complete.
 
@@ -67,9 +75,9 @@
         ----------
         reports : iterable of runs.WorkerReport
             Reports of all workers of the site.
-        requested_at : datetime.datetime
-            When the read was sent to the store. Data centres that are held since a
-            later time still await their reports.
+        complete_at : datetime.datetime
+            An instant as of which no report is missing. Data centres that are held
+            since a later time still await their reports.
 
         Returns
         -------
@@ -77,7 +85,7 @@
             Held data centres that awaited their reports and have them now.
         """
         self._reports = {report.worker_id: report for report in reports}
-        complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
+        complete = [k for k, v in self._awaiting_reports.items() if v <= complete_at]
         for data_centre in complete:
             del self._awaiting_reports[data_centre]
         return complete
@@ -101,11 +109,23 @@
                 continue
             worker = held_worker.HeldWorker(report, token, now, self._task_counts)
             self._workers[worker_id] = worker
+            self._unanswered.pop(worker_id, None)
             for run, entry in self._carried_over.pop(worker_id, {}).items():
                 worker.ledger.record_carried_over(run, entry, now)
+            self.former.record_held(report.data_centre, worker_id)
             added.append(worker)
         return added
 
+    def changed_sets(self) -> list[broker_messages.WorkerSet]:
+        """Return what to tell the other daemons of the held workers by now."""
+        found = {data_centre: set[str]() for data_centre in self.tokens}
+        held = (x.report for x in self._workers.values())
+        for report in (*self._reports.values(), *held):
+            if report.data_centre in found:
+                found[report.data_centre].add(report.worker_id)
+        told = (self.former.tell(k, frozenset(v)) for k, v in found.items())
+        return [x for x in told if x is not None]
+
     # Workers
 
     def get(self, worker_id: str) -> held_worker.HeldWorker | None:
@@ -139,13 +159,23 @@
             "runs": sum(x.ledger.run_count() for x in self.all()),
         }
 
-    def remove(self, worker_id: str) -> list[runs.Run]:
-        """Remove an incarnation that has ended; return the runs that counted there."""
+    def remove(self, worker_id: str, now: datetime.datetime) -> list[runs.Run]:
+        """Remove an incarnation that has ended; return the runs that counted there.
+
+        Orders that may reach the next incarnation of that name are kept for its ledger.
+        """
         worker = self._workers.pop(worker_id)
         worker.ledger.detach()
+        if not worker.ledger.has_status:
+            self._unanswered[worker_id] = worker.report
+        unreported = worker.ledger.unreported(now)
+        if unreported:
+            self._carried_over[worker_id] = unreported
         return list(worker.ledger.entries())
 
-    def handle_restart(self, worker_id: str) -> tuple[list[runs.Run], int]:
+    def handle_restart(
+        self, worker_id: str, now: datetime.datetime
+    ) -> tuple[list[runs.Run], int]:
         """Remove an incarnation that was replaced by another of the same name.
 
         Returns
@@ -156,13 +186,12 @@
             Number of orders that may have reached the next incarnation, whose ledger
             starts with them.
         """
-        worker = self._workers[worker_id]
-        unreported = worker.ledger.unreported()
-        self._ended_incarnations[worker_id] = worker.report.incarnation
-        lost = [run for run in self.remove(worker_id) if run not in unreported]
-        if unreported:
-            self._carried_over[worker_id] = unreported
-        return lost, len(unreported)
+        report = self._workers[worker_id].report
+        self._ended_incarnations[worker_id] = report.incarnation
+        counted = self.remove(worker_id, now)
+        self._unanswered[worker_id] = report
+        carried_over = self._carried_over.get(worker_id, {})
+        return [run for run in counted if run not in carried_over], len(carried_over)
 
     # Workers for a shard
 
@@ -186,14 +215,21 @@
     def may_miss_runs(self, submission: broker_messages.Submission) -> bool:
         """Return whether a shard may have inherited runs that are not known yet.
 
-        A worker that has not answered this holder may still obey the earlier one.
+        A worker that has not answered this holder may still obey the earlier one, also
+        if it was removed, or if it was started on and is in no report.
         Reports that were read before this daemon became the holder may lack workers
-        that were cut off.
+        that were cut off, and so may later ones; those that the earlier holder has told
+        of are expected.
         """
         if submission.data_centre in self._awaiting_reports:
             return True
+        if self.former.may_have_others(submission.data_centre):
+            return True
         if any(not x.ledger.has_status for x in self.suitable(submission)):
             return True
+        place = (submission.data_centre, submission.queue.service)
+        if any((x.data_centre, x.service) == place for x in self._unanswered.values()):
+            return True
         return any(x not in self._workers for x in submission.workers)
 
     def can_ever_fit(self, submission: broker_messages.Submission) -> bool:
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -124,6 +124,7 @@
 
     def report_progress(self, wait_ms, *shares):
         self.clock.advance(MS(wait_ms))
+        self.broker.record_own_gateway(ME, self.now)
         return self.poll(self.stalled, running=self.stalled_runs, progress=shares)
 
     def test_stalled_runs_are_stopped_and_started_elsewhere(self):
@@ -474,6 +475,52 @@
         self.assertEqual([], self.starts(actions))
         self.assert_sent([jobs.Verdict.COMPLETED], self.finish(started))
 
+    def lose_start_and_restart(self, wait_ms):
+        """Stop a lost start; its worker then restarts under its name.
+
+        Returns
+        -------
+        list of runs.Run
+            Runs that the next incarnation is told never to start.
+        """
+        started, _ = self.lose_start()
+        worker = started.worker
+        self.broker.handle_stop_result(
+            worker.worker_id, "1", started.run, runs.OrderResult.ACCEPTED, self.now
+        )
+        self.clock.advance(MS(5))
+        self.poll(worker)
+        self.clock.advance(MS(wait_ms))
+        self.poll(worker)
+        later = worker._replace(incarnation="2")
+        self.broker.handle_reports([later], self.now)
+        self.poll(later)
+        stops = self.stops(self.broker.tick(self.now))
+        return [x.run.number for x in stops if x.worker == later]
+
+    # A lost stop was not repeated once a status had shown its run.
+    def test_stop_without_an_answer_is_repeated_though_the_run_is_reported(self):
+        self.hold(make_report())
+        [started] = self.starts(self.submit(self.make()))
+        self.answer(started)
+        shard_id = broker_messages.ShardId(started.run.task.job_id, 0, ME)
+        self.assertEqual(1, len(self.stops(self.broker.withdraw(shard_id, self.now))))
+        self.broker.handle_stop_result(
+            "w-0", "1", started.run, runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.clock.advance(MS(5))
+        actions = self.poll(make_report(), running=[started.run])
+        actions += self.broker.tick(self.now)
+        self.assertEqual([started.run], [x.run for x in self.stops(actions)])
+
+    # A start without an answer was carried out by the next boot of its worker, which
+    # knows nothing of the stop, while the task ran elsewhere.
+    def test_lost_start_is_stopped_on_the_next_incarnation_as_well(self):
+        self.assertIn(1, self.lose_start_and_restart(2000))
+
+    def test_lost_start_is_forgotten_once_it_can_no_longer_be_carried_out(self):
+        self.assertNotIn(1, self.lose_start_and_restart(16_000))
+
     def test_expired_job_is_unknown_and_not_refused(self):
         self.lose_start()
         self.clock.advance(MS(1600))
@@ -744,6 +791,17 @@
         self.broker.handle_reports([make_report(0), late_report], self.now)
         self.assertEqual([], self.starts(self.poll(late_report, running=[run])))
 
+    # A read that the store might answer with an old list ended the wait for a new one.
+    def test_resumed_shard_waits_for_linearizable_reports(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports(
+            [make_report(0)], self.now, self.now, is_linearizable=False
+        )
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        actions = self.broker.handle_reports([make_report(0)], self.now)
+        self.assertEqual(1, len(self.starts(actions)))
+
     def test_resumed_shard_waits_for_the_workers_it_was_started_on(self):
         self.broker.start_holding(HOME, 9, self.now)
         self.broker.handle_reports([make_report(0)], self.now)
@@ -753,6 +811,93 @@
         self.broker.handle_reports([make_report(0), make_report(1)], self.now)
         self.assertEqual(1, len(self.starts(self.poll(make_report(1)))))
 
+    def tick_until(self, end, *answering):
+        """Tick while some workers answer polls; return all starts."""
+        started = []
+        while self.now < end:
+            self.clock.advance(MS(20))
+            self.broker.record_own_gateway(ME, self.now)
+            for report in answering:
+                self.poll(report)
+            started += self.starts(self.broker.tick(self.now))
+        return started
+
+    # The removal of a worker that had never answered was taken for the end of what an
+    # earlier holder runs there.
+    def test_resumed_shard_waits_for_a_worker_removed_without_an_answer(self):
+        self.hold_with_inherited_run()
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.broker.handle_poll_failure(
+            "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.broker.handle_reports([make_report(1)], self.now)
+        self.tick_until(self.now + MS(3100), make_report(1))
+        self.assertEqual({"w-1"}, self.broker.worker_ids())
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        submitted_at = self.now
+        early = self.tick_until(submitted_at + MS(1275), make_report(1))
+        self.assertEqual([], early)
+        late = self.tick_until(submitted_at + MS(1350), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
+    # Between its restart and its next report, an earlier holder may start runs there.
+    def test_resumed_shard_waits_for_a_restarted_worker(self):
+        reports = [make_report(0), make_report(1)]
+        self.hold(*reports)
+        self.poll(reports[0], incarnation="2")
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        later = make_report(0, incarnation="2")
+        self.broker.handle_reports([later, reports[1]], self.now)
+        self.assertEqual([], self.starts(self.broker.tick(self.now)))
+        self.assertEqual(1, len(self.starts(self.poll(later))))
+
+    # A worker that never came back kept the shard waiting until its deadline.
+    def test_resumed_shard_waits_no_longer_than_an_earlier_run_can_last(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports([make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.submit(self.make(is_resumed=True, workers=("w-0",)))
+        submitted_at = self.now
+        early = self.tick_until(submitted_at + MS(1275), make_report(1))
+        self.assertEqual([], early)
+        late = self.tick_until(submitted_at + MS(1350), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
+    # Leases that an earlier holder grants follow the gateway's last word to it, which
+    # may be as late as the submission to this holder.
+    def test_earlier_runs_last_from_the_arrival_of_the_submission(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        self.broker.handle_reports([make_report(1)], self.now)
+        self.poll(make_report(1))
+        shard = self.make(is_resumed=True, workers=("w-0",), token=9)
+        shard = shard._replace(deadline=self.now + MS(3000))
+        arrived_at = self.now + MS(500)
+        self.tick_until(arrived_at, make_report(1))
+        self.broker.submit(shard, ME, self.now, known_at=self.now - MS(500))
+        self.assertEqual([], self.tick_until(arrived_at + MS(1275), make_report(1)))
+        # Sent again, after a connection was replaced.
+        self.broker.submit(shard, ME, self.now)
+        late = self.tick_until(arrived_at + MS(1350), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
+    # Counted from the takeover, the earlier holder's lease was over too early: it had
+    # extended it until the worker's first answer, and the task got a second run.
+    def test_lease_of_an_earlier_holder_counts_from_the_first_answer(self):
+        report, run = self.hold_with_inherited_run()
+        self.broker.handle_reports([report, make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.clock.advance(MS(900))
+        self.poll(report, running=[run])
+        answered_at = self.now
+        self.broker.handle_poll_failure(
+            "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.submit(self.make(is_resumed=True))
+        early = self.tick_until(answered_at + MS(1058), make_report(1))
+        self.assertEqual([], early)
+        late = self.tick_until(answered_at + MS(1120), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
     def test_gateway_is_sent_the_workers_of_its_shard(self):
         self.hold(make_report())
         submission = self.make(task_count=2)
@@ -852,6 +997,48 @@
         self.assertEqual(frozenset(), self.broker.worker_ids())
 
 
+class TestEarlierWorkers(BrokerCase):
+    """Workers that an earlier holder has told of, whether the store has them or not."""
+
+    def record_worker_set(self, token, *workers):
+        told = broker_messages.WorkerSet(HOME, token, 1, frozenset(workers), True)
+        return self.broker.record_worker_set(told)
+
+    # Only the gateway of a started shard knew its worker, if the note had arrived.
+    def test_resumed_shard_waits_for_a_worker_of_the_earlier_holder(self):
+        self.record_worker_set(7, "w-0", "w-1")
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        run = runs.Run(runs.Task(f"{1:016x}", 0, 0, 0), 1)
+        self.assertEqual([], self.starts(self.poll(make_report(1), running=[run])))
+
+    def test_resumed_shard_waits_if_the_earlier_holder_has_told_of_no_workers(self):
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
+        self.record_worker_set(7, "w-0")
+        self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
+
+    def test_new_shard_does_not_wait_for_workers_of_the_earlier_holder(self):
+        self.record_worker_set(7, "w-0", "w-1")
+        self.broker.start_holding(HOME, 9, self.now, 7)
+        self.broker.handle_reports([make_report(0)], self.now)
+        self.poll(make_report(0))
+        self.assertEqual(1, len(self.starts(self.submit(self.make()))))
+
+    def test_others_are_told_of_a_worker_before_it_is_polled(self):
+        self.broker.start_holding(HOME, 9, self.now)
+        actions = self.broker.handle_reports([make_report(0)], self.now)
+        kinds = [type(x).__name__ for x in actions]
+        self.assertLess(kinds.index("TellWorkers"), kinds.index("PollWorker"))
+        [told] = self.broker.worker_sets()
+        self.assertEqual((9, {"w-0"}, True), (told.token, told.workers, told.is_whole))
+
+
 class TestWorkerFailures(BrokerCase):
     """Workers that restart, fall silent, or fail their runs."""
 
@@ -884,6 +1071,19 @@
         actions = self.poll(later)
         self.assertEqual([], self.starts(actions))
 
+    # Without an answer no lease ends, so its orders kept it in the table for ever.
+    def test_incarnation_that_never_answers_is_removed_with_its_orders(self):
+        self.hold(make_report())
+        self.starts(self.submit(self.make()))
+        self.broker.handle_reports([make_report(incarnation="2")], self.now)
+        self.broker.handle_poll_failure(
+            "w-0", "2", runs.OrderResult.NO_ANSWER, self.now
+        )
+        self.broker.handle_reports([], self.now)
+        self.clock.advance(MS(3001))
+        self.broker.tick(self.now)
+        self.assertEqual(frozenset(), self.broker.worker_ids())
+
     def test_runs_of_a_silent_worker_end_with_the_lease(self):
         self.hold(make_report(0))
         [started] = self.starts(self.submit(self.make()))
@@ -1094,9 +1294,11 @@
         self.answer(self.start)
         self.submitted_at = self.now
 
-    def state(self, sequence, *shards):
+    def state(self, sequence, *shards, known_ms=0):
+        """State the shards of a gateway; it knew of its clients some time ago."""
         statement = broker_messages.Statement(sequence, frozenset(shards))
-        return self.broker.handle_statement(OTHER, statement, self.now)
+        known_at = self.now - MS(known_ms)
+        return self.broker.handle_statement(OTHER, statement, self.now, known_at)
 
     def poll_lease_ms(self):
         """Return how long the lease that the next poll asks for lasts from now."""
@@ -1120,6 +1322,18 @@
         self.state(1, 4)
         self.assertEqual(1000.0, self.poll_lease_ms())
 
+    # Statements of a gateway whose clients' ends lay unread renewed it.
+    def test_statement_renews_it_no_further_than_its_gateway_knows(self):
+        self.clock.advance(MS(500))
+        self.state(1, 4, known_ms=300)
+        self.assertAlmostEqual(self.LONGEST_MS - 301, self.poll_lease_ms(), 2)
+
+    def test_statement_does_not_shorten_what_an_earlier_one_has_renewed(self):
+        self.clock.advance(MS(500))
+        self.state(1, 4)
+        self.state(2, 4, known_ms=300)
+        self.assertEqual(1000.0, self.poll_lease_ms())
+
     # A stop that never reached the worker, while polls did, let the run go on.
     def test_lease_is_not_extended_while_a_stop_is_not_confirmed(self):
         self.state(1)
@@ -1140,6 +1354,33 @@
         # The clock was read 500 ms ago.
         self.assertLessEqual(lease_ms, longest_ms)
 
+    # The lease, extended for others just before, outlasted the pause after which the
+    # client of a gateway that had been lost sends its job again.
+    def test_nothing_starts_under_a_lease_that_outlasts_the_gateways_word(self):
+        self.broker.gateway_timeout = MS(600)
+        [beside] = self.starts(self.submit(self.make(2, shard=5), OTHER))
+        gone = broker_messages.GatewayId("vm-2", "1")
+        self.assertEqual([], self.starts(self.submit(self.make(3), gone)))
+        self.clock.advance(MS(500))
+        self.state(1, 4, 5)
+        self.poll(self.report, running=[self.start.run, beside.run])
+        ended = [runs.FinishedRun(1, beside.run, runs.RunResult.DONE)]
+        actions = self.poll(self.report, [self.start.run], ended)
+        self.assertEqual([], self.starts(actions))
+        statement = broker_messages.Statement(1, frozenset({0}))
+        self.broker.handle_statement(gone, statement, self.now)
+        self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
+
+    def test_lease_of_an_idle_worker_leaves_room_for_a_silent_gateway(self):
+        self.broker.gateway_timeout = MS(600)
+        [lease_end] = self.leases(self.finish(self.start))
+        lease_ms = clock.to_milliseconds(lease_end - MS(10_000))
+        self.assertAlmostEqual(self.LONGEST_MS, lease_ms + 600, 2)
+
+    def test_leases_leave_room_for_the_interval_between_statements(self):
+        self.broker.statement_interval = MS(320)
+        self.assertAlmostEqual(self.LONGEST_MS - 320, self.poll_lease_ms(), 2)
+
     def test_shorter_pause_of_clients_ends_shards_earlier(self):
         self.broker.set_terms(broker_messages.Terms(retransmit=MS(600)))
         self.broker.gateway_timeout = MS(600)
