Model: pauses, reads and known instants as the daemon has them now

After a pause a simulated daemon handles the ends of its clients before it decides anything, its observer says up to when it has handled what arrived, and a read of the reports says whether it is linearizable; a request for such a read stands until one has succeeded.

--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -158,6 +158,9 @@
         self._node = node
 
     def arrived(self, turns: int = 1) -> datetime.datetime:
+        return self.handled_until()
+
+    def handled_until(self) -> datetime.datetime:
         return self._node.handled_until or self.clock.now()
 
     def count(self) -> int:
@@ -213,8 +216,7 @@
         Whether the decision loop needs the workers' reports.
     stale_reports : tuple of runs.WorkerReport or None
         What its reads return until it becomes a holder, and the read that begins just
-        then in place of a fresh one if it reads the reports already; ``None`` if its
-        reads are fresh.
+        then if it reads the reports already; ``None`` if its reads are fresh.
     on_start_order : callable or None
         Called after each order that starts a run was sent, before anything else is.
     """
@@ -244,7 +246,9 @@
         # Messages that wait while the daemon is suspended or slow.
         self._waiting: list[messages.Message] = []
         self._is_catching_up = False
-        self._skips_refresh = False
+        self._needs_fresh_read = False
+        # Whether no decision is made until the ends of clients have been handled.
+        self._waits_for_ends = False
         self._slow_until = event_engine.now()
         self._longest_turn = datetime.timedelta()
         self._random = random.Random(random_state)
@@ -296,7 +300,8 @@
 
     def _thaw(self) -> None:
         if self.is_alive and self._engine.now() >= self.frozen_until:
-            self.decision_loop.tick()
+            if not self._reads_first():
+                self.decision_loop.tick()
             self._catch_up()
 
     def slow_down(
@@ -326,6 +331,11 @@
         if self.is_alive and self._engine.now() >= self.frozen_until:
             self._catch_up()
 
+    def _reads_first(self) -> bool:
+        """Return whether the loop handles the ends of clients before anything else."""
+        longest_ms = clock.to_milliseconds(decision_loop.MAX_KNOWN_AGE)
+        return self.decision_loop.known_age_ms() > longest_ms
+
     def _catch_up(self) -> None:
         """Handle the messages that wait; sockets are read in no particular order.
 
@@ -334,21 +344,54 @@
         if self._is_catching_up:
             return
         self._is_catching_up = True
+        if self._reads_first():
+            self._waits_for_ends = True
+            delay = MAX_CATCH_UP * self._random.random()
+            self._engine.after(delay, self._handle_ends_first)
+            return
         waiting, self._waiting = self._waiting, []
         of_clients: list[messages.Message] = [
             x for x in waiting if isinstance(x, CLIENT_MESSAGES)
         ]
+        self._handle_all(self._in_socket_order(waiting))
+        self._engine.after(
+            MAX_CATCH_UP * self._random.random(),
+            lambda: self._finish_catching_up(of_clients),
+        )
+
+    def _in_socket_order(
+        self, waiting: list[messages.Message]
+    ) -> list[messages.Message]:
+        """Return the messages that are not of clients, by source, in random order."""
         by_source: dict[typing.Any, list[messages.Message]] = {}
         for message in waiting:
             if not isinstance(message, CLIENT_MESSAGES):
                 by_source.setdefault(_source(message), []).append(message)
         sources = list(by_source.values())
         self._random.shuffle(sources)
-        self._handle_all([x for source in sources for x in source])
-        self._engine.after(
-            MAX_CATCH_UP * self._random.random(),
-            lambda: self._finish_catching_up(of_clients),
-        )
+        return [x for source in sources for x in source]
+
+    def _handle_ends_first(self) -> None:
+        """Handle the ends of clients, then a tick, then all else, as the loop does."""
+        self._is_catching_up = self._waits_for_ends = False
+        if not self.is_alive or self._engine.now() < self.frozen_until:
+            return
+        waiting, self._waiting = self._waiting, []
+        left = set()
+        for message in waiting:
+            if isinstance(message, messages.ClientLeft):
+                self.decision_loop.handle(message)
+                left.add(message.reply_id)
+        self.handled_until = None
+        self.decision_loop.tick()
+        posted = [
+            x
+            for x in waiting
+            if isinstance(x, messages.JobPosted) and x.reply_id not in left
+        ]
+        self._handle_all([*self._in_socket_order(waiting), *posted])
+        if self._engine.now() < self._slow_until:
+            self._begin_turn()
 
     def _handle_all(self, waiting: list[messages.Message]) -> None:
         for message in waiting:
@@ -381,7 +424,8 @@
         if self._engine.now() < self.frozen_until:
             self._engine.at(self.frozen_until, self._tick)
             return
-        self.decision_loop.tick()
+        if not self._waits_for_ends:
+            self.decision_loop.tick()
         self._engine.after(self.decision_loop.max_wait(), self._tick)
 
     # Other daemons
@@ -558,11 +602,11 @@
         self._engine.after(STORE_LATENCY, deliver)
 
     def _read_stale_reports(self) -> None:
-        """Read reports that are stale, in place of the fresh read that is due."""
+        """Read reports as the daemon becomes a holder, before the read that is due."""
         if self.stale_reports is not None and self.needs_reports:
             now = self._engine.now()
-            self.put(messages.ReportsRead(self.stale_reports, frozenset(), now))
-            self._skips_refresh = True
+            reports, no_news = self.stale_reports, frozenset[str]()
+            self.put(messages.ReportsRead(reports, no_news, now, False))
         self.stale_reports = None
 
     def _read_members(self) -> None:
@@ -578,10 +622,11 @@
             self._engine.after(MEMBERS_READ_INTERVAL, self._read_members)
 
     def refresh_reports(self) -> None:
-        """Read the workers' reports now, in addition to the regular reads."""
-        if self._skips_refresh:
-            self._skips_refresh = False
-            return
+        """Read the workers' reports now, in addition to the regular reads.
+
+        The request stands until a read succeeds.
+        """
+        self._needs_fresh_read = True
         self._engine.after(STORE_LATENCY, self._read_reports_once)
 
     def _read_reports(self) -> None:
@@ -597,9 +642,12 @@
         now = self._engine.now()
         is_store_reachable = self._store.is_reachable(self.me)
         if is_store_reachable and self.needs_reports and self.is_alive:
-            reports = self.stale_reports or self._store.visible_reports()
-            live_data_centres = frozenset(x.data_centre for x in reports)
-            self.put(messages.ReportsRead(reports, live_data_centres, now))
+            reports, is_fresh = self._store.visible_reports(), self._needs_fresh_read
+            if self.stale_reports is not None and not is_fresh:
+                reports = self.stale_reports
+            self._needs_fresh_read = False
+            live = frozenset(x.data_centre for x in reports)
+            self.put(messages.ReportsRead(reports, live, now, is_fresh))
 
 
 def _source(message: messages.Message) -> typing.Any:
