A restarted worker keeps resumed shards waiting until it answers

An order of the earlier holder that was held up may reach the next incarnation of its worker, which knows no token yet and whose clock starts anew: the end of the lease in the order says nothing there, and its run may begin seconds later. So the bound by which runs of earlier holders have ended does not hold for a worker that has restarted under this holder and has not answered since.

test_resumed_shard_waits_for_a_restarted_worker_until_it_answers failed before: a start within 2 s.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -556,8 +556,11 @@
     ) -> bool:
         """Return whether a shard may have runs of earlier holders, not known here."""
         end = shard.earlier_runs_end
-        is_over = end is None or now >= end
-        return not is_over and self._workers.may_miss_runs(shard.submission)
+        if end is None:
+            return False
+        if now < end:
+            return self._workers.may_miss_runs(shard.submission)
+        return self._workers.may_obey_late_orders(shard.submission)
 
     def _repeat_answer(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/held_worker.py
@@ -58,6 +58,8 @@
     ----------
     held_since : datetime.datetime
         When it was held; an answer to a poll sent earlier is not about its ledger.
+    has_restarted : bool
+        Whether an earlier incarnation of it was held in the same tenure.
     lease_counts_from : datetime.datetime
         Latest instant at which the lease may have been extended: by an earlier holder
         until the worker's first answer, from then on by this one.
@@ -78,6 +80,7 @@
         self.is_draining = report.is_draining
         self.missing_since: datetime.datetime | None = None
         self.held_since = now
+        self.has_restarted = False
         self.confirmed_sequence = 0
         self._sent_sequence = 0
         self._polled_at = now
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -106,7 +106,8 @@
                 continue
             worker = held_worker.HeldWorker(report, token, now, self._task_counts)
             self._workers[worker_id] = worker
-            self._unanswered.pop(worker_id, None)
+            earlier = self._unanswered.pop(worker_id, report)
+            worker.has_restarted = earlier.incarnation != report.incarnation
             for run, entry in self._carried_over.pop(worker_id, {}).items():
                 worker.ledger.record_carried_over(run, entry, now)
             added.append(worker)
@@ -209,6 +210,17 @@
             return True
         return any(x not in self._workers for x in submission.workers)
 
+    def may_obey_late_orders(self, submission: broker_messages.Submission) -> bool:
+        """Return whether a worker may still begin what an earlier holder has ordered.
+
+        An order that was held up may reach the next incarnation of its worker, whose
+        clock starts anew: it has not passed the end of the lease in the order.
+        """
+        return any(
+            x.has_restarted and not x.ledger.has_status
+            for x in self.suitable(submission)
+        )
+
     def can_ever_fit(self, submission: broker_messages.Submission) -> bool:
         """Return whether each step fits on some idle worker of the service."""
         service = submission.queue.service
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -793,6 +793,19 @@
         self.assertEqual([], self.starts(self.broker.tick(self.now)))
         self.assertEqual(1, len(self.starts(self.poll(later))))
 
+    # A held-up order of the earlier holder began a run on the next incarnation of its
+    # worker seconds later: the end of its lease was an instant of the clock before.
+    def test_resumed_shard_waits_for_a_restarted_worker_until_it_answers(self):
+        later = make_report(0, incarnation="2")
+        self.hold_with_inherited_run()
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.broker.handle_reports([later, make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.submit(self.make(is_resumed=True, deadline=self.now + MS(5000)))
+        early = self.tick_until(self.now + MS(2000), make_report(1))
+        self.assertEqual([], early)
+        self.assertEqual(1, len(self.starts(self.poll(later))))
+
     # A worker that never came back kept the shard waiting until its deadline.
     def test_resumed_shard_waits_no_longer_than_an_earlier_run_can_last(self):
         self.broker.start_holding(HOME, 9, self.now)
