--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -1012,16 +1012,17 @@
         again = self.starts(self.broker.tick(self.now))
         self.assertEqual(["w-1"], [x.worker.worker_id for x in again])
 
-    def lose_lease(self):
-        """Lose the lease of a worker with a run for ``OTHER``; return the starts."""
+    def lose_lease(self, is_answered=True, still_reported=()):
+        """Lose the lease of a worker with an order for ``OTHER``; return the starts."""
         self.broker.gateway_timeout = MS(600)
         self.hold(make_report(0))
         [started] = self.starts(self.submit(self.make(shard=4), OTHER))
-        self.answer(started)
+        if is_answered:
+            self.answer(started)
         self.broker.handle_poll_failure(
             "w-0", "1", runs.OrderResult.NO_ANSWER, self.now
         )
-        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.broker.handle_reports([*still_reported, make_report(1)], self.now)
         self.clock.advance(MS(1000))
         self.state(1)
         self.poll(make_report(1))
@@ -1035,13 +1036,21 @@
     # A later holder, unknown here, had been sent the shard and extended the lease: the
     # task got a second run.
     def test_task_starts_again_only_if_its_gateway_still_waits_here(self):
-        self.assertEqual([], self.lose_lease())
+        self.assertEqual([], self.lose_lease(still_reported=[make_report(0)]))
         self.clock.advance(MS(20))
         self.assertEqual([], self.starts(self.broker.tick(self.now)))
         self.state(2)
         again = self.starts(self.broker.tick(self.now))
         self.assertEqual(["w-1"], [x.worker.worker_id for x in again])
 
+    # The same with an order that got no answer yet, on a worker that is dropped.
+    def test_order_of_a_dropped_worker_starts_again_only_then(self):
+        self.assertEqual([], self.lose_lease(is_answered=False))
+        self.assertEqual({"w-1"}, self.broker.worker_ids())
+        self.state(2)
+        again = self.starts(self.broker.tick(self.now))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in again])
+
     def test_task_of_the_own_gateway_starts_again_at_once(self):
         self.broker.record_own_gateway(OTHER, self.now + MS(900))
         again = self.lose_lease()
