--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -156,16 +156,15 @@
             Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        complete_at = requested_at if is_linearizable else held_worker.NEVER
-        for data_centre in self._workers.record_reports(reports, complete_at):
+        for data_centre in self._workers.record_reports(
+            reports, requested_at, is_linearizable
+        ):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
                 workers=self._workers.count_reported(data_centre),
                 read_ms=_ms_between(requested_at, now),
             )  # fmt: skip
-        for worker_id in self._workers.former.record_read(requested_at):
-            self._actions.log("expected_worker_missing", worker_id)
         for worker in self._workers.all():
             worker_id = worker.report.worker_id
             report = self._workers.report(worker_id)
@@ -181,6 +180,8 @@
                 worker.is_draining = True
                 self._actions.log("worker_draining", worker_id)
         self._hold_reported_workers(now)
+        for worker_id in self._workers.former.record_read(requested_at):
+            self._actions.log("expected_worker_missing", worker_id)
         self._place(now)
         return self._actions.drain()
 
@@ -217,10 +218,15 @@
     ) -> None:
         """Drop an incarnation that has ended for good."""
         lost = self._workers.remove(worker_id, now)
-        self._handle_lost_worker(worker_id, cause, lost)
+        self._handle_lost_worker(worker_id, cause, lost, given_up_at=now)
 
     def _handle_lost_worker(
-        self, worker_id: str, cause: str, lost: list[runs.Run], carried_over: int = 0
+        self,
+        worker_id: str,
+        cause: str,
+        lost: list[runs.Run],
+        carried_over: int = 0,
+        given_up_at: datetime.datetime | None = None,
     ) -> None:
         """Requeue the tasks that ran in an incarnation that has ended."""
         self._jobs.inherited.drop_worker(worker_id)
@@ -228,7 +234,7 @@
             "worker_dropped", worker_id, why=cause, runs=len(lost), carried=carried_over
         )
         for run in lost:
-            self._jobs.requeue_task(run, worker_id)
+            self._jobs.requeue_task(run, worker_id, given_up_at)
 
     def handle_status(
         self,
@@ -867,7 +873,7 @@
         started_on: set[str] = set()
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            if not candidates_of.of(state):
+            if self._may_run_on(shard, state) or not candidates_of.of(state):
                 continue
             chosen = self._placer.choose(shard, state, candidates_of, pool, queued, now)
             if chosen is None:
@@ -885,6 +891,19 @@
             )
         return bool(started_on)
 
+    def _may_run_on(
+        self, shard: shard_state.ShardState, state: shard_state.TaskState
+    ) -> bool:
+        """Return whether a run that was given up may go on under a later holder.
+
+        That extends leases only for gateways that have sent it their shards, and these
+        tell this daemon nothing of them from then on.
+        """
+        if state.given_up_at is None or self.gateway_timeout is None:
+            return False
+        is_told = self._jobs.waits_until(shard) >= state.given_up_at
+        return not is_told and not self._gateways.is_own(shard.shard_id.gateway)
+
     def _order_start(
         self,
         shard: shard_state.ShardState,
@@ -1019,7 +1038,7 @@
                     held_ms=_ms_between(worker.held_since, now),
                     counted_ms=_ms_between(worker.lease_counts_from, now),
                 )  # fmt: skip
-                self._jobs.requeue_task(run, worker_id)
+                self._jobs.requeue_task(run, worker_id, given_up_at=now)
             if worker.missing_since is not None:
                 self._remove_worker(worker_id, "missing and silent", now)
                 return
