Broker: a run after one that nobody asked for in time has a higher number

Cause: an inherited run that is stopped for want of a shard was forgotten with its number; the resumed shard that came later counted from 1.

Change: its number is stored as that of a finished shard's run is.

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -986,6 +986,7 @@
             x.report.worker_id for x in workers if x.ledger.token in complete
         }
         for run, worker_id in self._jobs.inherited.pop_unmatched(now, unwanted_on):
+            self._jobs.outcomes.record_run_number(run.task, run.number, now)
             held = self._workers.get(worker_id)
             if held is not None:
                 self._actions.log(
--- a/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/outcome_cache.py
@@ -55,8 +55,8 @@
     def record_run_number(
         self, task: runs.Task, number: int, now: datetime.datetime
     ) -> None:
-        """Store the last run number of a task; later submissions continue from it."""
-        self._run_numbers[task] = (number, now)
+        """Store a run number of a task; later submissions continue from the highest."""
+        self._run_numbers[task] = (max(number, self.last_run_number(task)), now)
 
     def last_run_number(self, task: runs.Task) -> int:
         """Return the last run number of a task; 0 if it is not stored."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -930,6 +930,17 @@
         stopped = self.stops(self.broker.tick(self.now))
         self.assertEqual([run], [x.run for x in stopped])
 
+    # The shard came after its run had been stopped, and its next run had a lower number.
+    def test_run_after_an_unmatched_one_has_a_higher_number(self):
+        report, run = self.hold_with_inherited_run()
+        self.poll(report, running=[run])
+        self.clock.advance(MS(500))
+        self.broker.tick(self.now)
+        stopped = runs.FinishedRun(1, run, runs.RunResult.STOPPED)
+        self.poll(report, finished=[stopped])
+        [started] = self.starts(self.submit(self.make(is_resumed=True)))
+        self.assertEqual(run.number + 1, started.run.number)
+
     # Runs of one number on two workers: only one of them was stopped.
     def test_unmatched_runs_of_one_number_are_all_stopped(self):
         _, run = self.hold_with_inherited_run()
