--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -930,7 +930,7 @@
         stopped = self.stops(self.broker.tick(self.now))
         self.assertEqual([run], [x.run for x in stopped])
 
-    # The shard came after its run had been stopped, and its next run had a lower number.
+    # The shard came after its run had been stopped; the next run had a lower number.
     def test_run_after_an_unmatched_one_has_a_higher_number(self):
         report, run = self.hold_with_inherited_run()
         self.poll(report, running=[run])
