--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -237,6 +237,9 @@
         now = self.clock.now()
         pause = clock.milliseconds(self.known_age_ms())
         self.election.record_pause(pause, now)
+        self._last_received = {
+            k: min(v + pause, now) for k, v in self._last_received.items()
+        }
         until = now + MAX_CATCH_UP
         for _ in range(CATCH_UP_TURNS):
             await asyncio.sleep(0)
@@ -513,9 +516,7 @@
         """
         if sender == self.me:
             return
-        last = self._last_received.get(sender.vm)
-        was_silent = last is None or now - last >= self.election.suspect_after()
-        if last is None:
+        if sender.vm not in self._last_received:
             logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
         self._last_received[sender.vm] = now
         vm, incarnation = sender.vm, sender.incarnation
@@ -524,7 +525,6 @@
             self.election.record_message(sender, None, now)
             if not was_responsive:
                 self._update_brokers(now)
-            if was_silent or not was_responsive:
                 # One that stood still does not act on what it was sent meanwhile.
                 self.restate_shards(sender, now)
             return
