--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -234,13 +234,7 @@
         list of messages.Message
             Messages that are left to handle.
         """
-        now = self.clock.now()
-        pause = clock.milliseconds(self.known_age_ms())
-        self.election.record_pause(pause, now)
-        self._last_received = {
-            k: min(v + pause, now) for k, v in self._last_received.items()
-        }
-        until = now + MAX_CATCH_UP
+        until = self.clock.now() + MAX_CATCH_UP
         for _ in range(CATCH_UP_TURNS):
             await asyncio.sleep(0)
             if not self._is_behind() or self.clock.now() >= until:
@@ -341,8 +335,7 @@
         # Disconnects of clients that came before have been read and handled.
         self.broker.record_own_gateway(self._own_id, self._observer.handled_until())
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
-        # Who is silent cannot be told as long as their messages may be unread.
-        if now >= self._next_slow_tick and not self._is_outdated(self.known_age_ms()):
+        if now >= self._next_slow_tick:
             self._next_slow_tick = now + self._slow_tick_interval
             steps = (*_SLOW_STEPS, *_TIMED_STEPS)
         failures = set()
@@ -457,14 +450,9 @@
         known_age_ms : float
             Time since its client certainly waited, in milliseconds.
         """
-        if self._is_outdated(known_age_ms):
-            self._resubmit_to.add(peer)
-
-    def _is_outdated(self, known_age_ms: float) -> bool:
-        """Return whether a word with such knowledge may not last until the next."""
         interval = self.election.pace().heartbeat_interval
-        limit = self.election.suspect_after() - interval
-        return clock.milliseconds(known_age_ms) > limit
+        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
+            self._resubmit_to.add(peer)
 
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -183,17 +183,6 @@
         if peer is not None and peer.daemon == daemon:
             peer.is_refusing = True
 
-    def record_pause(self, pause: datetime.timedelta, now: datetime.datetime) -> None:
-        """Count no daemon as silent for a time in which this one did not listen."""
-        for peer in self._peers.values():
-            if peer.last_received_at is not None:
-                peer.last_received_at = min(peer.last_received_at + pause, now)
-            if peer.contacted_at is not None:
-                peer.contacted_at = min(peer.contacted_at + pause, now)
-        self._claimable_since = {
-            k: min(v + pause, now) for k, v in self._claimable_since.items()
-        }
-
     def record_refused_holder(self, data_centre: str, now: datetime.datetime) -> None:
         """Record that a worker refuses this daemon because of a higher token.
 
