After a pause a daemon counts those as alive whose messages it has read

What callers saw: takeovers from holders that were well, by a daemon that had stood still itself.

Cause: the first tick after a pause came before the messages that had been read, so all others looked silent.

Change: the catch-up after a pause passes on who has sent something, before the tick. The test of a live holder failed before. A pause between two messages of one batch is not covered.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -224,6 +224,8 @@
     ) -> list[messages.Message]:
         """Read what has come during a pause; handle the ends of clients before it.
 
+        Daemons that have sent something meanwhile do not count as silent.
+
         Parameters
         ----------
         received : list of messages.Message
@@ -245,6 +247,13 @@
             if isinstance(message, messages.ClientLeft):
                 self.handle(message)
                 left.add(message.reply_id)
+        heard = (
+            x.sender for x in received if isinstance(x, messages.PeerMessagesReceived)
+        )
+        for sender in dict.fromkeys(heard):
+            now = self.clock.now()
+            message = messages.PeerMessagesReceived(sender, (), now)
+            self.dispatch(type(message).__name__, message, now)
         # A job whose client has left as well is not begun.
         return [
             x
--- a/libs/carawaysail_fleet/tests/test_decision_loop.py
+++ b/libs/carawaysail_fleet/tests/test_decision_loop.py
@@ -71,9 +71,10 @@
         self.loop = decision_loop.DecisionLoop(
             cfg, ME, self.inbox, self.clock, self.open_stream, observer=observer
         )
+        self.claims = Component()
         self.loop.set_dependencies(
             decision_loop.Dependencies(
-                self.workers, Component(), Component(), self.replies, self.metrics,
+                self.workers, self.claims, Component(), self.replies, self.metrics,
                 Component(),
             )
         )  # fmt: skip
@@ -476,7 +477,7 @@
         self.decided = []
         self.ticked_at = None
 
-    def play(self, *received, client_left=None):
+    def go_on(self, *received, client_left=None, after_ms=700):
         """Let the loop go on with some messages, while a client's end is unread."""
 
         def read(turns_left):
@@ -497,6 +498,12 @@
                 await asyncio.sleep(0)
             task.cancel()
 
+        self.clock.advance(MS(after_ms))
+        asyncio.run(run())
+
+    def play(self, *received, client_left=None):
+        """Let the loop go on, and record what it handles and when it ticks."""
+
         def handle(loop, message):
             self.decided.append(type(message).__name__)
             return self.clock.now()
@@ -509,12 +516,11 @@
             loop._next_heartbeat = self.clock.now() + MS(60_000)
             return True
 
-        self.clock.advance(MS(700))
         with (
             unittest.mock.patch.object(decision_loop.DecisionLoop, "handle", handle),
             unittest.mock.patch.object(decision_loop.DecisionLoop, "tick", tick),
         ):
-            asyncio.run(run())
+            self.go_on(*received, client_left=client_left)
 
     # It stated, and submitted to new holders, the shards of clients that had left.
     def test_ends_of_clients_are_handled_before_anything_is_decided(self):
@@ -543,6 +549,36 @@
         self.play(messages.PeerMessagesReceived(REMOTE, (), self.clock.now()))
         self.assertLess(self.ticked_at - went_on_at, MS(200))
 
+    def follow_holder(self):
+        """Hear another daemon hold the own data centre for some time."""
+        holder = REMOTE._replace(data_centre="home")
+        self.observer.catch_up()
+        self.receive(make_heartbeat(), holder)
+        record = daemons.Holder("home", holder.vm, holder.incarnation, 5)
+        self.loop.record_holder(record, self.clock.now())
+        for _ in range(40):
+            self.clock.advance(MS(100))
+            self.receive(make_heartbeat(), holder)
+            self.loop.tick()
+        return holder
+
+    # It claimed the data centre of a holder whose messages it had read, not handled.
+    def test_daemons_that_have_sent_something_do_not_count_as_silent(self):
+        holder = self.follow_holder()
+        self.observer.late = MS(700)
+        heard = (make_heartbeat(),)
+        self.go_on(messages.PeerMessagesReceived(holder, heard, self.clock.now()))
+        self.assertEqual([], self.claims.calls)
+
+    def test_dead_holder_is_replaced_by_a_daemon_with_long_turns(self):
+        self.follow_holder()
+        for _ in range(20):
+            self.observer.late = MS(240)
+            self.clock.advance(MS(160))
+            heard = messages.PeerMessagesReceived(ME, (), self.clock.now())
+            self.go_on(heard, after_ms=80)
+        self.assertEqual([("claim", ("home", 5))], self.claims.calls[:1])
+
 
 class TestHeartbeats(DecisionLoopCase):
     """Heartbeats of other daemons."""
