Broker: a task whose order may still be carried out by a removed worker's next boot starts nowhere else

Cause: when a worker was removed as missing and silent, tasks with orders without an answer started elsewhere at once. Such an order may be carried out seconds later, and by the next boot under that name, whose clock starts anew. Orders kept for that boot were never dropped if it did not come (199 entries after 200 workers had come and gone).

--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -886,6 +886,7 @@
                 queued += 1
             elif (
                 not self._workers.is_on_any_worker(state.task)
+                and not self._workers.may_begin_late(state.task, now)
                 and not self._may_run_on(shard, state)
                 and self._order_start(shard, state, chosen, now)
             ):
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -328,15 +328,26 @@
             self.acknowledged_sequence, finished_run.sequence
         )
 
-    def unreported(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
-        """Return the starts that no status has shown, whether or not they still count.
+    def unanswered(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
+        """Return the starts without an answer, whether or not they still count.
 
-        If the worker restarts, they may reach the next incarnation.
+        Without those that can no longer be carried out.
         """
         oldest = now - LATE_ORDER_TIME
         lost = {k: v for k, v in self._lost_starts.items() if v.since > oldest}
+        ordered = {
+            k: v for k, v in self._entries.items() if v.state is RunState.ORDERED
+        }
+        return {**ordered, **lost}
+
+    def unreported(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
+        """Return the starts that no status has shown.
+
+        If the worker restarts, they may have reached the next incarnation, also those
+        that were accepted.
+        """
         counted = {k: v for k, v in self._entries.items() if k not in self._reported}
-        return {**counted, **lost}
+        return {**counted, **self.unanswered(now)}
 
     def record_carried_over(
         self, run: runs.Run, entry: Entry, now: datetime.datetime
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -4,7 +4,13 @@
 import collections.abc
 import datetime
 
-from carawaysail_holding import broker_messages, former_workers, held_worker, ledger
+from carawaysail_holding import (
+    broker_messages,
+    former_workers,
+    held_worker,
+    late_orders,
+    ledger,
+)
 from carawaysail_types import jobs, runs
 
 
@@ -21,8 +27,7 @@
         self._workers: dict[str, held_worker.HeldWorker] = {}
         # Number of runs of each task that count on any held worker.
         self._task_counts: collections.Counter[runs.Task] = collections.Counter()
-        # Orders to an earlier incarnation of a worker that may have reached the next.
-        self._carried_over: dict[str, dict[runs.Run, ledger.Entry]] = {}
+        self._late_orders = late_orders.LateOrders()
         # By worker; the store may still report an incarnation that has ended.
         self._ended_incarnations: dict[str, str] = {}
         # Removed workers whose present incarnation has not answered this holder.
@@ -94,6 +99,7 @@
         """
         self._reports = {report.worker_id: report for report in reports}
         self._read_at = requested_at
+        self._late_orders.prune(requested_at)
         if not is_linearizable:
             return []
         complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
@@ -130,7 +136,7 @@
             self._workers[worker_id] = worker
             earlier = self._unanswered.pop(worker_id, report)
             worker.has_restarted = earlier.incarnation != report.incarnation
-            for run, entry in self._carried_over.pop(worker_id, {}).items():
+            for run, entry in self._late_orders.pop(worker_id).items():
                 worker.ledger.record_carried_over(run, entry, now)
             self.former.record_held(report.data_centre, worker_id)
             added.append(worker)
@@ -182,15 +188,13 @@
     def remove(self, worker_id: str, now: datetime.datetime) -> list[runs.Run]:
         """Remove an incarnation that has ended; return the runs that counted there.
 
-        Orders that may reach the next incarnation of that name are kept for its ledger.
+        Its next incarnation may still carry out orders without an answer.
         """
         worker = self._workers.pop(worker_id)
         worker.ledger.detach()
         if not worker.ledger.has_status:
             self._unanswered[worker_id] = worker.report
-        unreported = worker.ledger.unreported(now)
-        if unreported:
-            self._carried_over[worker_id] = unreported
+        self._late_orders.add(worker_id, worker.ledger.unanswered(now))
         return list(worker.ledger.entries())
 
     def handle_restart(
@@ -206,12 +210,13 @@
             Number of orders that may have reached the next incarnation, whose ledger
             starts with them.
         """
-        report = self._workers[worker_id].report
-        self._ended_incarnations[worker_id] = report.incarnation
-        counted = self.remove(worker_id, now)
-        self._unanswered[worker_id] = report
-        carried_over = self._carried_over.get(worker_id, {})
-        return [run for run in counted if run not in carried_over], len(carried_over)
+        worker = self._workers[worker_id]
+        unreported = worker.ledger.unreported(now)
+        self._ended_incarnations[worker_id] = worker.report.incarnation
+        lost = [run for run in self.remove(worker_id, now) if run not in unreported]
+        self._unanswered[worker_id] = worker.report
+        self._late_orders.add(worker_id, unreported)
+        return lost, len(unreported)
 
     # Workers for a shard
 
@@ -276,6 +281,10 @@
         """Return whether a run of a task counts on some held worker."""
         return task in self._task_counts
 
+    def may_begin_late(self, task: runs.Task, now: datetime.datetime) -> bool:
+        """Return whether a worker that is not held now may yet begin a run of a task."""
+        return self._late_orders.may_include(task, now)
+
 
 def _can_run(report: runs.WorkerReport, step: jobs.Step) -> bool:
     has_label = not step.required_label or step.required_label in report.labels
