Soak: entries of living workers lapse, and a holder that is killed meanwhile

The soak had no fault in which the store lacks a worker that is alive, so it could not show rule TWICE by way of an incomplete list. entries_lapse removes the entries of some workers for up to two seconds. It is drawn among the faults that strike together; plans of size resends change by that, those of the other sizes do not.

holder_killed_without_entries.json kills three holders right after starts whose notes are delayed, while all but one of their workers are missing in the store.

--- a/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
@@ -6,7 +6,7 @@
 import signal
 import typing
 
-from carawaysail_platform_standins import odd_entries, store_faults
+from carawaysail_platform_standins import odd_entries, store, store_faults
 from carawaysail_soak import faults, plan, site, targets
 
 # Workers
@@ -162,6 +162,17 @@
         where.store.revoke_keys(vm)
 
 
+@faults.kind("entries_lapse", plan.COINCIDENCES, ("workers",), (0.5, 2.0))
+async def _entries_lapse(where: site.Site, step: plan.Step) -> None:
+    """Remove the entries of living workers for a while, as after a store's outage."""
+    keys = {store.REPORTS_PREFIX + x for x in targets.workers(where, step.target)}
+    where.store.faults.lapsed_keys |= keys
+    for key in keys:
+        where.store.delete(key)
+    await asyncio.sleep(step.for_s)
+    where.store.faults.lapsed_keys -= keys
+
+
 ODD_PREFIXES = ("servers/", "carawaysail/daemon/", "carawaysail/holder/")
 
 
--- a/libs/carawaysail_soak/tests/test_soak.py
+++ b/libs/carawaysail_soak/tests/test_soak.py
@@ -13,6 +13,11 @@
 CFG = STRICT._replace(reported_only=frozenset({"completed_means_every_end_stands"}))
 """Settings without the check that ``TestStrictReading`` makes."""
 
+LONG_JOBS = settings.load(
+    str(pathlib.Path(settings.__file__).with_name("resends.json"))
+)._replace(reported_only=CFG.reported_only)
+"""Settings with jobs that last about as long as the pause of clients."""
+
 PLANS = pathlib.Path(__file__).with_name("plans")
 
 
@@ -48,8 +53,8 @@
 class TestPlans(PlayCase):
     """Plans by hand, each for a fault that was found; its cause is in the file."""
 
-    def play_file(self, name):
-        self.play(plan.read(PLANS / f"{name}.json"))
+    def play_file(self, name, cfg=CFG):
+        self.play(plan.read(PLANS / f"{name}.json"), cfg)
 
     def test_lapse_before_acknowledgement(self):
         self.play_file("lapse_before_acknowledgement")
@@ -64,6 +69,10 @@
     def test_change_after_lost_calls(self):
         self.play_file("change_after_lost_calls")
 
+    # The next holder started tasks again that ran on workers it had not heard of.
+    def test_holder_killed_without_entries(self):
+        self.play_file("holder_killed_without_entries", LONG_JOBS)
+
 
 class TestStrictReading(PlayCase):
     """Each end of a completed job is acknowledged before it can be lost."""
