--- a/libs/carawaysail_fleet/tests/test_two_daemons.py
+++ b/libs/carawaysail_fleet/tests/test_two_daemons.py
@@ -438,6 +438,25 @@
         self.open_connections()
         self.assertEqual([], self.orders("start"))
 
+    # The broker added its own pause to what the gateway had not read, and refused the
+    # shard as old; for the gateway neither of the two was long.
+    def test_shard_that_a_broker_reads_late_starts_once_both_have_read(self):
+        self.is_lossy = True
+        self.post(timeout_ms=9000)
+        self.is_lossy = False
+        self.clock.advance(MS(500))
+        for loop in self.loops.values():
+            loop.tick()
+        self.deliver()
+        self.observers[GATEWAY].stuck_since = self.now - MS(150)
+        self.frozen[BROKER] = self.now
+        self.loops[GATEWAY].handle(messages.StreamOpened(BROKER))
+        self.observers[GATEWAY].stuck_since = None
+        self.pass_time(500)
+        self.thaw(BROKER)
+        self.pass_time(2000)
+        self.assertEqual(1, len(self.orders("start")))
+
     # The broker refused it as old, and nobody submitted it again.
     def test_shard_that_it_submits_again_starts_once_it_has_read(self):
         self.is_lossy = True
