--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -864,6 +864,18 @@
         self.assertEqual([], early)
         self.assertEqual(1, len(self.starts(self.poll(later))))
 
+    # A restarted worker that only its holder could not reach kept all resumed shards of
+    # its service waiting until their deadlines, however long ago it had restarted.
+    def test_resumed_shard_does_not_wait_for_a_worker_that_restarted_long_ago(self):
+        later = make_report(0, incarnation="2")
+        self.hold(make_report(0), make_report(1))
+        self.broker.handle_reports([later, make_report(1)], self.now)
+        self.tick_until(self.now + MS(16_000), make_report(1))
+        self.broker.handle_reports([later, make_report(1)], self.now)
+        self.submit(self.make(is_resumed=True, deadline=self.now + MS(9000)))
+        late = self.tick_until(self.now + MS(1400), make_report(1))
+        self.assertEqual(["w-1"], [x.worker.worker_id for x in late])
+
     # A worker that never came back kept the shard waiting until its deadline.
     def test_resumed_shard_waits_no_longer_than_an_earlier_run_can_last(self):
         self.broker.start_holding(HOME, 9, self.now)
