Review of the fixes: refused submissions are asked for, late orders end, leases are looked at before the choice

Only workers whose lease ends in time are candidates; they are looked at only for words older than a heartbeat. test_task_starts_on_a_worker_whose_lease_ends_in_time.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -185,7 +185,7 @@
         self._next_heartbeat = now
         self._next_loads = now
         self._step_failures: set[tuple[str, str]] = set()
-        # Brokers that may have refused a submission since this daemon knew too little.
+        # Brokers that have refused a submission as too old.
         self._resubmit_to: set[daemons.Daemon] = set()
 
     def set_dependencies(self, dependencies: Dependencies) -> None:
@@ -449,19 +449,9 @@
         self.perform(self.gateway.resend_shards(peer), now)
         self.perform(self.gateway.state_shards([peer]), now)
 
-    def record_submission(self, peer: daemons.Daemon, known_age_ms: float) -> None:
-        """Record a submission; it is repeated if its broker may find it too old.
-
-        Parameters
-        ----------
-        peer : daemons.Daemon
-            The daemon that it was sent to.
-        known_age_ms : float
-            Time since its client certainly waited, in milliseconds.
-        """
-        interval = self.election.pace().heartbeat_interval
-        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
-            self._resubmit_to.add(peer)
+    def submit_again(self, peer: daemons.Daemon) -> None:
+        """Submit a daemon's open shards again with the next heartbeat."""
+        self._resubmit_to.add(peer)
 
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -317,6 +317,13 @@
     )
 
 
+@decision_loop.handlers.register("AskAgain")
+def _handle_ask_again(
+    loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
+) -> None:
+    loop.submit_again(sent.sender)
+
+
 @decision_loop.handlers.register("HeldWorkers")
 def _handle_held_workers(
     loop: decision_loop.DecisionLoop, sent: messages.PeerMessage, now: datetime.datetime
@@ -419,6 +426,15 @@
     _send_to_gateway(loop, shard_id.gateway, message)
 
 
+@decision_loop.action_handlers.register("AskAgain")
+def _perform_ask_again(
+    loop: decision_loop.DecisionLoop,
+    action: broker_messages.AskAgain,
+    now: datetime.datetime,
+) -> None:
+    _send_to_gateway(loop, action.gateway, stream_messages.AskAgain())
+
+
 @decision_loop.action_handlers.register("TellWorkers")
 def _perform_tell_workers(
     loop: decision_loop.DecisionLoop,
@@ -482,7 +498,6 @@
         submission, age_ms, remaining_ms, echo_ms, known_age_ms
     )
     loop.send(action.daemon, message)
-    loop.record_submission(action.daemon, known_age_ms)
 
 
 @decision_loop.action_handlers.register("SendWithdrawal")
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -557,8 +557,7 @@
         known_at : datetime.datetime, optional
             Instant up to which the gateway knew that a client waits, if the network did
             not hold the submission up; ``now`` by default. One with old knowledge
-            starts nothing: the gateway sends its shards again when it knows more, or
-            hears from this daemon again.
+            starts nothing, and the gateway is asked for its shards.
         echoed_at : datetime.datetime, optional
             Instant on this daemon's clock of which the gateway knew when it sent it;
             ``now`` by default. It is no older than that, whatever the network did.
@@ -625,7 +624,7 @@
             return False
         if now < end:
             return self._workers.may_miss_runs(shard.submission)
-        return self._workers.may_obey_late_orders(shard.submission)
+        return self._workers.may_obey_late_orders(shard.submission, now)
 
     def _repeat_answer(
         self,
@@ -668,6 +667,7 @@
                 "old_submission", shard_id.job_id, waiter=gateway.vm,
                 part=shard_id.shard, age_ms=_ms_between(known_at, now),
             )  # fmt: skip
+            self._actions.add(broker_messages.AskAgain(gateway))
         return is_old
 
     def _is_overdue(self, known_at: datetime.datetime, now: datetime.datetime) -> bool:
@@ -877,6 +877,9 @@
         """
         queued = 0
         started_on: set[str] = set()
+        latest = self._latest_run_end(shard)
+        if latest < now + self._longest_lease(is_busy=True):
+            roomy = [x for x in roomy if x.leased_until(self._terms) <= latest]
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
             if not candidates_of.of(state):
@@ -913,6 +916,11 @@
         is_told = self._jobs.waits_until(shard) >= state.given_up_at
         return not is_told and not self._gateways.is_own(shard.shard_id.gateway)
 
+    def _latest_run_end(self, shard: shard_state.ShardState) -> datetime.datetime:
+        """Return when runs of a shard have to end after its gateway's last word."""
+        longest = held_worker.longest_unconfirmed(self._terms)
+        return self._jobs.waits_until(shard) + longest
+
     def _order_start(
         self,
         shard: shard_state.ShardState,
@@ -926,9 +934,7 @@
         never shortens, must not outlast what the gateway has last said either.
         """
         worker = chosen.worker
-        latest = self._jobs.waits_until(shard) + held_worker.longest_unconfirmed(
-            self._terms
-        )
+        latest = self._latest_run_end(shard)
         if worker.leased_until(self._terms) > latest:
             return False
         of_others = self._latest_lease_end(worker)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -225,6 +225,12 @@
     workers: tuple[str, ...]
 
 
+class AskAgain(typing.NamedTuple):
+    """Ask a gateway for its shards: one was refused, as it may have been withdrawn."""
+
+    gateway: GatewayId
+
+
 class TellWorkers(typing.NamedTuple):
     """Tell all other daemons which workers may get orders of this holder."""
 
@@ -262,6 +268,7 @@
     | PollWorker
     | SendOutcome
     | SendShardStarted
+    | AskAgain
     | TellWorkers
     | HolderFenced
     | LogDecision
--- a/libs/carawaysail_holding/src/carawaysail_holding/late_orders.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/late_orders.py
@@ -1,8 +1,8 @@
 """Starts that the next incarnation of a worker may carry out, and until when.
 
 A start without an answer may be carried out seconds later, also by a worker that has
-restarted under its name: its clock starts anew, so the end of the lease in the order does
-not bound it.
+restarted under its name: its clock starts anew, so the end of the lease in the order
+does not bound it.
 """
 
 import collections.abc
--- a/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/ledger.py
@@ -227,7 +227,7 @@
                 self._set(run, entry._replace(state=RunState.RUNNING, since=now))
         elif result is runs.OrderResult.NO_ANSWER:
             lost = entry._replace(state=RunState.UNCERTAIN, since=now)
-            self._lost_starts[run] = lost
+            self._lost_starts = {**self._young_lost_starts(now), run: lost}
             self._set(run, lost)
         else:
             self._remove(run)
@@ -333,12 +333,14 @@
 
         Without those that can no longer be carried out.
         """
-        oldest = now - LATE_ORDER_TIME
-        lost = {k: v for k, v in self._lost_starts.items() if v.since > oldest}
         ordered = {
             k: v for k, v in self._entries.items() if v.state is RunState.ORDERED
         }
-        return {**ordered, **lost}
+        return {**ordered, **self._young_lost_starts(now)}
+
+    def _young_lost_starts(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
+        oldest = now - LATE_ORDER_TIME
+        return {k: v for k, v in self._lost_starts.items() if v.since > oldest}
 
     def unreported(self, now: datetime.datetime) -> dict[runs.Run, Entry]:
         """Return the starts that no status has shown.
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -35,6 +35,7 @@
         # By data centre: when this daemon became its holder; absent once the reports
         # have been read after that.
         self._awaiting_reports: dict[str, datetime.datetime] = {}
+        self._held_since: dict[str, datetime.datetime] = {}
         self.former = former_workers.FormerWorkers()
 
     # Held data centres
@@ -48,7 +49,7 @@
             self._drop_reports(data_centre, self.former.expected(data_centre))
         self.tokens[data_centre] = token
         self._newest_tokens[data_centre] = token
-        self._awaiting_reports[data_centre] = now
+        self._awaiting_reports[data_centre] = self._held_since[data_centre] = now
 
     def is_held(self, data_centre: str, token: int) -> bool:
         """Return whether a data centre is held under a token."""
@@ -257,12 +258,17 @@
             return True
         return any(x not in self._workers for x in submission.workers)
 
-    def may_obey_late_orders(self, submission: broker_messages.Submission) -> bool:
+    def may_obey_late_orders(
+        self, submission: broker_messages.Submission, now: datetime.datetime
+    ) -> bool:
         """Return whether a worker may still begin what an earlier holder has ordered.
 
         An order that was held up may reach the next incarnation of its worker, whose
         clock starts anew: it has not passed the end of the lease in the order.
         """
+        held_since = self._held_since.get(submission.data_centre)
+        if held_since is None or now - held_since > ledger.LATE_ORDER_TIME:
+            return False
         return any(
             x.has_restarted and not x.ledger.has_status
             for x in self.suitable(submission)
@@ -282,7 +288,7 @@
         return task in self._task_counts
 
     def may_begin_late(self, task: runs.Task, now: datetime.datetime) -> bool:
-        """Return whether a worker that is not held now may yet begin a run of a task."""
+        """Return whether a worker that is not held may yet begin a run of a task."""
         return self._late_orders.may_include(task, now)
 
 
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -1203,8 +1203,8 @@
         again = self.starts(self.broker.tick(self.now))
         self.assertEqual(["w-1"], [x.worker.worker_id for x in again])
 
-    # The next boot of a dropped worker carried out an order without an answer, while the
-    # task ran elsewhere.
+    # The next boot of a dropped worker carried out an order without an answer while
+    # the task ran elsewhere.
     def test_order_of_a_dropped_worker_may_be_carried_out_for_some_time(self):
         self.assertEqual([], self.lose_lease(is_answered=False))
         self.assertEqual({"w-1"}, self.broker.worker_ids())
@@ -1519,6 +1519,24 @@
         self.broker.handle_statement(gone, statement, self.now)
         self.assertEqual(1, len(self.starts(self.broker.tick(self.now))))
 
+    # The worker of choice was refused for its lease, and no other was tried.
+    def test_task_starts_on_a_worker_whose_lease_ends_in_time(self):
+        self.broker.gateway_timeout = MS(600)
+        idle = make_report(1)
+        self.broker.handle_reports([self.report, idle], self.now)
+        self.poll(idle)
+        for number in range(11):
+            self.clock.advance(MS(100))
+            self.state(number + 1, 4)
+            self.poll(self.report, running=[self.start.run])
+        self.poll(idle)
+        known_at = self.now - MS(350)
+        arrived = self.now - MS(400)
+        job = self.make(3, task_count=2, token=7, arrived=arrived)
+        actions = self.broker.submit(job, ME, self.now, known_at)
+        on = [x.worker.worker_id for x in self.starts(actions)]
+        self.assertEqual(["w-1", "w-1"], on)
+
     def test_lease_of_an_idle_worker_leaves_room_for_a_silent_gateway(self):
         self.broker.gateway_timeout = MS(600)
         [lease_end] = self.leases(self.finish(self.start))
--- a/libs/carawaysail_streams/src/carawaysail_streams/messages.py
+++ b/libs/carawaysail_streams/src/carawaysail_streams/messages.py
@@ -144,6 +144,14 @@
     workers: tuple[str, ...]
 
 
+@kinds.register("again")
+class AskAgain(typing.NamedTuple):
+    """Notice of a broker to a gateway: a submission was too old to be acted on.
+
+    The gateway submits all its open shards there again with its next heartbeat.
+    """
+
+
 @kinds.register("held")
 class HeldWorkers(typing.NamedTuple):
     """Notice of a holder to all daemons: which workers may get its orders.
@@ -204,6 +212,7 @@
     | Submit
     | WaitingShards
     | ShardStarted
+    | AskAgain
     | HeldWorkers
     | Withdraw
     | Outcome
--- a/libs/carawaysail_streams/tests/test_streams.py
+++ b/libs/carawaysail_streams/tests/test_streams.py
@@ -52,6 +52,7 @@
             messages.WaitingShards(
                 broker_messages.Statement(3, frozenset((7, 9))), 2.5
             ),
+            messages.AskAgain(),
             messages.HeldWorkers(
                 broker_messages.WorkerSet("home", 5, 2, frozenset(("w-1", "w-2")), True)
             ),
@@ -59,8 +60,8 @@
             messages.Outcome("a" * 16, 7, jobs.JobOutcome(jobs.Verdict.COMPLETED)),
         ]
         self.assertEqual(set(messages.kinds.names()), {
-            "heartbeat", "loads", "submit", "waiting", "begun", "held", "withdraw",
-            "outcome",
+            "heartbeat", "loads", "submit", "waiting", "begun", "again", "held",
+            "withdraw", "outcome",
         })  # fmt: skip
         self.assertEqual(sent, messages.decode(messages.encode(sent)))
 
