--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -234,7 +234,10 @@
         list of messages.Message
             Messages that are left to handle.
         """
-        until = self.clock.now() + MAX_CATCH_UP
+        now = self.clock.now()
+        pause = clock.milliseconds(self.known_age_ms())
+        self.election.record_pause(pause, now)
+        until = now + MAX_CATCH_UP
         for _ in range(CATCH_UP_TURNS):
             await asyncio.sleep(0)
             if not self._is_behind() or self.clock.now() >= until:
@@ -335,7 +338,8 @@
         # Disconnects of clients that came before have been read and handled.
         self.broker.record_own_gateway(self._own_id, self._observer.handled_until())
         steps: tuple[TimedStep, ...] = _TIMED_STEPS
-        if now >= self._next_slow_tick:
+        # Who is silent cannot be told as long as their messages may be unread.
+        if now >= self._next_slow_tick and not self._is_outdated(self.known_age_ms()):
             self._next_slow_tick = now + self._slow_tick_interval
             steps = (*_SLOW_STEPS, *_TIMED_STEPS)
         failures = set()
@@ -450,10 +454,15 @@
         known_age_ms : float
             Time since its client certainly waited, in milliseconds.
         """
-        interval = self.election.pace().heartbeat_interval
-        if clock.milliseconds(known_age_ms) > self.election.suspect_after() - interval:
+        if self._is_outdated(known_age_ms):
             self._resubmit_to.add(peer)
 
+    def _is_outdated(self, known_age_ms: float) -> bool:
+        """Return whether a word with such knowledge may not last until the next."""
+        interval = self.election.pace().heartbeat_interval
+        limit = self.election.suspect_after() - interval
+        return clock.milliseconds(known_age_ms) > limit
+
     def update_streams(self, now: datetime.datetime) -> None:
         """Open streams to the daemons that are wanted as contacts; close the others."""
         self._links.update(self.election.update_contacts(now))
@@ -504,7 +513,9 @@
         """
         if sender == self.me:
             return
-        if sender.vm not in self._last_received:
+        last = self._last_received.get(sender.vm)
+        was_silent = last is None or now - last >= self.election.suspect_after()
+        if last is None:
             logs.log_event("peers", "Daemon reachable.", vm=sender.vm)
         self._last_received[sender.vm] = now
         vm, incarnation = sender.vm, sender.incarnation
@@ -513,6 +524,7 @@
             self.election.record_message(sender, None, now)
             if not was_responsive:
                 self._update_brokers(now)
+            if was_silent or not was_responsive:
                 # One that stood still does not act on what it was sent meanwhile.
                 self.restate_shards(sender, now)
             return
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -621,8 +621,11 @@
     ) -> bool:
         """Return whether a shard may have runs of earlier holders, not known here."""
         end = shard.earlier_runs_end
-        is_over = end is None or now >= end
-        return not is_over and self._workers.may_miss_runs(shard.submission)
+        if end is None:
+            return False
+        if now < end:
+            return self._workers.may_miss_runs(shard.submission)
+        return self._workers.may_obey_late_orders(shard.submission)
 
     def _repeat_answer(
         self,
@@ -740,6 +743,7 @@
             Instant up to which the gateway knew of its clients' disconnects; ``now`` by
             default.
         """
+        stated_at = self._gateways.waits_until(gateway, held_worker.NEVER)
         if not self._gateways.record_statement(gateway, statement, known_at or now):
             return self._actions.drain()
         self._stop_unclaimed_runs(now)
@@ -750,7 +754,9 @@
             if self._gateways.is_withdrawn(gateway, shard.submission)
         ]
         for shard in withdrawn:
-            self._jobs.finish(shard, outcome, now)
+            # This statement does not show until when it was waited for.
+            wanted_until = max(shard.known_at, stated_at)
+            self._jobs.finish(shard, outcome, now, wanted_until=wanted_until)
         if withdrawn:
             self._place(now)
         return self._actions.drain()
@@ -873,13 +879,15 @@
         started_on: set[str] = set()
         candidates_of = placer.Candidates(self._placer, shard, roomy, now)
         for state in shard.ready_tasks():
-            if self._may_run_on(shard, state) or not candidates_of.of(state):
+            if not candidates_of.of(state):
                 continue
             chosen = self._placer.choose(shard, state, candidates_of, pool, queued, now)
             if chosen is None:
                 queued += 1
-            elif not self._workers.is_on_any_worker(state.task) and self._order_start(
-                shard, state, chosen, now
+            elif (
+                not self._workers.is_on_any_worker(state.task)
+                and not self._may_run_on(shard, state)
+                and self._order_start(shard, state, chosen, now)
             ):
                 candidates_of.record_start(state, chosen)
                 started_on.add(chosen.worker.report.worker_id)
@@ -978,6 +986,7 @@
             x.report.worker_id for x in workers if x.ledger.token in complete
         }
         for run, worker_id in self._jobs.inherited.pop_unmatched(now, unwanted_on):
+            self._jobs.outcomes.record_run_number(run.task, run.number, now)
             held = self._workers.get(worker_id)
             if held is not None:
                 self._actions.log(
