--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -518,6 +518,27 @@
     def test_lost_start_is_stopped_on_the_next_incarnation_as_well(self):
         self.assertIn(1, self.lose_start_and_restart(2000))
 
+    # The run after the lost start ended with the restart, and the task started elsewhere
+    # while the next boot, not held yet, began what was lost (model, seed 71023).
+    def test_task_of_a_lost_start_waits_for_the_next_incarnation(self):
+        self.hold(make_report(0))
+        [lost] = self.starts(self.submit(self.make(deadline=self.now + MS(9000))))
+        self.answer(lost, runs.OrderResult.NO_ANSWER)
+        self.broker.handle_stop_result(
+            "w-0", "1", lost.run, runs.OrderResult.ACCEPTED, self.now
+        )
+        self.clock.advance(MS(5))
+        [second] = self.starts(self.poll(make_report(0)))
+        self.answer(second)
+        self.clock.advance(MS(5))
+        self.poll(make_report(0), running=[second.run])
+        self.broker.handle_reports([make_report(0), make_report(1)], self.now)
+        self.poll(make_report(1))
+        self.poll(make_report(0), incarnation="2")
+        self.clock.advance(MS(20))
+        self.broker.record_own_gateway(ME, self.now)
+        self.assertEqual([], self.starts(self.broker.tick(self.now)))
+
     def test_lost_start_is_forgotten_once_it_can_no_longer_be_carried_out(self):
         self.assertNotIn(1, self.lose_start_and_restart(16_000))
 
