After a pause a daemon withdraws from itself before it decides

Cause: the catch-up after a pause handled the ends of clients first, but the withdrawal to the own broker is a message to the daemon itself, behind the tick, which placed the task with a fresh word of its own gateway.

Change: the catch-up handles the daemon's messages to itself as well, before the tick.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -247,20 +247,42 @@
             if isinstance(message, messages.ClientLeft):
                 self.handle(message)
                 left.add(message.reply_id)
-        heard = (
-            x.sender for x in received if isinstance(x, messages.PeerMessagesReceived)
-        )
-        for sender in dict.fromkeys(heard):
-            now = self.clock.now()
-            message = messages.PeerMessagesReceived(sender, (), now)
-            self.dispatch(type(message).__name__, message, now)
         # A job whose client has left as well is not begun.
-        return [
+        received = [
             x
             for x in received
             if not isinstance(x, messages.ClientLeft | messages.JobPosted)
             or x.reply_id not in left
         ]
+        return self._handle_news_of_daemons([*received, *await self.inbox.drain(0.0)])
+
+    def _handle_news_of_daemons(
+        self, received: list[messages.Message]
+    ) -> list[messages.Message]:
+        """Handle this daemon's messages to itself; record who else has sent any.
+
+        The former withdraw the shards of clients that have left.
+
+        Returns
+        -------
+        list of messages.Message
+            Messages that are left to handle.
+        """
+        remaining: list[messages.Message] = []
+        heard: dict[daemons.Daemon, None] = {}
+        for message in received:
+            if not isinstance(message, messages.PeerMessagesReceived):
+                remaining.append(message)
+            elif message.sender == self.me:
+                self.handle(message)
+            else:
+                heard[message.sender] = None
+                remaining.append(message)
+        for sender in heard:
+            now = self.clock.now()
+            news = messages.PeerMessagesReceived(sender, (), now)
+            self.dispatch(type(news).__name__, news, now)
+        return remaining
 
     def max_wait(self) -> datetime.timedelta:
         """Return the longest time to wait for messages before the next tick."""
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -518,7 +518,7 @@
     def test_lost_start_is_stopped_on_the_next_incarnation_as_well(self):
         self.assertIn(1, self.lose_start_and_restart(2000))
 
-    # The run after the lost start ended with the restart, and the task started elsewhere
+    # The run after the lost start ended with the restart; the task started elsewhere
     # while the next boot, not held yet, began what was lost (model, seed 71023).
     def test_task_of_a_lost_start_waits_for_the_next_incarnation(self):
         self.hold(make_report(0))
