Model: test of own withdrawals after a pause

After a pause the loop handles the ends of clients first, but the withdrawals that follow go to the own broker through the inbox, behind the tick, which starts tasks of their shards.

--- a/libs/carawaysail_model/tests/test_takeovers.py
+++ b/libs/carawaysail_model/tests/test_takeovers.py
@@ -20,6 +20,10 @@
 UNSEEN = ("takeover_unseen", "handover_unseen", "handover_unseen")
 
 
+OWN_WITHDRAWAL_SEEDS = (3450, 4337)
+"""Seeds with all faults in which a daemon withdraws a shard from its own broker."""
+
+
 class SequenceCase(testtools.TestCase):
     """Assertions on sequences of faults."""
 
@@ -48,6 +52,11 @@
     def test_takeovers_that_the_earlier_holder_does_not_see(self):
         self.assertEqual({}, self.violated(UNSEEN_SEEDS, UNSEEN))
 
+    # After a pause a task was started before the withdrawal that the own gateway had
+    # sent to the own broker was handled.
+    def test_withdrawals_of_the_own_gateway_after_a_pause(self):
+        self.assertEqual({}, self.violated(OWN_WITHDRAWAL_SEEDS))
+
 
 class TestTakeoverGuards(SequenceCase):
     """Sequences find the violation that each guard prevents, once it is taken away."""
