--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -36,6 +36,12 @@
 CLIENT_MESSAGES = (messages.JobPosted, messages.ClientLeft)
 
 
+PutMessage = collections.abc.Callable[[messages.Message], None]
+
+Execute = collections.abc.Callable[[workers.Worker, PutMessage], None]
+"""Executes a call on a worker, and passes on its response."""
+
+
 class Network(typing.Protocol):
     """Daemons and workers by name, and the delays between them."""
 
@@ -289,20 +295,20 @@
             _Observer(self, event_engine.clock),
         )  # fmt: skip
         self.decision_loop.on_decision = on_decision
-        dependencies: typing.Any = decision_loop.Dependencies(
-            *(
-                typing.cast(typing.Any, x)
-                for x in (
-                    _WorkerLinks(self), _Claims(self), _Reports(self),
-                    _Replies(self), _Metrics(self), _HttpFrontEnd(),
-                )
-            )
-        )  # fmt: skip
-        self.decision_loop.set_dependencies(dependencies)
+        self.decision_loop.set_dependencies(self._make_dependencies())
         self._read_members()
         self._read_reports()
         self._tick()
 
+    def _make_dependencies(self) -> decision_loop.Dependencies:
+        simulated = (
+            _WorkerLinks(self), _Claims(self), _Reports(self), _Replies(self),
+            _Metrics(self), _HttpFrontEnd(),
+        )  # fmt: skip
+        return decision_loop.Dependencies(
+            *(typing.cast(typing.Any, x) for x in simulated)
+        )
+
     # Inbox of the decision loop
 
     def put(self, message: messages.Message) -> None:
@@ -548,13 +554,7 @@
     def _call(
         self,
         worker_id: str,
-        execute: collections.abc.Callable[
-            [
-                workers.Worker,
-                collections.abc.Callable[[messages.Message], None],
-            ],
-            None,
-        ],
+        execute: Execute,
         timed_out: messages.Message,
         timeout: datetime.timedelta,
     ) -> None:
@@ -579,12 +579,6 @@
         now = self._engine.now()
         is_over = False
 
-        def expire() -> None:
-            nonlocal is_over
-            if not is_over:
-                is_over = True
-                self.put(timed_out)
-
         def receive(message: messages.Message) -> None:
             nonlocal is_over
             if not is_over:
@@ -602,7 +596,7 @@
             if worker.is_reachable:
                 execute(worker, respond)
 
-        self._engine.after(timeout, expire)
+        self._engine.after(timeout, lambda: receive(timed_out))
         if delay is None or not worker.is_reachable:
             return
         arrival = link.requests.arrival(now, delay)
