--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -79,7 +79,7 @@
                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
-        except (Drop, ConnectionError, asyncio.CancelledError):
+        except (Drop, ConnectionError):
             pass
         finally:
             writer.transport.abort()
@@ -145,8 +145,9 @@
             body = json.loads(body or b"{}")
             answer = await getattr(self, name.replace("-", "_"))(query, body, suffix)
             if name in ("kv-lease", "kv-txn"):
-                self.site.note("store", machine, name, answer[0],
-                               *[w["key"] for w in body.get("writes", [])])  # fmt: skip
+                keys = [w["key"] for w in body.get("writes", [])]
+                revision = answer[1].get("revision", 0)
+                self.site.note("store", machine, name, answer[0], *keys, revision)
             return answer
 
         return handle
@@ -514,4 +515,5 @@
         finally:
             stage.stop()
 
-    raise SystemExit(asyncio.run(main()))
+    # Without the end of the event loop, which would report each open connection.
+    os._exit(asyncio.new_event_loop().run_until_complete(main()))
