--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,7 @@
 
 
 async def case(stage, trouble):
+    """Return the starts on the draining runner that come too late."""
     await stage.start()
     await asyncio.sleep(4)
     began = stage.now()
@@ -44,7 +45,8 @@
     return [
         f"{rest} starts {at - drained:.2f} s after the store had the report"
         for at, what, *rest in stage.events
-        if what == "run-starts" and rest[0] == runner.name
+        if what == "run-starts"
+        and rest[0] == runner.name
         and at > drained + DRAIN_S + SLACK_S
     ]
 
--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -34,12 +34,13 @@
 
 
 def free_port(address="127.0.0.1"):
+    """Return a TCP port that is free at present."""
     with socket.socket() as sock:
         sock.bind((address, 0))
         return sock.getsockname()[1]
 
 
-class Drop(Exception):
+class DropError(Exception):
     """Break the connection without an answer."""
 
 
@@ -76,10 +77,11 @@
                 writer.write(
                     f"HTTP/1.1 {status} {PHRASE.get(status, 'Other')}\r\n"
                     f"Content-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
-        except (Drop, ConnectionError):
+        except (DropError, ConnectionError):
             pass
         finally:
             writer.transport.abort()
@@ -88,19 +90,20 @@
 
 
 class Store:
-    """The platform's store, with one port for each machine, so that it can tell them."""
+    """The platform's store, with one port for each machine, to tell them apart."""
 
     def __init__(self, site):
         self.site = site
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.next_lease = 1, 1001
         self.changed = asyncio.Event()
-        # ``fault(machine, method, path)`` may return a status or raise ``Drop``.
+        # ``fault(machine, method, path)`` may return a status or raise ``DropError``.
         self.fault = None
         self.stale_s = lambda: 0.0
         self.versions = []  # (instant, revision, items under servers/)
 
     def put(self, key, value, lease=0):
+        """Write a key."""
         self.revision += 1
         created = self.items[key]["created_rev"] if key in self.items else self.revision
         self.items[key] = {
@@ -110,6 +113,7 @@
         self._note(self.items[key])
 
     def remove(self, key):
+        """Remove a key, if it is there."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._note({"key": key, "revision": self.revision, "removed": True})
@@ -133,6 +137,8 @@
             self.remove(key)
 
     def server_for(self, machine):
+        """Return the handler of one machine's calls."""
+
         async def handle(method, path, query, headers, body):
             await asyncio.sleep(0.002)
             if self.fault is not None:
@@ -153,10 +159,12 @@
         return handle
 
     async def kv_key(self, query, body, suffix):
+        """Answer a read of one key."""
         item = self.items.get(query["key"])
         return (200, {**item, "at_rev": self.revision}) if item else (404, {})
 
     async def kv_range(self, query, body, suffix):
+        """Answer a listing; a stale one may be some seconds old."""
         items, revision, prefix = self.items, self.revision, query["prefix"]
         lag = self.stale_s()
         if query.get("stale_ok") == "1" and lag > 0 and prefix == "servers/":
@@ -168,6 +176,7 @@
         return 200, {"items": rows, "has_more": False, "at_rev": revision}
 
     async def kv_watch(self, query, body, suffix):
+        """Answer a watch, as soon as there is a change."""
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             self._expire()
@@ -183,6 +192,7 @@
                 pass
 
     async def kv_txn(self, query, body, suffix):
+        """Carry out a conditional write."""
         for row in body.get("if_rev", []):
             item = self.items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
@@ -197,12 +207,14 @@
         return 200, {"revision": self.revision}
 
     async def kv_lease(self, query, body, suffix):
+        """Grant a lease."""
         ttl = max(1000, int(body["ttl_ms"]))
         self.next_lease += 1
         self.leases[self.next_lease] = (time.monotonic() + ttl / 1000, ttl)
         return 200, {"lease_id": self.next_lease, "ttl_ms": ttl}
 
     async def kv_keep(self, query, body, suffix):
+        """Renew a lease."""
         if int(suffix) not in self.leases:
             return 404, {}
         ttl = self.leases[int(suffix)][1]
@@ -210,6 +222,7 @@
         return 200, {"ttl_ms": ttl}
 
     async def kv_lease_end(self, query, body, suffix):
+        """End a lease."""
         self._end(int(suffix))
         return 200, {}
 
@@ -223,6 +236,7 @@
         self.begin()
 
     def begin(self):
+        """Begin a boot: nothing runs, and nothing is known."""
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.token = self.lease_ms = self.count = 0
@@ -230,9 +244,11 @@
         self.ended = asyncio.Event()
 
     def clock_ms(self):
+        """Return the reading of the runner's clock."""
         return int((time.monotonic() - self.started) * 1000)
 
     def report(self):
+        """Write a report about itself to the store."""
         self.seq += 1
         value = {
             "service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
@@ -245,6 +261,7 @@
         self.site.store.put(f"servers/{self.name}", json.dumps(value).encode())
 
     async def start(self, phase_s=0.0):
+        """Serve orders, and report each 1.5 s."""
         self.port = free_port()
         self.server = await serve(self.handle, self.port)
         self.tasks = [asyncio.create_task(self._reports(phase_s)),
@@ -282,6 +299,7 @@
             self.lease_ms = max(self.lease_ms, min(ends, self.clock_ms() + 1000))
 
     async def handle(self, method, path, query, headers, body):
+        """Answer a call."""
         if headers.get("target-instance", self.name) != self.name:
             return 421, {}
         status, answer = await self._carry_out(path, json.loads(body or b"{}"))
@@ -360,9 +378,11 @@
         self.daemons, self.addresses = {}, {}
 
     def now(self):
+        """Return the seconds since the site was created."""
         return time.monotonic() - self.began
 
     def note(self, *what):
+        """Write an event to the record."""
         if self.record.closed:
             return
         at = self.now()
@@ -370,6 +390,7 @@
         print(f"{at:9.3f}", *what, file=self.record, flush=True)
 
     def configure(self, version, timeout_ms=1500, target_ms=60):
+        """Write the operator's config."""
         routes = [{
             "name": "q1", "host": HOST, "prefix": PREFIX, "service": SERVICE,
             "priority": 0, "max_attempts": 4, "stretch": 1.6,
@@ -380,6 +401,7 @@
         self.store.put("op/config", json.dumps(value).encode())
 
     async def start(self, timeout_ms=1500, target_ms=60):
+        """Start everything; return when the daemons are ready."""
         self.configure(1, timeout_ms, target_ms)
         for number, runner in enumerate(self.runners.values()):
             await runner.start(1.5 * number / len(self.runners))
@@ -400,8 +422,11 @@
                 await asyncio.sleep(0.05)
 
     def start_daemon(self, name):
+        """Start a machine's daemon with the command of the deploy file."""
         at = self.addresses[name]
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
+        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][
+            "entry"
+        ]
         zones = "\n".join(f'{z} = "region"' for z in self.zones)
         bounds = "\n".join(f"{k} = {v}" for k, v in BOUNDS.items())
         path = self.temp / f"{name}.toml"
@@ -429,10 +454,12 @@
         self.note("daemon-starts", name, self.daemons[name].pid)
 
     def kill(self, name, number=signal.SIGKILL):
+        """Send a signal to a daemon."""
         self.note("signal", name, number.name)
         self.daemons[name].send_signal(number)
 
     def log(self, name):
+        """Return what a daemon has logged."""
         return (self.temp / f"{name}.log").read_text(errors="replace")
 
     async def is_ready(self, name):
@@ -450,6 +477,7 @@
         return message is not None and message[0].split(" ")[1] == "200"
 
     async def until(self, condition, limit_s):
+        """Wait until a condition is true."""
         end = time.monotonic() + limit_s
         while not condition():
             if time.monotonic() > end:
@@ -467,7 +495,8 @@
                 writer.write(
                     f"{method} {PREFIX}{job} HTTP/1.1\r\nHost: {HOST}\r\n"
                     f"Content-Type: application/json\r\nDeadline-Ms: {limit_ms}\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 message = await read_message(reader)
         except (OSError, TimeoutError) as exc:
@@ -484,7 +513,8 @@
         return status, message[2]
 
     def stop(self):
-        for name, process in self.daemons.items():
+        """End all daemons."""
+        for process in self.daemons.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
@@ -494,6 +524,7 @@
 
 
 def job(count, ms, estimate_ms=None, cpu=14000):
+    """Return the body of a best-effort job of one step."""
     step = {"count": count, "cpu": cpu, "mem_mb": 64, "estimate_ms": estimate_ms or ms}
     return {"spec": json.dumps({"ms": ms}), "best_effort": True, "steps": [step]}
 
