--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A runner drains while the store's stale reads are some seconds old."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -12,6 +13,9 @@
 LAG_S, GROWTH = 3.0, 0.5
 """Age of stale answers, and by how much it grows in a second until then."""
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""``TROUBLE=0`` leaves the disruption out."""
+
 
 async def case(stage, trouble):
     """Return the starts on the draining runner that come too late."""
@@ -51,4 +55,4 @@
     ]
 
 
-site2.run(HERE, case, ("a",), {"m1": "a", "m2": "a"}, 12)
+site2.run(HERE, case, TROUBLE, ("a",), {"m1": "a", "m2": "a"}, 12)
--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -529,9 +529,8 @@
     return {"spec": json.dumps({"ms": ms}), "best_effort": True, "steps": [step]}
 
 
-def run(folder, case, *site):
+def run(folder, case, trouble, *site):
     """Play a case; exit with 1 if it returns a violation, 0 if none, 2 if it fails."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
         stage = Site(folder, *site)
