Lease task: the entry of a daemon is a state to be reached

Cause: LeaseTask kept a granted lease although the read or the write of its entry had failed (429, no answer, a conflict with the entry of the former process), and renewed the lease from then on without registering. An entry that was removed or replaced later was not noticed either.

Change: the entry counts as registered once a write was confirmed or a read has shown it with the present lease. MembersTask shows the lease task what the store has under its key, so that a loss is made up for at once, with jitter. Views older than the registration are no loss.

Before: TestEntry.test_refused_registration_is_repeated and test_conflict_is_followed_by_another_registration fail on (no entry after the second step). After: all of TestEntry pass.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -156,8 +156,8 @@
         reports = store_tasks.ReportsTask(
             adapter.open_store(), adapter.store_codec, context
         )
-        members = store_tasks.MembersTask(adapter.open_store(), context)
         self._lease = store_tasks.LeaseTask(adapter.open_store(), self._me, context)
+        members = store_tasks.MembersTask(adapter.open_store(), context, self._lease)
         configuration = store_tasks.ConfigurationTask(
             adapter.open_store(), adapter.store_codec, context
         )
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -22,11 +22,14 @@
         Value of the key.
     revision : int
         Revision of the last write of the key.
+    lease : int
+        Identifier of the lease whose end removes the key; 0 for none.
     """
 
     key: str
     value: bytes
     revision: int
+    lease: int = 0
 
 
 class Snapshot(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -9,6 +9,7 @@
 import datetime
 import queue
 import threading
+import typing
 
 import msgspec
 
@@ -78,13 +79,37 @@
         )
 
 
+class EntryView(typing.NamedTuple):
+    """What the store had under the key of this daemon's entry.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store up to which the view is complete.
+    daemon : daemons.Daemon or None
+        Daemon that the entry names; ``None`` without a readable entry.
+    """
+
+    revision: int
+    daemon: daemons.Daemon | None
+
+
 class LeaseTask(store_thread.StoreThread):
     """Keeps this daemon's entry in the store under a lease that it renews.
 
+    The entry counts as registered once a write was confirmed or a read has shown it
+    with the present lease, and until ``record_view`` or an expired lease says that it
+    is gone. Whatever removes or replaces it, it is written again.
+
     Parameters
     ----------
     me : daemons.Daemon
         This daemon; its record is the entry's value.
+
+    Attributes
+    ----------
+    key : str
+        Key of the entry.
     """
 
     name = "lease"
@@ -93,21 +118,62 @@
         self, store: ports.Store, me: daemons.Daemon, context: store_thread.Context
     ) -> None:
         super().__init__(store, context)
+        self.key = member_records.DAEMONS_PREFIX + me.vm
         self._me = me
         self._lease = 0
+        # Revision of the entry; 0 while it is not known to be in the store.
+        self._entry_revision = 0
+        self._views: queue.SimpleQueue[EntryView | None] = queue.SimpleQueue()
+
+    def record_view(self, view: EntryView) -> None:
+        """Compare a view of the store with the entry; called by other threads."""
+        self._views.put(view)
+
+    def stop(self) -> None:
+        """Let the thread end; ends its pause."""
+        super().stop()
+        self._views.put(None)
 
     def _step(self) -> float:
         if not self._lease or not self._store.renew(self._lease):
+            self._entry_revision = 0
             self._lease = self._store.grant(LEASE_TTL)
-            self._register()
+        if not self._entry_revision:
+            self._entry_revision = self._register()
+            logs.log_event("store", "Registered.", lease=self._lease)
         return LEASE_RENEWAL_INTERVAL.total_seconds()
 
-    def _register(self) -> None:
-        key = member_records.DAEMONS_PREFIX + self._me.vm
-        item = self._store.read(key)
+    def _register(self) -> int:
+        """Write the entry unless it stands already; return its revision."""
+        item = self._store.read(self.key)
+        value = _encode(self._me)
+        if item is not None and (item.value, item.lease) == (value, self._lease):
+            return item.revision
         revision = item.revision if item is not None else 0
-        self._store.compare_and_swap(key, revision, _encode(self._me), self._lease)
-        logs.log_event("store", "Registered.", lease=self._lease)
+        return self._store.compare_and_swap(self.key, revision, value, self._lease)
+
+    def _pause(self, pause_s: float) -> None:
+        """Wait between two steps, less long if the entry turns out to be lost."""
+        end = self._clock.now() + datetime.timedelta(seconds=pause_s)
+        while not self._is_stopping.is_set():
+            remaining_s = (end - self._clock.now()).total_seconds()
+            try:
+                view = self._views.get(timeout=max(0.0, remaining_s))
+            except queue.Empty:
+                return
+            if view is not None and self._is_loss(view):
+                self._entry_revision = 0
+                logs.log_event(
+                    "store", "Entry lost.", lease=self._lease, revision=view.revision
+                )
+                # With jitter, since all daemons may have lost theirs.
+                self._is_stopping.wait(self._backoff.next_pause_s())
+                return
+
+    def _is_loss(self, view: EntryView) -> bool:
+        """Return whether a view shows that the entry has been removed or replaced."""
+        is_later = 0 < self._entry_revision <= view.revision
+        return is_later and view.daemon != self._me
 
     def deregister(self) -> None:
         """Revoke the lease, which removes the entry at once; log a failure."""
@@ -119,12 +185,24 @@
 
 
 class MembersTask(store_thread.WatchThread):
-    """Watches the entries of all daemons and holders."""
+    """Watches the entries of all daemons and holders.
+
+    Parameters
+    ----------
+    lease : LeaseTask, optional
+        Is shown what the store has under the key of this daemon's own entry.
+    """
 
     name = "members"
 
-    def __init__(self, store: ports.Store, context: store_thread.Context) -> None:
+    def __init__(
+        self,
+        store: ports.Store,
+        context: store_thread.Context,
+        lease: LeaseTask | None = None,
+    ) -> None:
         super().__init__(store, context)
+        self._lease = lease
         self._registered: dict[str, daemons.Daemon] = {}
         self._holders: dict[str, daemons.Holder] = {}
         self._unreadable_keys: set[str] = set()
@@ -177,6 +255,9 @@
         self._unreadable_keys.discard(key)
 
     def _publish(self) -> None:
+        if self._lease is not None:
+            own_entry = self._registered.get(self._lease.key)
+            self._lease.record_view(EntryView(self._after, own_entry))
         self._loop_inbox.put(
             messages.MembersRead(
                 tuple(self._registered.values()), tuple(self._holders.values())
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_thread.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_thread.py
@@ -85,7 +85,11 @@
 
     def _run(self) -> None:
         while not self._is_stopping.is_set():
-            self._is_stopping.wait(self._attempt())
+            self._pause(self._attempt())
+
+    def _pause(self, pause_s: float) -> None:
+        """Wait between two steps."""
+        self._is_stopping.wait(pause_s)
 
     def _attempt(self) -> float:
         """Do one step, whatever fails; return the pause before the next, in seconds."""
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -461,6 +461,159 @@
         self.assertEqual((["stale", "fresh"], True), self.read())
 
 
+class LeaseStore(Store):
+    """Holds one entry under leases; refuses the calls that are named in ``refused``."""
+
+    def __init__(self):
+        super().__init__()
+        self.item = None
+        self.leases = set()
+        self.refused = set()
+
+    def _refuse(self, call):
+        self._record(call)
+        if call in self.refused:
+            raise errors.StoreUnavailableError(call, "429")
+
+    def read(self, key):
+        self._refuse("read")
+        return self.item
+
+    def compare_and_swap(self, key, expected_revision, value, lease=0):
+        self._refuse("write")
+        revision = self.item.revision if self.item is not None else 0
+        if expected_revision != revision:
+            raise errors.WriteConflictError(key, expected_revision, revision)
+        self.write(value, lease)
+        return self.revision
+
+    def write(self, value, lease):
+        self.revision += 1
+        self.item = ports.Item("carawaysail/daemon/a-1", value, self.revision, lease)
+
+    def grant(self, ttl):
+        self._refuse("grant")
+        self.leases.add(len(self.leases) + 1)
+        return len(self.leases)
+
+    def renew(self, lease):
+        self._refuse("renew")
+        return lease in self.leases
+
+    def owner(self):
+        """Return the incarnation and the lease of the entry."""
+        if self.item is None:
+            return None
+        daemon = msgspec.json.decode(self.item.value, type=daemons.Daemon)
+        return daemon.incarnation, self.item.lease
+
+
+class TestEntry(testtools.TestCase):
+    """This daemon's entry, which has to stand as long as its lease is renewed."""
+
+    def setUp(self):
+        super().setUp()
+        self.start()
+        self.own = (ME.incarnation, 1)
+
+    def start(self):
+        """Start with an empty store."""
+        self.store = LeaseStore()
+        self.task = store_tasks.LeaseTask(self.store, ME, make_context(FakeInbox()))
+        self.task._is_stopping.wait = lambda pause_s: None
+
+    def attempt(self):
+        self.store.calls.clear()
+        self.task._attempt()
+
+    def lose(self, item):
+        """Let the store have another entry, or none, and show it to the task."""
+        self.store.revision += 1
+        self.store.item = item
+        shown = msgspec.json.decode(item.value, type=daemons.Daemon) if item else None
+        self.task.record_view(store_tasks.EntryView(self.store.revision, shown))
+        self.task._pause(TIMEOUT_S)
+
+    # A daemon whose entry was refused once renewed its lease and was never listed.
+    def test_refused_registration_is_repeated(self):
+        for call in ("grant", "read", "write"):
+            with self.subTest(call=call):
+                self.start()
+                self.store.refused = {call}
+                self.attempt()
+                self.assertIsNone(self.store.owner())
+                self.store.refused = set()
+                self.attempt()
+                self.assertEqual(self.own, self.store.owner())
+
+    # The entry of the former process expired between the read and the write.
+    def test_conflict_is_followed_by_another_registration(self):
+        self.store.write(msgspec.json.encode(ME._replace(incarnation="former")), 7)
+        read = self.store.read
+
+        def read_and_expire(key):
+            item = read(key)
+            self.store.item = None
+            return item
+
+        self.store.read = read_and_expire
+        self.attempt()
+        self.store.read = read
+        self.attempt()
+        self.assertEqual(self.own, self.store.owner())
+
+    # An entry that was removed or replaced while its lease lived on was not restored.
+    def test_lost_entry_is_registered_again(self):
+        former = msgspec.json.encode(ME._replace(incarnation="former"))
+        for item in (None, ports.Item("carawaysail/daemon/a-1", former, 90)):
+            with self.subTest(item=item):
+                self.attempt()
+                self.lose(item)
+                self.attempt()
+                self.assertEqual(self.own, self.store.owner())
+
+    def test_view_from_before_the_registration_is_no_loss(self):
+        self.attempt()
+        self.task.record_view(store_tasks.EntryView(self.store.revision - 1, None))
+        self.task._pause(0.0)
+        self.attempt()
+        self.assertEqual(["renew"], self.store.calls)
+
+    def test_write_that_was_carried_out_without_an_answer_is_found(self):
+        swap = self.store.compare_and_swap
+
+        def swap_without_answer(*args):
+            swap(*args)
+            raise errors.WriteUncertainError(args[0], "no answer")
+
+        self.store.compare_and_swap = swap_without_answer
+        self.attempt()
+        self.attempt()
+        self.attempt()
+        self.assertEqual(["renew"], self.store.calls)
+        self.assertEqual(self.own, self.store.owner())
+
+    def test_expired_lease_is_followed_by_a_new_entry(self):
+        self.attempt()
+        self.store.leases, self.store.item = {0, 1, 2} - {1}, None
+        self.attempt()
+        self.assertEqual((ME.incarnation, 3), self.store.owner())
+
+    def test_watch_shows_the_lost_entry(self):
+        self.store.items = (ports.Item("carawaysail/daemon/a-2", b"", 3),)
+        self.store.revision = 9
+        self.attempt()
+        self.store.revision += 1
+        members = store_tasks.MembersTask(
+            self.store, make_context(FakeInbox()), self.task
+        )
+        members._step()
+        self.task._pause(TIMEOUT_S)
+        self.store.item = None
+        self.attempt()
+        self.assertEqual(self.own, self.store.owner())
+
+
 class TestClaims(testtools.TestCase):
     """Claims of data centres."""
 
