Holder election: a holder that is not listed is contacted, not replaced

Cause: "holder is gone" took a missing list entry for knowledge. Two daemons that the store does not list each saw the other's claim as that of a daemon that is gone, at once and for ever. The same held for a holder whose VM was listed with the incarnation before, and for one of which only a heartbeat had told.

Change: the holder record's value names the daemon with its address, so MembersTask publishes the writers of records that are newer than the entry of their VM. The election keeps a connection to them, and replaces one only for what is known: its connection is refused, its VM has a later incarnation, or it has answered no connection for a second and is not registered. A holder of which nothing but the name is known is replaced after 3.2 s. Nobody takes a data centre back within that time from a holder that is merely silent. An entry that the list has had for long does not hide an incarnation that sends messages.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -143,7 +143,9 @@
     message: messages.MembersRead,
     now: datetime.datetime,
 ) -> None:
-    loop.election.record_registrations(message.registered, (), now)
+    loop.election.record_registrations(
+        message.registered, message.holders, now, message.holding
+    )
     for holder in message.holders:
         loop.record_holder(holder, now)
     loop.update_streams(now)
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/member_records.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/member_records.py
@@ -1,5 +1,7 @@
 """Entries of daemons and holders in the platform's store: their keys and decoding."""
 
+import typing
+
 import msgspec
 
 from carawaysail_fleet import ports
@@ -29,7 +31,22 @@
     return daemon
 
 
-def decode_holder(item: ports.Item) -> daemons.Holder:
+class HolderRecord(typing.NamedTuple):
+    """A holder, and the daemon that wrote its entry.
+
+    Parameters
+    ----------
+    holder : daemons.Holder
+        The holder.
+    daemon : daemons.Daemon
+        The daemon, which may be in no other entry.
+    """
+
+    holder: daemons.Holder
+    daemon: daemons.Daemon
+
+
+def decode_holder(item: ports.Item) -> HolderRecord:
     """Return the holder that an entry of the store names.
 
     The data centre is taken from the entry's key; the fencing token is the revision of
@@ -42,7 +59,8 @@
     """
     daemon = _decode_record(item)
     data_centre = item.key.removeprefix(HOLDERS_PREFIX)
-    return daemons.Holder(data_centre, daemon.vm, daemon.incarnation, item.revision)
+    holder = daemons.Holder(data_centre, daemon.vm, daemon.incarnation, item.revision)
+    return HolderRecord(holder, daemon)
 
 
 def _decode_record(item: ports.Item) -> daemons.Daemon:
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -145,10 +145,13 @@
         Daemons whose entry is in the store, that is, whose lease has not expired.
     holders : tuple of daemons.Holder
         Newest holder of each data centre that has had one.
+    holding : tuple of daemons.Daemon
+        Daemons that wrote a holder record after the entry of their VM, if it has one.
     """
 
     registered: tuple[daemons.Daemon, ...]
     holders: tuple[daemons.Holder, ...]
+    holding: tuple[daemons.Daemon, ...] = ()
 
 
 class ClaimResultReceived(typing.NamedTuple):
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -204,13 +204,15 @@
         super().__init__(store, context)
         self._lease = lease
         self._registered: dict[str, daemons.Daemon] = {}
-        self._holders: dict[str, daemons.Holder] = {}
+        self._entry_revisions: dict[str, int] = {}
+        self._holders: dict[str, member_records.HolderRecord] = {}
         self._unreadable_keys: set[str] = set()
 
     def _step(self) -> float:
         if not self._after:
             snapshot = self._store.list(member_records.PREFIX)
             self._registered.clear()
+            self._entry_revisions.clear()
             self._holders.clear()
             for item in snapshot.items:
                 self._record(item)
@@ -239,6 +241,7 @@
         try:
             if key.startswith(member_records.DAEMONS_PREFIX):
                 self._registered[key] = member_records.decode_daemon(item)
+                self._entry_revisions[key] = item.revision
             elif key.startswith(member_records.HOLDERS_PREFIX):
                 self._holders[key] = member_records.decode_holder(item)
             self._unreadable_keys.discard(key)
@@ -251,6 +254,7 @@
 
     def _remove(self, key: str) -> None:
         self._registered.pop(key, None)
+        self._entry_revisions.pop(key, None)
         self._holders.pop(key, None)
         self._unreadable_keys.discard(key)
 
@@ -260,10 +264,29 @@
             self._lease.record_view(EntryView(self._after, own_entry))
         self._loop_inbox.put(
             messages.MembersRead(
-                tuple(self._registered.values()), tuple(self._holders.values())
+                tuple(self._registered.values()),
+                tuple(x.holder for x in self._holders.values()),
+                self._holding(),
             )
         )
 
+    def _holding(self) -> tuple[daemons.Daemon, ...]:
+        """Return the daemons that became a holder after the entry of their VM.
+
+        One process runs on a VM at a time, so the later write is that of the later one.
+        """
+        newest: dict[str, daemons.Daemon] = {}
+        for record in sorted(self._holders.values(), key=lambda x: x.holder.token):
+            key = member_records.DAEMONS_PREFIX + record.daemon.vm
+            is_later = record.holder.token > self._entry_revisions.get(key, 0)
+            if is_later:
+                newest[record.daemon.vm] = record.daemon
+        return tuple(
+            x
+            for vm, x in newest.items()
+            if self._registered.get(member_records.DAEMONS_PREFIX + vm) != x
+        )
+
 
 class ReportsTask(store_thread.StoreThread):
     """Reads the workers' reports at an interval while this daemon needs them.
@@ -443,7 +466,7 @@
         needs to replace it.
         """
         try:
-            return member_records.decode_holder(item)
+            return member_records.decode_holder(item).holder
         except type_errors.BadInputError as exc:
             logs.log_error("store", "Entry unreadable.", exc, key=item.key)
             data_centre = item.key.removeprefix(member_records.HOLDERS_PREFIX)
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -365,7 +365,19 @@
                     ports.Item("carawaysail/daemon/a-2", value, 1), good,
                     ports.Item("carawaysail/holder/b", value, 2), held,
                 )  # fmt: skip
-                self.assertEqual(((ME,), (holder,)), members)
+                self.assertEqual(((ME,), (holder,), ()), members)
+
+    def test_daemon_that_became_a_holder_after_its_entry_is_named(self):
+        later = msgspec.json.encode(ME._replace(incarnation="later"))
+        entry = ports.Item("carawaysail/daemon/a-1", msgspec.json.encode(ME), 5)
+        for revision, incarnations in ((4, []), (6, ["later"])):
+            with self.subTest(revision=revision):
+                held = ports.Item("carawaysail/holder/a", later, revision)
+                holding = self.read(entry, held).holding
+                self.assertEqual(incarnations, [x.incarnation for x in holding])
+        own = ports.Item("carawaysail/holder/a", msgspec.json.encode(ME), 6)
+        self.assertEqual((), self.read(entry, own).holding)
+        self.assertEqual((ME,), self.read(own).holding)
 
     def test_record_of_another_vm_is_ignored(self):
         item = ports.Item("carawaysail/daemon/a-2", msgspec.json.encode(ME), 3)
--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -30,6 +30,10 @@
 """Time for a restarted daemon to settle before it takes its data centre back from a
 remote holder, or claims another data centre."""
 
+UNKNOWN_HOLDER_TIMEOUT = MIN_HOLDING_TIME
+"""Time to learn who a holder is before it is replaced; a daemon that runs registers
+again within it."""
+
 REFUSED_HOLDER_TIMEOUT = clock.milliseconds(1000)
 """Time in which a holder that a worker has refused hears of the newer one; without one
 it claims its data centre again."""
@@ -67,17 +71,17 @@
     """An incarnation of another daemon.
 
     ``is_refusing`` is true while connections to it are refused, ``is_registered`` while
-    it has a lease in the store. ``contacted_at`` is when this daemon began to connect
+    its entry is in the store. ``contacted_at`` is when this daemon began to connect
     to it, ``None`` without such a connection.
     """
 
-    def __init__(self, daemon: daemons.Daemon) -> None:
+    def __init__(self, daemon: daemons.Daemon, is_registered: bool = True) -> None:
         self.daemon = daemon
         self.contacted_at: datetime.datetime | None = None
         self.last_received_at: datetime.datetime | None = None
         self.is_leaving = False
         self.is_refusing = False
-        self.is_registered = True
+        self.is_registered = is_registered
 
 
 class HolderElection:
@@ -113,6 +117,13 @@
         self._claimed_at: dict[str, datetime.datetime] = {}
         # When a worker refused this daemon as the holder of its data centre.
         self._refused_at: dict[str, datetime.datetime] = {}
+        # Registered incarnation of each VM, as of the last read.
+        self._listed: dict[str, str] = {}
+        # Token of the holder record that was read with the registered daemons, by data
+        # centre; other daemons may tell of newer ones.
+        self._stored_tokens: dict[str, int] = {}
+        # Data centres that this daemon has held.
+        self._held: set[str] = set()
 
     # Observations
 
@@ -121,21 +132,30 @@
         registered: tuple[daemons.Daemon, ...],
         holders: tuple[daemons.Holder, ...],
         now: datetime.datetime,
+        holding: tuple[daemons.Daemon, ...] = (),
     ) -> None:
         """Record a read of the store.
 
         Parameters
         ----------
         registered : tuple of daemons.Daemon
-            All daemons with a lease in the store.
+            All daemons with an entry in the store.
         holders : tuple of daemons.Holder
-            All holder records.
+            The holder records that were read with them; ``record_holder`` takes each.
         now : datetime.datetime
             Present instant.
+        holding : tuple of daemons.Daemon, optional
+            Daemons that wrote a holder record after the entry of their VM, if it has
+            one. They may be alive without being registered.
         """
+        unregistered = {daemon.vm for daemon in holding}
         for daemon in registered:
-            if daemon.vm != self.me.vm:
-                self._record_peer(daemon)
+            is_news = self._listed.get(daemon.vm) not in (None, daemon.incarnation)
+            if daemon.vm not in unregistered:
+                self._record_stored(daemon, True, is_news, now)
+        for daemon in holding:
+            self._record_stored(daemon, False, False, now)
+        self._listed = {daemon.vm: daemon.incarnation for daemon in registered}
         self._known_peers = None
         incarnations = {(daemon.vm, daemon.incarnation) for daemon in registered}
         for peer in self._peers.values():
@@ -143,13 +163,33 @@
                 peer.daemon.vm,
                 peer.daemon.incarnation,
             ) in incarnations
-        for holder in holders:
-            self.record_holder(holder, now)
+        self._stored_tokens = {x.data_centre: x.token for x in holders}
+
+    def _record_stored(
+        self,
+        daemon: daemons.Daemon,
+        is_registered: bool,
+        is_news: bool,
+        now: datetime.datetime,
+    ) -> None:
+        """Record a daemon that the store names.
 
-    def _record_peer(self, daemon: daemons.Daemon) -> _Peer:
+        What it has had for long may be older than an incarnation that sends messages.
+        """
+        if daemon.vm == self.me.vm:
+            return
+        known = self._peers.get(daemon.vm)
+        if (
+            known is None
+            or is_news
+            or not self.is_responsive(daemon.vm, known.daemon.incarnation, now)
+        ):
+            self._record_peer(daemon, is_registered)
+
+    def _record_peer(self, daemon: daemons.Daemon, is_registered: bool = True) -> _Peer:
         peer = self._peers.get(daemon.vm)
         if peer is None or peer.daemon.incarnation != daemon.incarnation:
-            peer = self._peers[daemon.vm] = _Peer(daemon)
+            peer = self._peers[daemon.vm] = _Peer(daemon, is_registered)
             self._known_peers = None
             self._contacted_vms.discard(daemon.vm)
             self._suspect_after = contacts.pace(len(self._peers)).suspect_after()
@@ -207,17 +247,23 @@
         self._claimable_since.pop(holder.data_centre, None)
         self._claimed_at.pop(holder.data_centre, None)
         self._refused_at.pop(holder.data_centre, None)
+        self._known_peers = None
+        if self.is_own(holder):
+            self._held.add(holder.data_centre)
         return True
 
     # Current view
 
     def peers(self) -> tuple[daemons.Daemon, ...]:
-        """Return the other daemons that are registered or have sent a message."""
+        """Return the other daemons that are registered, hold, or have sent messages."""
         if self._known_peers is None:
+            holders = self._other_holders()
             self._known_peers = tuple(
                 peer.daemon
                 for peer in self._peers.values()
-                if peer.is_registered or self._has_sent_message(peer)
+                if peer.is_registered
+                or self._has_sent_message(peer)
+                or peer.daemon in holders
             )
         return self._known_peers
 
@@ -353,12 +399,16 @@
         age = now - self._holder_changed_at.get(data_centre, now)
         holder = self._peers.get(known.vm)
         if holder is None or holder.daemon.incarnation != known.incarnation:
-            return "" if self._has_just_started(now) else "holder is gone"
+            if self._has_ended(known, now):
+                return "" if self._has_just_started(now) else "holder has restarted"
+            return "holder is unknown" if age >= UNKNOWN_HOLDER_TIMEOUT else ""
         if holder.is_leaving:
             return "holder leaves"
         if holder.is_refusing:
             return "holder refuses connections"
         if not self._is_presumed_alive(holder, now):
+            if self._has_never_answered(holder) and data_centre not in self._held:
+                return "holder is gone"
             is_local = holder.daemon.data_centre == self.me.data_centre
             if (is_local or not holder.is_registered) and age >= MIN_HOLDING_TIME:
                 return "holder is silent"
@@ -373,6 +423,30 @@
             return "holder is small"
         return ""
 
+    def _has_ended(self, holder: daemons.Holder, now: datetime.datetime) -> bool:
+        """Return whether a holder's VM is known to run another incarnation by now.
+
+        Either that has sent a message, or the store names it, as of a time at which it
+        had the record of the holder.
+        """
+        if holder.vm == self.me.vm:
+            return True
+        peer = self._peers.get(holder.vm)
+        if peer is None:
+            return False
+        if self.is_responsive(holder.vm, peer.daemon.incarnation, now):
+            return True
+        stored = self._stored_tokens.get(holder.data_centre, 0)
+        return peer.is_registered and stored >= holder.token
+
+    def _has_never_answered(self, peer: _Peer) -> bool:
+        """Return whether a daemon without an entry has not answered a connection."""
+        return (
+            not peer.is_registered
+            and peer.contacted_at is not None
+            and not self._has_sent_message(peer)
+        )
+
     def _has_just_started(self, now: datetime.datetime) -> bool:
         """Return whether this daemon has run for less than 300 ms, two heartbeats."""
         return now - self._started_at < clock.milliseconds(300)
--- a/libs/carawaysail_holding/tests/test_holder_election.py
+++ b/libs/carawaysail_holding/tests/test_holder_election.py
@@ -1,5 +1,7 @@
 """Holder election: which daemon claims a data centre, and when."""
 
+import random
+
 import testtools
 
 from carawaysail_holding import holder_election
@@ -151,6 +153,79 @@
         self.assert_claims({"dc-0": 5}, 1500, self.remote_peer)
 
 
+class TestUnlistedHolder(ElectionCase):
+    """Holders that are not among the registered daemons, for whatever reason."""
+
+    def read_store(self, *registered, holding=()):
+        """Read the present holders, the registered daemons and those in ``holding``."""
+        self.election.record_registrations(
+            (self.me, *registered), self.election.holders(), self.now, holding
+        )
+
+    # Two daemons that the store did not list replaced each other for ever.
+    def test_unlisted_holder_that_answers_is_not_replaced(self):
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.read_store(holding=(self.local_peer,))
+        self.assertIn(self.local_peer, self.election.update_contacts(self.now))
+        self.assert_claims({}, 6000, self.local_peer)
+
+    def test_holder_of_which_only_a_heartbeat_tells_is_not_replaced_at_once(self):
+        self.advance(1000)
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.assert_claims({}, 3000)
+        self.assert_claims({"dc-0": 5}, 1500)
+
+    # The list had the former incarnation, so that the present one counted as gone.
+    def test_holder_is_not_replaced_for_the_entry_of_its_former_process(self):
+        former = make_daemon("local", incarnation="0")
+        self.read_store(former)
+        self.advance(1000, former)
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.advance(700)
+        self.read_store(former, holding=(self.local_peer,))
+        self.assert_claims({}, 6000, self.local_peer)
+
+    def test_list_does_not_hide_an_incarnation_that_sends_messages(self):
+        former = make_daemon("local", incarnation="0")
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.receive_message(self.local_peer)
+        self.read_store(former)
+        self.assert_claims({}, 2000, self.local_peer)
+
+    def test_unlisted_holder_that_refuses_connections_is_replaced(self):
+        self.advance(400)
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.read_store(holding=(self.local_peer,))
+        self.election.update_contacts(self.now)
+        self.election.record_refusal(self.local_peer)
+        self.assertEqual({"dc-0": 5}, self.claims())
+
+    def test_unlisted_holder_that_never_answers_is_replaced(self):
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.read_store(holding=(self.local_peer,))
+        self.assert_claims({}, 900)
+        self.assert_claims({"dc-0": 5}, 300)
+
+    # Two that cannot reach each other would take turns within the time of a lease.
+    def test_data_centre_is_not_taken_back_soon_from_one_that_never_answers(self):
+        self.record_holder("dc-0", self.me, 5)
+        self.advance(1000)
+        self.record_holder("dc-0", self.local_peer, 6)
+        self.read_store(holding=(self.local_peer,))
+        self.assert_claims({}, 3000)
+        self.assert_claims({"dc-0": 6}, 1000)
+
+    def test_former_process_of_the_own_vm_is_replaced(self):
+        self.record_holder("dc-0", make_daemon("me", incarnation="0"), 5)
+        self.assert_claims({"dc-0": 5}, 500)
+
+    def test_holder_whose_vm_has_registered_again_is_replaced(self):
+        self.advance(400)
+        self.record_holder("dc-0", self.local_peer, 5)
+        self.read_store(make_daemon("local", incarnation="2"))
+        self.assertEqual({"dc-0": 5}, self.claims())
+
+
 class TestOtherDataCentres(ElectionCase):
     """Claims on data centres whose daemons may have stopped."""
 
@@ -221,3 +296,96 @@
                     election.record_message(other, False, self.now)
             ranks.add(election._rank("dc-0", self.now))
         self.assertEqual(set(range(6)), ranks)
+
+
+class Fleet:
+    """Elections that run on one store, which lists some daemons wrongly or not at all.
+
+    All reach the store, and each hears those that it or they have contacted.
+    """
+
+    def __init__(self, seed):
+        draw = random.Random(seed)
+        self.clock = clock.ManualClock()
+        daemon_ids = [(f"vm-{n}", draw.choice(DATA_CENTRES)) for n in range(4)]
+        self.daemons = [make_daemon(vm, home, "2") for vm, home in daemon_ids]
+        former = [make_daemon(vm, home) for vm, home in daemon_ids]
+        self.listed = [
+            draw.choice((None, old, new))
+            for old, new in zip(former, self.daemons, strict=True)
+        ]
+        self.elections = [
+            holder_election.HolderElection(x, DATA_CENTRES, self.clock.now())
+            for x in self.daemons
+        ]
+        self.entries = {}
+        self.revision = 10
+        for data_centre in DATA_CENTRES:
+            if draw.random() < 0.7:
+                self._write(data_centre, draw.choice(former))
+        self.changes = []
+        self._reads_at = [draw.randrange(1, 12) for _ in self.daemons]
+
+    def _write(self, data_centre, daemon):
+        self.revision += 1
+        holder = daemons.Holder(
+            data_centre, daemon.vm, daemon.incarnation, self.revision
+        )
+        self.entries[data_centre] = (holder, daemon)
+        return holder
+
+    def run(self, ms):
+        """Let all act each 50 ms; record who becomes a holder, and when."""
+        for step in range(ms // 50):
+            self.clock.advance(MS(50))
+            now = self.clock.now()
+            contacts = [x.update_contacts(now) for x in self.elections]
+            for number, election in enumerate(self.elections):
+                self._listen(number, contacts)
+                for data_centre in DATA_CENTRES:
+                    election.record_worker_report(data_centre, now)
+                if step % 12 == self._reads_at[number]:
+                    self._read(election)
+                for claim in election.next_claims(now):
+                    self._claim(election, claim)
+
+    def _listen(self, number, contacts):
+        me, election = self.daemons[number], self.elections[number]
+        for other, peer in enumerate(self.daemons):
+            wanted = [x for x in contacts[number] if x.vm == peer.vm]
+            if other != number and (wanted or me in contacts[other]):
+                election.record_message(peer, False, self.clock.now())
+
+    def _read(self, election):
+        listed = tuple(x for x in self.listed if x is not None)
+        holders = tuple(x for x, _ in self.entries.values())
+        writers = {daemon for _, daemon in self.entries.values()}
+        now = self.clock.now()
+        election.record_registrations(
+            listed, holders, now, tuple(writers - set(listed))
+        )
+        for holder in holders:
+            election.record_holder(holder, now)
+
+    def _claim(self, election, claim):
+        present = self.entries.get(claim.data_centre)
+        if claim.token == (present[0].token if present else 0):
+            holder = self._write(claim.data_centre, election.me)
+            self.changes.append((self.clock.now(), claim.data_centre, holder.vm))
+            election.record_holder(holder, self.clock.now())
+
+
+class TestStableHolders(testtools.TestCase):
+    """Daemons that run and reach the store and each other keep the holder they have."""
+
+    # Two that the store did not list were the holder in turn for as long as they ran.
+    def test_holders_do_not_change_whomever_the_store_lists(self):
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed)
+                fleet.run(8000)
+                vms = {k: holder.vm for k, (holder, _) in fleet.entries.items()}
+                fleet.changes.clear()
+                fleet.run(8000)
+                self.assertEqual([], fleet.changes)
+                self.assertEqual(set(DATA_CENTRES), set(vms))
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -641,9 +641,9 @@
         if self._store.is_reachable(self.me) and is_running:
             self._store.renew(self.me, now)
             registered = self._store.live_daemons(now)
-            self.put(
-                messages.MembersRead(registered, tuple(self._store.holders.values()))
-            )
+            holders = tuple(self._store.holders.values())
+            holding = self._store.unregistered_holders(now)
+            self.put(messages.MembersRead(registered, holders, holding))
         if self.is_alive:
             self._engine.after(MEMBERS_READ_INTERVAL, self._read_members)
 
--- a/libs/carawaysail_model/src/carawaysail_model/store.py
+++ b/libs/carawaysail_model/src/carawaysail_model/store.py
@@ -27,6 +27,10 @@
     cut_vms : collections.Counter of str
         VMs that cannot reach the store, though their data centre can, with the number
         of faults that cut them off.
+    refused_vms : collections.Counter of str
+        VMs whose entries the store refuses, while it serves all their other calls.
+    claimants : dict of str to daemons.Daemon
+        Daemon that wrote the holder record of each data centre.
     unlisted : collections.Counter of str
         Workers whose report is missing, with the number of faults that hide it.
     on_claim : list of callable
@@ -40,6 +44,8 @@
         self.holders: dict[str, daemons.Holder] = {}
         self.reports: dict[str, runs.WorkerReport] = {}
         self.cut_vms: collections.Counter[str] = collections.Counter()
+        self.refused_vms: collections.Counter[str] = collections.Counter()
+        self.claimants: dict[str, daemons.Daemon] = {}
         self.unlisted: collections.Counter[str] = collections.Counter()
         self.on_claim: list[collections.abc.Callable[[daemons.Holder], None]] = []
         self._revisions = itertools.count(2)
@@ -65,12 +71,24 @@
 
     def renew(self, daemon: daemons.Daemon, now: datetime.datetime) -> None:
         """Renew the lease of a daemon's entry; create the entry if there is none."""
-        self._renewed[daemon.vm] = (daemon, now)
+        if self.refused_vms[daemon.vm] <= 0:
+            self._renewed[daemon.vm] = (daemon, now)
 
     def live_daemons(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
         """Return the daemons whose lease has not expired."""
         return tuple(x for x, at in self._renewed.values() if now - at < LEASE)
 
+    def unregistered_holders(
+        self, now: datetime.datetime
+    ) -> tuple[daemons.Daemon, ...]:
+        """Return the writers of holder records whose VM has no entry."""
+        registered_vms = {x.vm for x in self.live_daemons(now)}
+        return tuple(
+            {
+                x.vm: x for x in self.claimants.values() if x.vm not in registered_vms
+            }.values()
+        )
+
     def claim(
         self, me: daemons.Daemon, data_centre: str, token: int
     ) -> daemons.Holder | None:
@@ -97,6 +115,7 @@
             data_centre, me.vm, me.incarnation, next(self._revisions)
         )
         self.holders[data_centre] = claimed
+        self.claimants[data_centre] = me
         for notify in list(self.on_claim):
             notify(claimed)
         return claimed
