Reports task: all reads of the workers' reports are linearizable

Cause: ReportsTask took a stale answer whenever its revision was higher than that of the last one. That bounds the order of the answers, not their age, and nothing in a stale answer says how old it is.

Weighed: pairs of instant and revision from the watches, by which a stale answer's age could be known; they are up to 1.5 s and 3 s old, which leaves nothing of drain_ms. A linearizable read of one key for each stale list costs as many priced calls as a linearizable list.

Change: reads are linearizable and begin at an interval that follows from drain_ms (700 ms for 2 s, as before), counted from the beginning of the last one. The task also tells when a read begins and when one fails or is late, and the broker records up to when it knows the reports; it does not act on that yet. The model's stale list at a takeover is now the answer to a read that began before it. TestReports asked for stale reads after the first and now asks for none; the test of the broker for a stale answer now has one to a read from before the takeover.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -24,6 +24,7 @@
     store_thread,
     worker_links,
 )
+from carawaysail_holding import report_age
 from carawaysail_runtime import inbox, logs, turns
 from carawaysail_streams import messages as stream_messages
 from carawaysail_streams import transport
@@ -154,8 +155,9 @@
         )  # fmt: skip
         claims = store_tasks.ClaimTask(adapter.open_store(), self._me, context)
         reports = store_tasks.ReportsTask(
-            adapter.open_store(), adapter.store_codec, context
-        )
+            adapter.open_store(), adapter.store_codec,
+            report_age.read_interval(cfg.terms), context,
+        )  # fmt: skip
         self._lease = store_tasks.LeaseTask(adapter.open_store(), self._me, context)
         members = store_tasks.MembersTask(adapter.open_store(), context, self._lease)
         configuration = store_tasks.ConfigurationTask(
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/handlers.py
@@ -10,7 +10,7 @@
 import datetime
 
 from carawaysail_fleet import decision_loop, messages
-from carawaysail_holding import broker_messages, gateway
+from carawaysail_holding import broker_messages, gateway, report_age
 from carawaysail_runtime import logs
 from carawaysail_streams import messages as stream_messages
 from carawaysail_types import clock, jobs, runs
@@ -130,13 +130,29 @@
 ) -> None:
     for data_centre in message.live_data_centres:
         loop.election.record_worker_report(data_centre, now)
-    actions = loop.broker.handle_reports(
-        message.reports, now, message.requested_at, message.is_linearizable
-    )
+    actions = loop.broker.handle_reports(message.reports, now, message.requested_at)
     loop.perform(actions, now)
     loop.dependencies.workers.close_except(loop.broker.worker_ids())
 
 
+@decision_loop.handlers.register("ReportsRequested")
+def _handle_reports_request(
+    loop: decision_loop.DecisionLoop,
+    message: messages.ReportsRequested,
+    now: datetime.datetime,
+) -> None:
+    loop.broker.report_age.record_request(message.overdue_at)
+
+
+@decision_loop.handlers.register("ReportsFailed")
+def _handle_reports_failure(
+    loop: decision_loop.DecisionLoop,
+    message: messages.ReportsFailed,
+    now: datetime.datetime,
+) -> None:
+    loop.broker.report_age.record_failure(message.at)
+
+
 @decision_loop.handlers.register("MembersRead")
 def _handle_members(
     loop: decision_loop.DecisionLoop,
@@ -218,6 +234,7 @@
     now: datetime.datetime,
 ) -> None:
     loop.broker.set_terms(message.terms)
+    loop.dependencies.reports.set_interval(report_age.read_interval(message.terms))
 
 
 @decision_loop.handlers.register("LeaveRequested")
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/messages.py
@@ -124,16 +124,36 @@
     live_data_centres : frozenset of str
         Data centres where some report has a new heartbeat count since the last read.
     requested_at : datetime.datetime
-        When the read began.
-    is_linearizable : bool
-        Whether the answer has all that the store had when the read began. Another one
-        may be older, whenever it was asked for.
+        When the read began; the answer has all that the store had then.
     """
 
     reports: tuple[runs.WorkerReport, ...]
     live_data_centres: frozenset[str]
     requested_at: datetime.datetime
-    is_linearizable: bool = True
+
+
+class ReportsRequested(typing.NamedTuple):
+    """A read of the workers' reports has begun.
+
+    Parameters
+    ----------
+    overdue_at : datetime.datetime
+        Instant from which the store counts as not answering it.
+    """
+
+    overdue_at: datetime.datetime
+
+
+class ReportsFailed(typing.NamedTuple):
+    """A read of the workers' reports has failed, or its answer was late.
+
+    Parameters
+    ----------
+    at : datetime.datetime
+        When it was over.
+    """
+
+    at: datetime.datetime
 
 
 class MembersRead(typing.NamedTuple):
@@ -256,7 +276,9 @@
     | StartResultReceived
     | StopResultReceived
     | ConfigurationRead
+    | ReportsRequested
     | ReportsRead
+    | ReportsFailed
     | MembersRead
     | ClaimResultReceived
     | StreamOpened
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -74,12 +74,8 @@
     def read(self, key: str) -> Item | None:
         """Return a key with its value, or ``None`` if the key does not exist."""
 
-    def list(self, prefix: str, allow_stale: bool = False) -> Snapshot:
-        """Return all keys under a prefix.
-
-        With ``allow_stale`` the answer may be older than earlier ones, but costs the
-        store much less.
-        """
+    def list(self, prefix: str) -> Snapshot:
+        """Return all keys under a prefix, as of the call or later."""
 
     def watch(
         self, prefix: str, after_revision: int, timeout: datetime.timedelta
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/store_tasks.py
@@ -21,9 +21,6 @@
 
 LEASE_RENEWAL_INTERVAL = clock.milliseconds(1000)
 LEASE_TTL = clock.milliseconds(3000)
-REPORTS_INTERVAL = clock.milliseconds(700)
-"""A draining worker may still be used for two seconds, which allows for two reads."""
-
 WATCH_PAUSE_PER_MEMBER_S = 0.001
 """Pause between two watches of the daemons, for each daemon; while a large fleet
 starts, one watch then returns the changes of many."""
@@ -291,10 +288,14 @@
 class ReportsTask(store_thread.StoreThread):
     """Reads the workers' reports at an interval while this daemon needs them.
 
+    All reads are linearizable: nothing in a stale answer says how old it is.
+
     Parameters
     ----------
     codec : ports.StoreCodec
         Keys and format of the reports.
+    interval : datetime.timedelta
+        Time from the beginning of a read to that of the next.
     """
 
     name = "reports"
@@ -303,16 +304,13 @@
         self,
         store: ports.Store,
         codec: ports.StoreCodec,
+        interval: datetime.timedelta,
         context: store_thread.Context,
     ) -> None:
         super().__init__(store, context)
         self._codec = codec
+        self._interval = interval
         self._heartbeats: dict[str, int] = {}
-        self._revision = 0
-        # Numbers of linearizable reads that were asked for and that were answered. Each
-        # is written by one thread: the decision loop's, and this one.
-        self._requested_count = 0
-        self._answered_count = 0
         self._is_needed = threading.Event()
         self._read_now = threading.Event()
 
@@ -324,12 +322,12 @@
         elif not is_needed:
             self._is_needed.clear()
 
-    def refresh(self) -> None:
-        """Read at once, without accepting a stale answer.
+    def set_interval(self, interval: datetime.timedelta) -> None:
+        """Set the time from the beginning of a read to that of the next."""
+        self._interval = interval
 
-        The request stands until a read that begins later has been answered.
-        """
-        self._requested_count += 1
+    def refresh(self) -> None:
+        """Read at once; if a read is under way, once more after it."""
         self._read_now.set()
 
     def stop(self) -> None:
@@ -343,10 +341,25 @@
         if self._is_stopping.is_set():
             return 0.0
         self._read_now.clear()
-        reports, live_data_centres = [], set()
         requested_at = self._call_began_at = self._clock.now()
-        requested_count = self._requested_count
-        snapshot, is_linearizable = self._read(requested_count == self._answered_count)
+        overdue_at = requested_at + self._limits.call_timeout
+        self._loop_inbox.put(messages.ReportsRequested(overdue_at))
+        try:
+            self._read(requested_at, overdue_at)
+        except Exception:
+            self._loop_inbox.put(messages.ReportsFailed(self._clock.now()))
+            raise
+        remaining = requested_at + self._interval - self._clock.now()
+        self._read_now.wait(max(0.0, remaining.total_seconds()))
+        return 0.0
+
+    def _read(
+        self, requested_at: datetime.datetime, overdue_at: datetime.datetime
+    ) -> None:
+        """Read the reports and publish them."""
+        snapshot = self._store.list(self._codec.reports_prefix)
+        answered_at = self._clock.now()
+        reports, live_data_centres = [], set()
         for item in snapshot.items:
             decoded = self._codec.report(item)
             if decoded is None:
@@ -356,44 +369,13 @@
             if self._heartbeats.get(report.worker_id) != heartbeat:
                 live_data_centres.add(report.data_centre)
             self._heartbeats[report.worker_id] = heartbeat
+        if answered_at > overdue_at:
+            self._loop_inbox.put(messages.ReportsFailed(answered_at))
         self._loop_inbox.put(
             messages.ReportsRead(
-                tuple(reports),
-                frozenset(live_data_centres),
-                requested_at,
-                is_linearizable,
+                tuple(reports), frozenset(live_data_centres), requested_at
             )
         )
-        if is_linearizable:
-            self._answered_count = requested_count
-        self._read_now.wait(REPORTS_INTERVAL.total_seconds())
-        return 0.0
-
-    def _read(self, may_be_stale: bool) -> tuple[ports.Snapshot, bool]:
-        """Read the reports, with a stale read first because it costs much less.
-
-        A stale answer that is no newer than the last one is replaced by a fresh read.
-
-        Parameters
-        ----------
-        may_be_stale : bool
-            Whether a stale answer is accepted, if there has been an answer before.
-
-        Returns
-        -------
-        ports.Snapshot
-            The reports.
-        bool
-            Whether the store was asked for a linearizable answer.
-        """
-        prefix = self._codec.reports_prefix
-        allow_stale = may_be_stale and bool(self._revision)
-        snapshot = self._store.list(prefix, allow_stale)
-        if allow_stale and snapshot.revision <= self._revision:
-            allow_stale = False
-            snapshot = self._store.list(prefix)
-        self._revision = max(self._revision, snapshot.revision)
-        return snapshot, not allow_stale
 
 
 class ClaimTask(store_thread.StoreThread):
--- a/libs/carawaysail_fleet/tests/test_store_tasks.py
+++ b/libs/carawaysail_fleet/tests/test_store_tasks.py
@@ -9,6 +9,7 @@
 
 from carawaysail_fleet import (
     backoff,
+    messages,
     metrics,
     ports,
     store_limits,
@@ -19,7 +20,9 @@
 from carawaysail_types import clock, daemons
 
 ME = daemons.Daemon("a-1", "a", "incarnation", "127.0.0.1:7720")
+MS = clock.milliseconds
 TIMEOUT_S = 5.0
+INTERVAL = MS(700)
 LIMITS = store_limits.for_contact(clock.milliseconds(3000))
 LONGEST_PAUSE = clock.milliseconds(1400)
 NESTED = b"[" * 100_000
@@ -42,6 +45,7 @@
         self.changed = ()
         self.items = ()
         self.value = b"old"
+        self.on_list = lambda: None
         self.revision = 5
 
     def _record(self, call):
@@ -54,8 +58,9 @@
         self._record("read")
         return ports.Item(key, self.value, self.revision)
 
-    def list(self, prefix, allow_stale=False):
+    def list(self, prefix):
         self._record("list")
+        self.on_list()
         return ports.Snapshot(self.items, self.revision)
 
     def watch(self, prefix, after_revision, timeout):
@@ -274,7 +279,7 @@
         self.source.advance(clock.milliseconds(30_000))
 
     def test_idle_time_before_a_refused_read_is_no_pause(self):
-        task = store_tasks.ReportsTask(self.store, Codec(), self.context)
+        task = store_tasks.ReportsTask(self.store, Codec(), INTERVAL, self.context)
         task._is_needed.wait = self.idle
         self.assertGreater(task._attempt(), 0.0)
 
@@ -384,43 +389,56 @@
         self.assertEqual((), self.read(item).registered)
 
 
-class ReportsStore(Store):
-    """Records which lists may be stale; each is newer than the one before."""
-
-    def list(self, prefix, allow_stale=False):
-        self._record("stale" if allow_stale else "fresh")
-        self.revision += 1
-        return ports.Snapshot(self.items, self.revision)
-
-
 class TestReports(testtools.TestCase):
-    """Reads of the workers' reports: which may be stale, and what they say of that."""
+    """Reads of the workers' reports: when they begin, and what is published of them."""
 
     def setUp(self):
         super().setUp()
-        self.store = ReportsStore()
+        self.store = Store()
         self.inbox = FakeInbox()
+        self.clock = clock.ManualClock()
         self.task = store_tasks.ReportsTask(
-            self.store, Codec(), make_context(self.inbox)
+            self.store, Codec(), INTERVAL, make_context(self.inbox, self.clock)
         )
-        self.task._read_now.wait = lambda pause_s: None
+        self.pauses = []
+        self.task._read_now.wait = self.pauses.append
         self.task.set_needed(True)
 
-    def read(self):
-        """Read once; return the calls to the store, and whether it was linearizable."""
+    def read(self, answered_after=MS(0)):
+        """Read once; return the messages to the decision loop."""
         self.store.calls.clear()
+        self.inbox.messages.clear()
+        self.store.on_list = lambda: self.clock.advance(answered_after)
         self.task._attempt()
-        return self.store.calls, [x.is_linearizable for x in self.inbox.messages][-1]
-
-    def test_later_reads_may_be_stale(self):
-        self.assertEqual((["fresh"], True), self.read())
-        self.assertEqual((["stale"], False), self.read())
-        self.task.refresh()
-        self.assertEqual((["fresh"], True), self.read())
-        self.assertEqual((["stale"], False), self.read())
+        return self.inbox.messages
+
+    # A stale answer was used however old it was, if it was newer than the one before.
+    def test_each_read_is_linearizable(self):
+        for _ in range(3):
+            self.read()
+            self.assertEqual(["list"], self.store.calls)
+
+    def test_answer_counts_from_its_request(self):
+        sent_at = self.clock.now()
+        requested, read = self.read(MS(100))
+        self.assertEqual(sent_at + LIMITS.call_timeout, requested.overdue_at)
+        self.assertEqual(sent_at, read.requested_at)
+
+    def test_next_read_begins_an_interval_after_the_last_one(self):
+        self.read(MS(100))
+        self.read(MS(900))
+        self.assertEqual([0.6, 0.0], self.pauses)
+
+    def test_failed_and_late_reads_are_told(self):
+        self.store.failure = errors.StoreUnavailableError("list", "503")
+        _, failed = self.read()
+        self.assertEqual(messages.ReportsFailed(self.clock.now()), failed)
+        _, late, read = self.read(LIMITS.call_timeout + MS(1))
+        self.assertEqual(messages.ReportsFailed(self.clock.now()), late)
+        self.assertEqual(self.clock.now(), read.requested_at + MS(751))
 
     def read_with_request(self, number):
-        """Read once; ask for a fresh read just before a line of the task's code.
+        """Read once; ask for another read just before a line of the task's code.
 
         Returns
         -------
@@ -449,12 +467,11 @@
 
     # One that came between the look at the flag and its reset was cleared with it.
     def test_request_at_any_moment_of_a_read_is_not_lost(self):
-        self.read()
         number = 1
         while self.read_with_request(number):
-            calls = list(self.store.calls)
-            calls += self.read()[0]
-            self.assertIn("fresh", calls[calls.index("request") :], number)
+            calls = self.store.calls
+            begins_later = "list" in calls[calls.index("request") :]
+            self.assertTrue(begins_later or self.task._read_now.is_set(), number)
             number += 1
         self.assertGreater(number, 10)
 
@@ -465,12 +482,12 @@
         for _ in range(2):
             self.store.failure = errors.StoreUnavailableError("list", "503")
             self.task._attempt()
-        self.assertEqual((["fresh"], True), self.read())
+        self.assertEqual(["list"], self.read() and self.store.calls)
 
-    def test_answer_that_is_no_newer_is_replaced_by_a_linearizable_one(self):
+    def test_interval_may_change(self):
+        self.task.set_interval(MS(300))
         self.read()
-        self.store.revision -= 1
-        self.assertEqual((["stale", "fresh"], True), self.read())
+        self.assertEqual([0.3], self.pauses)
 
 
 class LeaseStore(Store):
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -20,6 +20,7 @@
     outcome_cache,
     placer,
     policies,
+    report_age,
     run_time_estimates,
     shard_state,
     stall_detection,
@@ -45,6 +46,8 @@
         for them, if clients do not send jobs again sooner; ``None`` for no limit.
     statement_interval : datetime.timedelta
         Time between two statements of a gateway; leases leave room for it.
+    report_age : report_age.ReportAge
+        Age of the workers' reports; records the reads of them.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
     ) -> None:
         self.gateway_timeout: datetime.timedelta | None = None
         self.statement_interval = datetime.timedelta()
+        self.report_age = report_age.ReportAge()
         self._terms = terms
         self._job_order = policies.job_order_policies.get(names.order)
         self.estimates = run_time_estimates.RunTimeEstimates()
@@ -140,9 +144,8 @@
         reports: collections.abc.Iterable[runs.WorkerReport],
         now: datetime.datetime,
         requested_at: datetime.datetime | None = None,
-        is_linearizable: bool = True,
     ) -> list[broker_messages.Action]:
-        """Compare the held workers with a complete read of the store.
+        """Compare the held workers with a complete, linearizable read of the store.
 
         Parameters
         ----------
@@ -152,13 +155,10 @@
             Present instant.
         requested_at : datetime.datetime, optional
             When the read was sent to the store; ``now`` by default.
-        is_linearizable : bool, optional
-            Whether the answer has all that the store had at that instant.
         """
         requested_at = requested_at or now
-        for data_centre in self._workers.record_reports(
-            reports, requested_at, is_linearizable
-        ):
+        self.report_age.record_answer(requested_at)
+        for data_centre in self._workers.record_reports(reports, requested_at):
             self._actions.log(
                 "reports_complete", data_centre,
                 token=self._workers.tokens.get(data_centre),
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -20,12 +20,20 @@
         unknown, sends its job again; by then no run of the attempt may be left.
     stop : datetime.timedelta
         Longest time that a worker takes to stop a run.
+    drain : datetime.timedelta
+        Time for which a worker may be used after the store has its report that it
+        drains.
+    contact : datetime.timedelta
+        Time after the end of a disruption of the store in which it does not count as
+        in contact yet.
     """
 
     lease: datetime.timedelta = datetime.timedelta(seconds=1)
     cross_rack_factor: float = 1.5
     retransmit: datetime.timedelta = datetime.timedelta(milliseconds=1300)
     stop: datetime.timedelta = datetime.timedelta(milliseconds=50)
+    drain: datetime.timedelta = datetime.timedelta(seconds=2)
+    contact: datetime.timedelta = datetime.timedelta(seconds=3)
 
 
 class GatewayId(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/gateways.py
@@ -45,6 +45,10 @@
         """
         self._own = (gateway, known_at)
 
+    def own_known_at(self, default: datetime.datetime) -> datetime.datetime:
+        """Return up to when the own gateway knows of its clients, or a default."""
+        return default if self._own is None else self._own[1]
+
     def is_own(self, gateway: broker_messages.GatewayId) -> bool:
         """Return whether a gateway is the one of the own daemon."""
         return self._own is not None and self._own[0] == gateway
--- a/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/worker_table.py
@@ -78,7 +78,6 @@
         self,
         reports: collections.abc.Iterable[runs.WorkerReport],
         requested_at: datetime.datetime,
-        is_linearizable: bool,
     ) -> list[str]:
         """Replace the reports of all workers; return what they complete.
 
@@ -87,11 +86,8 @@
         reports : iterable of runs.WorkerReport
             Reports of all workers of the site.
         requested_at : datetime.datetime
-            When the read was sent to the store. Data centres that are held since a
-            later time still await their reports.
-        is_linearizable : bool
-            Whether the answer has all that the store had then. Otherwise it completes
-            nothing.
+            When the read was sent to the store, whose answer has all that it had then.
+            Data centres that are held since a later time still await their reports.
 
         Returns
         -------
@@ -101,8 +97,6 @@
         self._reports = {report.worker_id: report for report in reports}
         self._read_at = requested_at
         self._late_orders.prune(requested_at)
-        if not is_linearizable:
-            return []
         complete = [k for k, v in self._awaiting_reports.items() if v <= requested_at]
         for data_centre in complete:
             del self._awaiting_reports[data_centre]
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -57,7 +57,8 @@
             self.poll(report)
 
     def poll(self, report, running=(), finished=(), incarnation=None, progress=()):
-        """Pass the broker a worker's answer to a poll."""
+        """Pass the broker a worker's answer to a poll; its reports are known by now."""
+        self.read_no_change()
         status = runs.WorkerStatus(
             incarnation or report.incarnation, MS(10_000), tuple(running),
             tuple(finished), tuple(progress),
@@ -66,6 +67,10 @@
         self.clock.advance(MS(1))
         return self.broker.handle_status(report.worker_id, status, sent_at, self.now)
 
+    def read_no_change(self):
+        """Let a read show that the reports are unchanged."""
+        self.broker.report_age.record_answer(self.now)
+
     def submit(self, submission, gateway=ME):
         if not submission.token:
             token = self.broker.tokens().get(submission.data_centre, 0)
@@ -399,6 +404,7 @@
             ):  # fmt: skip
                 now = self.now
                 self.clock.advance(MS(200))
+                self.read_no_change()
                 self.broker.handle_status(worker.worker_id, status, now, self.now)
         self.assertAlmostEqual(1.43, self.broker.estimates.speed(worker), delta=0.2)
 
@@ -812,12 +818,10 @@
         self.broker.handle_reports([make_report(0), late_report], self.now)
         self.assertEqual([], self.starts(self.poll(late_report, running=[run])))
 
-    # A read that the store might answer with an old list ended the wait for a new one.
-    def test_resumed_shard_waits_for_linearizable_reports(self):
+    # The answer to a read from before the takeover ended the wait for a later one.
+    def test_resumed_shard_waits_for_a_read_that_begins_after_the_takeover(self):
         self.broker.start_holding(HOME, 9, self.now)
-        self.broker.handle_reports(
-            [make_report(0)], self.now, self.now, is_linearizable=False
-        )
+        self.broker.handle_reports([make_report(0)], self.now, self.now - MS(1))
         self.poll(make_report(0))
         self.assertEqual([], self.starts(self.submit(self.make(is_resumed=True))))
         actions = self.broker.handle_reports([make_report(0)], self.now)
--- a/libs/carawaysail_model/src/carawaysail_model/nodes.py
+++ b/libs/carawaysail_model/src/carawaysail_model/nodes.py
@@ -18,6 +18,7 @@
 STORE_LATENCY = clock.milliseconds(9)
 MEMBERS_READ_INTERVAL = clock.milliseconds(300)
 REPORTS_READ_INTERVAL = clock.milliseconds(700)
+READ_TIMEOUT = clock.milliseconds(750)
 ORDER_TIMEOUT = clock.milliseconds(300)
 POLL_TIMEOUT_MARGIN = clock.milliseconds(250)
 """Timeout of a poll, beyond the time for which the worker may delay its reply."""
@@ -124,6 +125,9 @@
     def refresh(self) -> None:
         self._node.refresh_reports()
 
+    def set_interval(self, interval: datetime.timedelta) -> None:
+        pass
+
 
 class _Replies:
     def __init__(self, node: "Node") -> None:
@@ -246,9 +250,9 @@
         slow; ``None`` if none do.
     needs_reports : bool
         Whether the decision loop needs the workers' reports.
-    stale_reports : tuple of runs.WorkerReport or None
-        What its reads return until it becomes a holder, and the read that begins just
-        then if it reads the reports already; ``None`` if its reads are fresh.
+    stale_reports : messages.ReportsRead or None
+        What its reads return until it becomes a holder, and the read that is answered
+        just then if it reads the reports already; ``None`` if its reads are fresh.
     on_start_order : callable or None
         Called after each order that starts a run was sent, before anything else is.
     """
@@ -270,7 +274,7 @@
         self.frozen_until = event_engine.now()
         self.handled_until: datetime.datetime | None = None
         self.needs_reports = False
-        self.stale_reports: tuple[runs.WorkerReport, ...] | None = None
+        self.stale_reports: messages.ReportsRead | None = None
         self.on_start_order: collections.abc.Callable[[], None] | None = None
         self.on_outcome = on_outcome
         self.on_failure = on_failure
@@ -630,9 +634,7 @@
     def _read_stale_reports(self) -> None:
         """Read reports as the daemon becomes a holder, before the read that is due."""
         if self.stale_reports is not None and self.needs_reports:
-            now = self._engine.now()
-            reports, no_news = self.stale_reports, frozenset[str]()
-            self.put(messages.ReportsRead(reports, no_news, now, False))
+            self.put(self.stale_reports._replace(live_data_centres=frozenset()))
         self.stale_reports = None
 
     def _read_members(self) -> None:
@@ -666,14 +668,23 @@
         Reports of workers that cannot reach the store are missing.
         """
         now = self._engine.now()
-        is_store_reachable = self._store.is_reachable(self.me)
-        if is_store_reachable and self.needs_reports and self.is_alive:
-            reports, is_fresh = self._store.visible_reports(), self._needs_fresh_read
-            if self.stale_reports is not None and not is_fresh:
-                reports = self.stale_reports
-            self._needs_fresh_read = False
-            live = frozenset(x.data_centre for x in reports)
-            self.put(messages.ReportsRead(reports, live, now, is_fresh))
+        if not self.needs_reports or not self.is_alive:
+            return
+        if not self._store.is_reachable(self.me):
+            failed = messages.ReportsFailed(now + READ_TIMEOUT)
+            self._engine.after(READ_TIMEOUT, lambda: self.put(failed))
+            return
+        read = self.read_reports(now)
+        if self.stale_reports is not None and not self._needs_fresh_read:
+            read = self.stale_reports
+        self._needs_fresh_read = False
+        self.put(read)
+
+    def read_reports(self, now: datetime.datetime) -> messages.ReportsRead:
+        """Return the answer to a read of the reports that is sent now."""
+        reports = self._store.visible_reports()
+        live = frozenset(x.data_centre for x in reports)
+        return messages.ReportsRead(reports, live, now)
 
 
 def _source(message: messages.Message) -> typing.Any:
--- a/libs/carawaysail_model/src/carawaysail_model/takeover_faults.py
+++ b/libs/carawaysail_model/src/carawaysail_model/takeover_faults.py
@@ -312,7 +312,7 @@
     def join() -> None:
         for vm, node in simulation.all_nodes().items():
             if vm not in local:
-                node.stale_reports = simulation.store.visible_reports()
+                node.stale_reports = node.read_reports(simulation.engine.now())
         simulation.store.unlisted.subtract(joining)
 
     def kill_all() -> None:
