Broker: no run starts on reports that are too old to show a draining worker

Cause: a daemon that holds nothing reads the reports only while some zone lacks daemons, and keeps what it read. As a new holder it dropped reports that were over 3 s old but for those of expected workers, held the workers of the others by their old is_draining, and placed on them as soon as they had answered a poll, before its own read was back. Nothing carried the instant up to which a worker's state was known.

Change: runs are started only while the reports are known to be those that the store had less than 0.85 drain_ms ago; the rest is for the way of the order. The age counts from the sending of the read, whatever holder, thread or pause lies between. Where a read is overdue or has failed within contact_ms, the daemon is out of touch with the store and goes on using the workers that it knows; the mere lack of a read is no such reason. A new holder asks for its read as it becomes one, not with its next slow tick.

Not changed: refusals by old reports ("no workers", "never fits") are true, as nothing has run, and tell callers when to come back.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/decision_loop.py
@@ -620,6 +620,7 @@
                 data_centre, holder.token, now, former_token
             )
             self.perform(actions, now)
+            self.dependencies.reports.set_needed(True)
             self.dependencies.reports.refresh()
         elif data_centre in self.broker.tokens():
             self.perform(self.broker.stop_holding(data_centre), now)
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -841,7 +841,7 @@
             Workers that accept runs, to start tasks on; by default all of them.
         """
         waiting = [shard for shard in shards if shard.waiting_count()]
-        if not waiting:
+        if not waiting or not self._knows_states(now):
             return
         least = min(x.least_processor_milli for x in waiting)
         oldest_valid = self._oldest_valid(now)
@@ -864,6 +864,11 @@
                 accepting = [x for x in roomy[key] if x.accepts(now)]
                 roomy[key] = _with_room(accepting, least)
 
+    def _knows_states(self, now: datetime.datetime) -> bool:
+        """Return whether it is known which workers drain, as far as it can be."""
+        handled_until = self._gateways.own_known_at(now)
+        return self.report_age.may_start(self._terms, now, handled_until)
+
     def _place_shard(
         self,
         shard: shard_state.ShardState,
--- a/libs/carawaysail_holding/tests/test_broker.py
+++ b/libs/carawaysail_holding/tests/test_broker.py
@@ -250,6 +250,75 @@
         context.is_sooner_after_wait(candidates[0].run_time, False)
 
 
+class TestDraining(BrokerCase):
+    """A worker that drains gets no runs later than ``Terms.drain`` after its report."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold(make_report())
+        self.held_at = self.now
+        self.numbers = iter(range(1, 100))
+
+    def read_no_change(self):
+        """Do nothing: here the reports are only read where a test says so."""
+
+    def start_at(self, ms):
+        """Return what starts so long after the last read."""
+        self.clock.advance(self.held_at + MS(ms) - self.now)
+        self.broker.record_own_gateway(ME, self.now)
+        deadline = self.now + MS(9000)
+        number = next(self.numbers)
+        starts = self.starts(self.submit(self.make(number, deadline=deadline)))
+        for start in starts:
+            self.answer(start)
+            self.finish(start, sequence=number)
+        return starts
+
+    # A new holder placed tasks by reports that it had read seconds before.
+    def test_nothing_starts_on_old_reports(self):
+        self.assertEqual(1, len(self.start_at(1600)))
+        self.assertEqual([], self.start_at(1750))
+        actions = self.broker.handle_reports([make_report()], self.now)
+        self.assertEqual(1, len(self.starts(actions)))
+
+    def test_takeover_waits_for_a_read(self):
+        self.clock.advance(MS(2900))
+        self.broker.start_holding(HOME, 9, self.now)
+        self.poll(make_report())
+        self.assertEqual([], self.starts(self.submit(self.make())))
+        drains = make_report(is_draining=True)
+        actions = self.broker.handle_reports([drains], self.now)
+        self.assertEqual([], self.starts(actions))
+
+    def test_age_counts_from_the_sending_of_the_read(self):
+        self.clock.advance(MS(1000))
+        self.broker.handle_reports([make_report()], self.now, self.held_at + MS(200))
+        self.assertEqual([], self.start_at(1950))
+
+    def test_bound_follows_from_the_terms(self):
+        drain = datetime.timedelta(seconds=10)
+        self.broker.set_terms(broker_messages.Terms(drain=drain))
+        self.assertEqual(1, len(self.start_at(8000)))
+        self.assertEqual([], self.start_at(9000))
+
+    def test_workers_are_used_while_the_store_does_not_answer(self):
+        self.broker.report_age.record_request(self.held_at + MS(2100))
+        self.assertEqual([], self.start_at(2000))
+        self.assertEqual(1, len(self.start_at(2200)))
+
+    # The answer had come, but a slow daemon had not handled it yet.
+    def test_read_is_overdue_only_by_what_was_handled(self):
+        self.broker.report_age.record_request(self.held_at + MS(2100))
+        self.clock.advance(MS(2300))
+        self.broker.record_own_gateway(ME, self.held_at + MS(2050))
+        self.assertEqual([], self.starts(self.submit(self.make())))
+
+    def test_workers_are_used_for_some_time_after_a_failed_read(self):
+        self.broker.report_age.record_failure(self.held_at + MS(1000))
+        self.assertEqual(1, len(self.start_at(3900)))
+        self.assertEqual([], self.start_at(4100))
+
+
 class TestCostOfWaiting(BrokerCase):
     """A crest: many shards wait, although some workers have room, for faster ones."""
 
