--- a/libs/carawaysail_holding/src/carawaysail_holding/broker.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker.py
@@ -58,6 +58,7 @@
         self.gateway_timeout: datetime.timedelta | None = None
         self.statement_interval = datetime.timedelta()
         self.report_age = report_age.ReportAge()
+        self._awaits_reports = False
         self._terms = terms
         self._job_order = policies.job_order_policies.get(names.order)
         self.estimates = run_time_estimates.RunTimeEstimates()
@@ -841,7 +842,7 @@
             Workers that accept runs, to start tasks on; by default all of them.
         """
         waiting = [shard for shard in shards if shard.waiting_count()]
-        if not waiting or not self._knows_states(now):
+        if not waiting or self._must_await_reports(now):
             return
         least = min(x.least_processor_milli for x in waiting)
         oldest_valid = self._oldest_valid(now)
@@ -864,10 +865,15 @@
                 accepting = [x for x in roomy[key] if x.accepts(now)]
                 roomy[key] = _with_room(accepting, least)
 
-    def _knows_states(self, now: datetime.datetime) -> bool:
-        """Return whether it is known which workers drain, as far as it can be."""
+    def _must_await_reports(self, now: datetime.datetime) -> bool:
+        """Return whether a worker may drain without this daemon knowing of it."""
         handled_until = self._gateways.own_known_at(now)
-        return self.report_age.may_start(self._terms, now, handled_until)
+        must_wait = not self.report_age.may_start(self._terms, now, handled_until)
+        if must_wait and not self._awaits_reports:
+            age_ms = self.report_age.age_ms(now)
+            self._actions.log("reports_too_old", "starts", age_ms=age_ms)
+        self._awaits_reports = must_wait
+        return must_wait
 
     def _place_shard(
         self,
--- a/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
@@ -9,6 +9,7 @@
 import datetime
 
 from carawaysail_holding import broker_messages, held_worker
+from carawaysail_types import clock
 
 MAX_AGE_SHARE = 0.85
 """Share of ``Terms.drain`` up to which reports are young enough; the rest is for the
@@ -57,6 +58,12 @@
         self._overdue_at = None
         self._failed_at = max(self._failed_at, at)
 
+    def age_ms(self, now: datetime.datetime) -> int | None:
+        """Return the age of the reports in milliseconds; ``None`` without any."""
+        if self._known_at == held_worker.NEVER:
+            return None
+        return round(clock.to_milliseconds(now - self._known_at))
+
     def may_start(
         self,
         terms: broker_messages.Terms,
--- a/libs/carawaysail_model/src/carawaysail_model/store.py
+++ b/libs/carawaysail_model/src/carawaysail_model/store.py
@@ -74,6 +74,10 @@
         if self.refused_vms[daemon.vm] <= 0:
             self._renewed[daemon.vm] = (daemon, now)
 
+    def remove_entry(self, vm: str) -> None:
+        """Remove the entry of a VM's daemon, if it has one."""
+        self._renewed.pop(vm, None)
+
     def live_daemons(self, now: datetime.datetime) -> tuple[daemons.Daemon, ...]:
         """Return the daemons whose lease has not expired."""
         return tuple(x for x, at in self._renewed.values() if now - at < LEASE)
--- a/libs/carawaysail_model/src/carawaysail_model/takeover_faults.py
+++ b/libs/carawaysail_model/src/carawaysail_model/takeover_faults.py
@@ -293,6 +293,27 @@
     simulation.engine.after(_between(draw, 800, 4000), restore)
 
 
+@faults.faults.register("entries_lost")
+def _entries_lost(simulation: sites.Simulation) -> None:
+    """Remove the entries of a data centre's daemons, and refuse new ones for a time.
+
+    All their other calls are served.
+    """
+    draw, data_centre = simulation.fault_random, _data_centre(simulation)
+    vms = [
+        vm
+        for vm, node in simulation.all_nodes().items()
+        if node.me.data_centre == data_centre
+    ]
+    simulation.store.refused_vms.update(vms)
+    for vm in vms:
+        simulation.store.remove_entry(vm)
+    duration = _between(draw, 500, 5000)
+    simulation.engine.after(
+        duration, lambda: simulation.store.refused_vms.subtract(vms)
+    )
+
+
 @faults.faults.register("stale_list_at_takeover")
 def _stale_list_at_takeover(simulation: sites.Simulation) -> None:
     """Let the next holder of a data centre read a list from before workers joined.
