Soak: a store that serves few calls of each daemon, and holders in turn

Change: the stand-in serves one call of an address in a given time and answers 429 to others (store_limits). The check holders_take_no_turns (ONE) judges by the value of the holder's key. The plan restart_beside_a_busy_store restarts all daemons under such a limit.

--- a/libs/carawaysail_soak/src/carawaysail_soak/checks/runs.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/checks/runs.py
@@ -4,8 +4,12 @@
 import collections.abc
 import math
 
+import msgspec
+
+from carawaysail_fleet import member_records
 from carawaysail_platform_standins import events
 from carawaysail_soak.checks import evidence, registry
+from carawaysail_types import daemons
 
 FORGIVEN_ORDERS = 3
 """Orders of a holder that was fenced, past ``lease_ttl_ms``, which are no violation."""
@@ -106,6 +110,27 @@
             highest[worker] = max(order.token, highest[worker])
 
 
+@registry.register("holders_take_no_turns")
+def find_turns(gathered: evidence.Evidence) -> _Findings:
+    """ONE: no two holders in touch replace each other within ``lease_ttl_ms``."""
+    by_key: dict[str, list[tuple[float, str]]] = collections.defaultdict(list)
+    for write in gathered.history.of(events.KeyWritten):
+        if write.key.startswith(member_records.HOLDERS_PREFIX) and write.value:
+            vm = msgspec.json.decode(write.value, type=daemons.Daemon).vm
+            tenures = by_key[write.key]
+            if not tenures or tenures[-1][1] != vm:
+                tenures.append((write.at, vm))
+    longest_s = gathered.bounds.lease_ttl_ms / 1000.0
+    for key, tenures in by_key.items():
+        turns = zip(tenures, tenures[1:], tenures[2:], strict=False)
+        for (began, vm), (_, other), (again, later) in turns:
+            is_turn = vm == later and again - began < longest_s
+            if is_turn and all(
+                gathered.impairments.in_touch(x, again) for x in (vm, other)
+            ):
+                yield again, key, f"{vm}, {other} and {vm} since {began:.3f}"
+
+
 @registry.register("fenced_holder_stops")
 def find_fenced_holders(gathered: evidence.Evidence) -> _Findings:
     """ONE: a holder that was refused for its token does not go on with it."""
--- a/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
@@ -135,6 +135,16 @@
     where.store.faults.refused_addresses -= refused
 
 
+@faults.kind("store_limits", "store", (), call_interval_s=(0.1, 0.5))
+async def _store_limits(where: site.Site, step: plan.Step) -> None:
+    """Let the store serve few calls of some daemons, whatever these ask for."""
+    limited = {where.reader(x) for x in targets.vms(where, step.target)}
+    where.store.faults.call_interval_s = step.parameters["call_interval_s"]
+    where.store.faults.limited_addresses |= limited
+    await asyncio.sleep(step.for_s)
+    where.store.faults.limited_addresses -= limited
+
+
 @faults.kind("store_slow", "store", ("site",), (0.3, 6.0), delay_s=(0.05, 0.9))
 async def _store_slow(where: site.Site, step: plan.Step) -> None:
     """Let the store carry calls out late."""
--- a/libs/carawaysail_soak/tests/test_checks.py
+++ b/libs/carawaysail_soak/tests/test_checks.py
@@ -1,13 +1,16 @@
 """Checks pass on histories that keep their promise and fail on those that break it."""
 
+import msgspec
 import testtools
 
+from carawaysail_fleet import member_records
 from carawaysail_platform_standins import events
 from carawaysail_soak import checks, history
-from carawaysail_types import errors
+from carawaysail_types import daemons, errors
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
+HOLDER = member_records.HOLDERS_PREFIX
 BOUNDS = checks.Bounds()
 
 
@@ -42,6 +45,12 @@
     )
 
 
+def claimed(at, vm):
+    daemon = daemons.Daemon(vm, "a", f"{vm}-1", "h:1")
+    value = msgspec.json.encode(daemon).decode()
+    return events.KeyWritten(at, f"{HOLDER}a", int(at), value)
+
+
 def worker(at=0.0, name="i-1"):
     return events.WorkerStarted(at, name, 7, 16_000, 1_024)
 
@@ -105,7 +114,7 @@
     def test_whole_history_keeps_every_promise(self):
         self.assertEqual([], self.judge(WHOLE))
         self.assertEqual([], self.judge([]))
-        self.assertEqual(21, len(checks.names()))
+        self.assertEqual(22, len(checks.names()))
 
     def test_some_checks_are_chosen(self):
         rules = ("refused_never_starts",)
@@ -285,6 +294,21 @@
         self.assert_broken(rule, 2, order(1, 6), order(2, 5))
         self.assert_kept(rule, order(1, 6), order(2, 5, "fence"))
 
+    def test_holders_take_no_turns(self):
+        rule = "holders_take_no_turns"
+        first, second, third = (
+            claimed(10, "a-1"),
+            claimed(11, "a-2"),
+            claimed(12, "a-1"),
+        )
+        self.assert_kept(rule, first, second)
+        self.assert_kept(rule, first, claimed(11, "a-1"), claimed(12, "a-1"))
+        self.assert_broken(rule, 12, first, second, third)
+        self.assert_broken(rule, 12, first, second, claimed(11.5, "a-2"), third)
+        self.assert_kept(rule, first, second, claimed(13, "a-1"))
+        self.assert_kept(rule, first, second._replace(key=f"{HOLDER}b"), third)
+        self.assert_kept(rule, first, second, third, *fault(9.5, 9.8, "store"))
+
     def test_fenced_holder_stops(self):
         rule = "fenced_holder_stops"
         refused = order(1, 5, "fence")
--- a/libs/carawaysail_soak/tests/test_soak.py
+++ b/libs/carawaysail_soak/tests/test_soak.py
@@ -69,6 +69,10 @@
     def test_change_after_lost_calls(self):
         self.play_file("change_after_lost_calls")
 
+    # Daemons whose entries had been refused were holders in turn from then on.
+    def test_restart_beside_a_busy_store(self):
+        self.play_file("restart_beside_a_busy_store")
+
     # The next holder started tasks again that ran on workers it had not heard of.
     def test_holder_killed_without_entries(self):
         self.play_file("holder_killed_without_entries", LONG_JOBS)
