--- a/libs/carawaysail_soak/src/carawaysail_soak/plan.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/plan.py
@@ -110,8 +110,7 @@
         ``links``, ``processes``, ``workers``, ``store`` or ``config``; ``coincidences``
         for one that is drawn only beside others of that layer.
     targets : tuple of str
-        Registered names of the targets that a plan chooses from; empty for a kind that
-        is not drawn.
+        Registered names of the targets that a plan chooses from.
     for_s : tuple of (float, float)
         Range of the duration, in seconds.
     parameters : dict of str to (float, float)
@@ -230,8 +229,7 @@
     rng = random.Random(f"{ROOT_SEED}:{seed}")
     layers: dict[str, list[str]] = {}
     for name in kinds.names():
-        if kinds.get(name).targets:
-            layers.setdefault(kinds.get(name).layer, []).append(name)
+        layers.setdefault(kinds.get(name).layer, []).append(name)
     steps = _draw_coincidences(seed, size, layers.pop(COINCIDENCES))
     for _ in range(size.series):
         at_s = rng.uniform(0.0, size.fault_s)
--- a/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
+++ b/libs/carawaysail_soak/src/carawaysail_soak/platform_faults.py
@@ -135,7 +135,10 @@
     where.store.faults.refused_addresses -= refused
 
 
-@faults.kind("store_limits", "store", (), call_interval_s=(0.1, 0.5))
+@faults.kind(
+    "store_limits", plan.COINCIDENCES, ("all", "vms", "data_centre"), (1.0, 6.0),
+    call_interval_s=(0.1, 0.5),
+)  # fmt: skip
 async def _store_limits(where: site.Site, step: plan.Step) -> None:
     """Let the store serve few calls of some daemons, whatever these ask for."""
     limited = {where.reader(x) for x in targets.vms(where, step.target)}
