Settings: drain_ms is bounded below, contact_ms is read once

contact_ms was decoded twice, for the limits of calls to the store and for the age of reports; Settings.contact gives way to Terms.contact.

--- a/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/daemon.py
@@ -151,7 +151,7 @@
         loop_inbox, seed = self._inbox, secrets.randbits(32)
         context = store_thread.Context(
             loop_inbox, self._clock, self._metrics, seed,
-            store_limits.for_contact(cfg.contact),
+            store_limits.for_contact(cfg.terms.contact),
         )  # fmt: skip
         claims = store_tasks.ClaimTask(adapter.open_store(), self._me, context)
         reports = store_tasks.ReportsTask(
--- a/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
+++ b/libs/carawaysail_fleet/src/carawaysail_fleet/ports.py
@@ -8,7 +8,7 @@
 
 from carawaysail_holding import broker_messages, contacts, policies
 from carawaysail_platform import http_calls
-from carawaysail_types import clock, errors, jobs, runs
+from carawaysail_types import errors, jobs, runs
 
 
 class Item(typing.NamedTuple):
@@ -199,8 +199,6 @@
         Name of the gateway's admission policy.
     limits : contacts.Limits
         Limits of the VM.
-    contact : datetime.timedelta
-        Time in touch with the store after which the daemon acts on what it holds.
     """
 
     vm: str
@@ -215,7 +213,6 @@
     policy_names: policies.PolicyNames = policies.PolicyNames()
     admission: str = "yielding"
     limits: contacts.Limits = contacts.Limits()
-    contact: datetime.timedelta = clock.milliseconds(3000)
 
 
 class Request(typing.NamedTuple):
--- a/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/broker_messages.py
@@ -24,8 +24,8 @@
         Time for which a worker may be used after the store has its report that it
         drains.
     contact : datetime.timedelta
-        Time after the end of a disruption of the store in which it does not count as
-        in contact yet.
+        Time after a disruption of the store in which a daemon does not count as being
+        in contact with it, and has to learn what it has missed.
     """
 
     lease: datetime.timedelta = datetime.timedelta(seconds=1)
--- a/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
@@ -19,9 +19,13 @@
 """Share of ``Terms.drain`` between two reads, so that the next one may be slow."""
 
 
+MIN_INTERVAL = clock.milliseconds(200)
+"""Least time between two reads, which count towards the store's limit."""
+
+
 def read_interval(terms: broker_messages.Terms) -> datetime.timedelta:
     """Return the time from one read of the reports to the next."""
-    return INTERVAL_SHARE * terms.drain
+    return max(MIN_INTERVAL, INTERVAL_SHARE * terms.drain)
 
 
 class ReportAge:
