--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -5,7 +5,7 @@
 replaced without noticing. This module only decides when a daemon makes a claim: a
 leaving, restarted or silent holder is replaced at once by the first-ranked daemon of
 its data centre; the others claim one after the other in case that one cannot reach the
-store.
+store. A holder that the store does not list may be alive: it is contacted first.
 """
 
 import datetime
--- a/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/report_age.py
@@ -18,7 +18,6 @@
 INTERVAL_SHARE = 0.35
 """Share of ``Terms.drain`` between two reads, so that the next one may be slow."""
 
-
 MIN_INTERVAL = clock.milliseconds(200)
 """Least time between two reads, which count towards the store's limit."""
 
