Holder election: one that was just replaced does not take back at once

Cause: "holder refuses connections" replaces a holder at once, whoever asks. That shows the end of a process only where nothing else refuses; a refused connection on both sides made each claim as soon as it had read the other's claim.

Change: a daemon that was replaced less than MIN_HOLDING_TIME ago does not claim the data centre back from a holder that refuses, or has never answered, connections.

--- a/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
+++ b/libs/carawaysail_holding/src/carawaysail_holding/holder_election.py
@@ -122,8 +122,8 @@
         # Token of the holder record that was read with the registered daemons, by data
         # centre; other daemons may tell of newer ones.
         self._stored_tokens: dict[str, int] = {}
-        # Data centres that this daemon has held.
-        self._held: set[str] = set()
+        # When another daemon became the holder of a data centre held by this one.
+        self._lost_at: dict[str, datetime.datetime] = {}
 
     # Observations
 
@@ -248,8 +248,8 @@
         self._claimed_at.pop(holder.data_centre, None)
         self._refused_at.pop(holder.data_centre, None)
         self._known_peers = None
-        if self.is_own(holder):
-            self._held.add(holder.data_centre)
+        if known is not None and self.is_own(known) and not self.is_own(holder):
+            self._lost_at[holder.data_centre] = now
         return True
 
     # Current view
@@ -404,10 +404,11 @@
             return "holder is unknown" if age >= UNKNOWN_HOLDER_TIMEOUT else ""
         if holder.is_leaving:
             return "holder leaves"
+        has_just_lost = self._has_just_lost(data_centre, now)
         if holder.is_refusing:
-            return "holder refuses connections"
+            return "" if has_just_lost else "holder refuses connections"
         if not self._is_presumed_alive(holder, now):
-            if self._has_never_answered(holder) and data_centre not in self._held:
+            if self._has_never_answered(holder) and not has_just_lost:
                 return "holder is gone"
             is_local = holder.daemon.data_centre == self.me.data_centre
             if (is_local or not holder.is_registered) and age >= MIN_HOLDING_TIME:
@@ -439,6 +440,14 @@
         stored = self._stored_tokens.get(holder.data_centre, 0)
         return peer.is_registered and stored >= holder.token
 
+    def _has_just_lost(self, data_centre: str, now: datetime.datetime) -> bool:
+        """Return whether this daemon was replaced less than a least tenure ago.
+
+        Two that cannot reach each other, but the store, would take turns otherwise.
+        """
+        lost_at = self._lost_at.get(data_centre)
+        return lost_at is not None and now - lost_at < MIN_HOLDING_TIME
+
     def _has_never_answered(self, peer: _Peer) -> bool:
         """Return whether a daemon without an entry has not answered a connection."""
         return (
--- a/libs/carawaysail_holding/tests/test_holder_election.py
+++ b/libs/carawaysail_holding/tests/test_holder_election.py
@@ -1,5 +1,6 @@
 """Holder election: which daemon claims a data centre, and when."""
 
+import itertools
 import random
 
 import testtools
@@ -215,6 +216,16 @@
         self.assert_claims({}, 3000)
         self.assert_claims({"dc-0": 6}, 1000)
 
+    # Two that ran refused each other's connections, and replaced each other at once.
+    def test_data_centre_is_not_taken_back_soon_from_one_that_refuses(self):
+        self.register_all(self.local_peer)
+        self.record_holder("dc-0", self.me, 5)
+        self.advance(5000)
+        self.record_holder("dc-0", self.local_peer, 6)
+        self.election.record_refusal(self.local_peer)
+        self.assert_claims({}, 3000)
+        self.assert_claims({"dc-0": 6}, 400)
+
     def test_former_process_of_the_own_vm_is_replaced(self):
         self.record_holder("dc-0", make_daemon("me", incarnation="0"), 5)
         self.assert_claims({"dc-0": 5}, 500)
@@ -301,10 +312,11 @@
 class Fleet:
     """Elections that run on one store, which lists some daemons wrongly or not at all.
 
-    All reach the store, and each hears those that it or they have contacted.
+    All reach the store, and each hears those that it or they have contacted, unless
+    connections between the two are refused.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, refused_share=0.0):
         draw = random.Random(seed)
         self.clock = clock.ManualClock()
         daemon_ids = [(f"vm-{n}", draw.choice(DATA_CENTRES)) for n in range(4)]
@@ -325,6 +337,8 @@
                 self._write(data_centre, draw.choice(former))
         self.changes = []
         self._reads_at = [draw.randrange(1, 12) for _ in self.daemons]
+        pairs = itertools.combinations(range(len(self.daemons)), 2)
+        self._refused = {frozenset(x) for x in pairs if draw.random() < refused_share}
 
     def _write(self, data_centre, daemon):
         self.revision += 1
@@ -353,7 +367,10 @@
         me, election = self.daemons[number], self.elections[number]
         for other, peer in enumerate(self.daemons):
             wanted = [x for x in contacts[number] if x.vm == peer.vm]
-            if other != number and (wanted or me in contacts[other]):
+            if frozenset((number, other)) in self._refused:
+                for daemon in wanted:
+                    election.record_refusal(daemon)
+            elif other != number and (wanted or me in contacts[other]):
                 election.record_message(peer, False, self.clock.now())
 
     def _read(self, election):
@@ -389,3 +406,17 @@
                 fleet.run(8000)
                 self.assertEqual([], fleet.changes)
                 self.assertEqual(set(DATA_CENTRES), set(vms))
+
+    # Two that refused each other's connections were the holder in turn every 100 ms.
+    def test_nobody_takes_turns_though_connections_are_refused(self):
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed, refused_share=0.5)
+                fleet.run(12_000)
+                for data_centre in DATA_CENTRES:
+                    tenures = [x for x in fleet.changes if x[1] == data_centre]
+                    for first, _, again in zip(
+                        tenures, tenures[1:], tenures[2:], strict=False
+                    ):
+                        if first[2] == again[2]:
+                            self.assertGreater(again[0] - first[0], MS(3000))
